--- /dev/null
+++ b/src/base/Error.h
@@ -0,0 +1,32 @@
+// The exception that every library throws.
+//
+// An Error says what failed, at which step and with which peer, and what an operator can do about it.
+// what() joins the parts into one line. Empty parts are left out.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+
+namespace skylark {
+
+struct ErrorDetails {
+    std::string step;
+    std::string peer;
+    std::string message;
+    std::string advice;
+};
+
+class Error : public std::runtime_error {
+public:
+    explicit Error(ErrorDetails details);
+
+    const std::string& step() const { return m_details.step; }
+    const std::string& peer() const { return m_details.peer; }
+    const std::string& message() const { return m_details.message; }
+    const std::string& advice() const { return m_details.advice; }
+
+private:
+    ErrorDetails m_details;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/base/Invariant.h
@@ -0,0 +1,35 @@
+// Invariants that are checked in every build.
+//
+// invariant(isHeld, {...}) throws InvariantViolation when isHeld is false and counts it. The count is
+// exported as a metric; a value above zero is a fault of the program and not of its input.
+#pragma once
+
+#include "base/Error.h"
+
+#include <cstdint>
+
+namespace skylark {
+
+struct InvariantDetails {
+    const char* rule;
+    const char* step;
+    std::string peer {};
+};
+
+class InvariantViolation : public Error {
+public:
+    using Error::Error;
+};
+
+[[noreturn]] void reportViolation(const InvariantDetails& details);
+
+inline void invariant(bool isHeld, const InvariantDetails& details)
+{
+    if (!isHeld) [[unlikely]]
+        reportViolation(details);
+}
+
+// Number of violations since the process started.
+uint64_t violationCount();
+
+} // namespace skylark
--- /dev/null
+++ b/src/base/RcuCell.h
@@ -0,0 +1,72 @@
+// A pointer to an immutable value that many threads read and few replace, by read-copy-update.
+//
+// load() never blocks: it takes a share of the value inside a read-side critical section of liburcu's
+// "bulletproof" flavour, which registers threads by itself. store() swaps the pointer, waits until no
+// reader can still be copying the old one and releases it, so that one superseded value at most is kept
+// beyond those that readers hold. Do not call store() from the request path: it waits for readers.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <urcu/urcu-bp.h>
+
+#if defined(__SANITIZE_THREAD__)
+extern "C" void __tsan_acquire(void*);
+extern "C" void __tsan_release(void*);
+#endif
+
+namespace skylark {
+
+template <typename T> class RcuCell {
+public:
+    RcuCell() = default;
+    explicit RcuCell(std::shared_ptr<const T> value)
+        : m_holder(new Holder { std::move(value) })
+    {
+    }
+    RcuCell(const RcuCell&) = delete;
+    RcuCell& operator=(const RcuCell&) = delete;
+    ~RcuCell() { delete m_holder.load(); }
+
+    // Null until the first store().
+    std::shared_ptr<const T> load() const
+    {
+        urcu_bp_read_lock();
+        const Holder* holder = m_holder.load(std::memory_order_acquire);
+        std::shared_ptr<const T> value = holder ? holder->value : nullptr;
+        announceRelease();
+        urcu_bp_read_unlock();
+        return value;
+    }
+
+    void store(std::shared_ptr<const T> value)
+    {
+        const Holder* old = m_holder.exchange(new Holder { std::move(value) }, std::memory_order_acq_rel);
+        urcu_bp_synchronize_rcu();
+        announceAcquire();
+        delete old;
+    }
+
+private:
+    struct Holder {
+        std::shared_ptr<const T> value;
+    };
+
+    // ThreadSanitizer does not see the ordering that liburcu gives, so it is told of it.
+    void announceRelease() const
+    {
+#if defined(__SANITIZE_THREAD__)
+        __tsan_release(const_cast<std::atomic<const Holder*>*>(&m_holder));
+#endif
+    }
+    void announceAcquire() const
+    {
+#if defined(__SANITIZE_THREAD__)
+        __tsan_acquire(const_cast<std::atomic<const Holder*>*>(&m_holder));
+#endif
+    }
+
+    std::atomic<const Holder*> m_holder { nullptr };
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/base/Settings.cpp
@@ -0,0 +1,207 @@
+#include "base/Settings.h"
+
+#include "base/Error.h"
+
+#include <absl/time/time.h>
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+namespace skylark {
+
+namespace {
+
+    constexpr const char* step = "read-settings";
+
+    size_t editDistance(const std::string& left, const std::string& right)
+    {
+        std::vector<size_t> row(right.size() + 1);
+        for (size_t column = 0; column <= right.size(); ++column)
+            row[column] = column;
+        for (size_t line = 1; line <= left.size(); ++line) {
+            size_t diagonal = row[0];
+            row[0] = line;
+            for (size_t column = 1; column <= right.size(); ++column) {
+                const size_t substitution = diagonal + (left[line - 1] == right[column - 1] ? 0 : 1);
+                diagonal = row[column];
+                row[column] = std::min({ substitution, row[column] + 1, row[column - 1] + 1 });
+            }
+        }
+        return row[right.size()];
+    }
+
+} // namespace
+
+std::optional<std::string> nearestName(const std::string& name, const std::vector<std::string>& known)
+{
+    // Two edits cover the usual slips of the keyboard; more would suggest unrelated names.
+    constexpr size_t mostEdits = 2;
+    std::optional<std::string> nearest;
+    size_t least = mostEdits + 1;
+    for (const std::string& candidate : known) {
+        const size_t distance = editDistance(name, candidate);
+        if (distance < least) {
+            least = distance;
+            nearest = candidate;
+        }
+    }
+    return nearest;
+}
+
+std::optional<Duration> parseDuration(const std::string& text)
+{
+    absl::Duration parsed;
+    if (!absl::ParseDuration(text, &parsed) || parsed < absl::ZeroDuration() || parsed > absl::Hours(24 * 365))
+        return std::nullopt;
+    return absl::ToChronoNanoseconds(parsed);
+}
+
+std::string formatDuration(Duration duration) { return absl::FormatDuration(absl::FromChrono(duration)); }
+
+std::string readFile(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (file)
+        text << file.rdbuf();
+    if (!file || file.bad())
+        throw Error({ .step = "read-file", .message = path + ": " + std::strerror(errno) });
+    return text.str();
+}
+
+SettingsReader::SettingsReader(const nlohmann::json& object, std::string pointer)
+    : m_object(object)
+    , m_pointer(std::move(pointer))
+{
+    if (!object.is_object())
+        throw Error({ .step = step, .message = "\"" + m_pointer + "\" is not a JSON object" });
+}
+
+bool SettingsReader::has(const std::string& key) const { return m_object.contains(key); }
+
+const nlohmann::json* SettingsReader::find(const std::string& key)
+{
+    m_known.insert(key);
+    const auto entry = m_object.find(key);
+    return entry == m_object.end() ? nullptr : &*entry;
+}
+
+std::string SettingsReader::text(const std::string& key, std::optional<std::string> fallback)
+{
+    const nlohmann::json* value = find(key);
+    if (!value && fallback)
+        return *fallback;
+    if (!value)
+        refuseMissing(key);
+    if (!value->is_string())
+        refuse(key, "a text");
+    return value->get<std::string>();
+}
+
+int64_t SettingsReader::integer(const std::string& key, std::optional<int64_t> fallback, int64_t least, int64_t most)
+{
+    const nlohmann::json* value = find(key);
+    if (!value && fallback)
+        return *fallback;
+    if (!value)
+        refuseMissing(key);
+    const std::string allowed = "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
+    if (!value->is_number_integer())
+        refuse(key, allowed);
+    const int64_t number = value->get<int64_t>();
+    if (number < least || number > most)
+        refuse(key, allowed);
+    return number;
+}
+
+double SettingsReader::number(const std::string& key, std::optional<double> fallback, double least, double most)
+{
+    const nlohmann::json* value = find(key);
+    if (!value && fallback)
+        return *fallback;
+    if (!value)
+        refuseMissing(key);
+    if (!value->is_number() || value->get<double>() < least || value->get<double>() > most)
+        refuse(key, "a number from " + std::to_string(least) + " to " + std::to_string(most));
+    return value->get<double>();
+}
+
+bool SettingsReader::boolean(const std::string& key, std::optional<bool> fallback)
+{
+    const nlohmann::json* value = find(key);
+    if (!value && fallback)
+        return *fallback;
+    if (!value)
+        refuseMissing(key);
+    if (!value->is_boolean())
+        refuse(key, "true or false");
+    return value->get<bool>();
+}
+
+Duration SettingsReader::duration(
+    const std::string& key, std::optional<Duration> fallback, Duration least, Duration most)
+{
+    const nlohmann::json* value = find(key);
+    if (!value && fallback)
+        return *fallback;
+    if (!value)
+        refuseMissing(key);
+    const std::string allowed
+        = "a duration with its unit, from " + formatDuration(least) + " to " + formatDuration(most);
+    if (!value->is_string())
+        refuse(key, allowed);
+    const std::optional<Duration> parsed = parseDuration(value->get<std::string>());
+    if (!parsed || *parsed < least || *parsed > most)
+        refuse(key, allowed);
+    return *parsed;
+}
+
+Endpoint SettingsReader::endpoint(const std::string& key, std::optional<Endpoint> fallback)
+{
+    if (!find(key) && fallback)
+        return *fallback;
+    const std::string address = text(key);
+    try {
+        return Endpoint::fromString(address);
+    } catch (const Error&) {
+        refuse(key, "an address of the form host:port");
+    }
+}
+
+const nlohmann::json& SettingsReader::value(const std::string& key)
+{
+    static const nlohmann::json absent;
+    const nlohmann::json* value = find(key);
+    return value ? *value : absent;
+}
+
+void SettingsReader::finish() const
+{
+    for (const auto& [key, value] : m_object.items()) {
+        if (m_known.contains(key))
+            continue;
+        const auto nearest = nearestName(key, { m_known.begin(), m_known.end() });
+        throw Error({ .step = step,
+            .message = "unknown key \"" + m_pointer + "/" + key + "\"",
+            .advice = nearest ? "did you mean \"" + *nearest + "\"?" : "" });
+    }
+}
+
+void SettingsReader::refuse(const std::string& key, const std::string& allowed) const
+{
+    std::string found = m_object.contains(key) ? m_object.at(key).dump() : "nothing";
+    constexpr size_t mostShown = 80;
+    if (found.size() > mostShown)
+        found = found.substr(0, mostShown) + "...";
+    throw Error(
+        { .step = step, .message = "\"" + m_pointer + "/" + key + "\" is " + found + "; allowed is " + allowed });
+}
+
+void SettingsReader::refuseMissing(const std::string& key) const
+{
+    throw Error({ .step = step, .message = "\"" + m_pointer + "/" + key + "\" is missing" });
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/membership/MembershipView.h
@@ -0,0 +1,104 @@
+// What a node believes of the other instances, as an immutable snapshot.
+//
+// MembershipTable builds one after each change; the request path reads it through RcuCell. Lookups are
+// by hash; the vectors are ordered by instance id, so that equal views give equal orders on all nodes.
+#pragma once
+
+#include "base/Types.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace skylark {
+
+// An entry of the platform's instance list.
+struct InstanceRecord {
+    InstanceId id;
+    Incarnation incarnation;
+    // Where the instance's skylarkd takes connections from its peers.
+    Endpoint peer;
+    ServiceName service;
+    ZoneName zone;
+    RegionName region;
+    bool isLeaving { false };
+
+    bool operator==(const InstanceRecord&) const = default;
+};
+
+// The instances of one zone at one platform revision.
+struct ZoneInstanceList {
+    ZoneName zone;
+    Revision revision;
+    std::vector<InstanceRecord> instances;
+
+    bool operator==(const ZoneInstanceList&) const = default;
+};
+
+// The change between two revisions of a zone's list.
+struct ZoneListDelta {
+    ZoneName zone;
+    Revision fromRevision;
+    Revision toRevision;
+    std::vector<InstanceRecord> upserts;
+    std::vector<InstanceId> removals;
+
+    bool operator==(const ZoneListDelta&) const = default;
+};
+
+enum class Condition : uint8_t {
+    Live,
+    Suspect,
+    Leaving,
+    Gone,
+};
+
+const char* conditionName(Condition condition);
+
+struct InstanceState {
+    InstanceRecord record;
+    Condition condition { Condition::Live };
+    // When the condition was reached, and when this incarnation was first seen.
+    TimePoint since;
+    TimePoint firstSeen;
+};
+
+// A peer's statement about a third instance.
+struct Hearsay {
+    InstanceId subject;
+    Incarnation incarnation;
+    Condition condition { Condition::Live };
+    // Time between the evidence and the sending of this statement.
+    Duration age {};
+
+    bool operator==(const Hearsay&) const = default;
+};
+
+class MembershipView {
+public:
+    using Members = std::vector<const InstanceState*>;
+
+    // Instances that are gone are left out of the view.
+    explicit MembershipView(std::vector<InstanceState> instances);
+    MembershipView(const MembershipView&) = delete;
+    MembershipView& operator=(const MembershipView&) = delete;
+
+    const std::vector<InstanceState>& instances() const { return m_instances; }
+    // Null where the instance is not known.
+    const InstanceState* find(const InstanceId& id) const;
+    // Empty where there is none.
+    const Members& ofService(const ServiceName& service) const;
+    const Members& ofZone(const ZoneName& zone) const;
+    // In ascending order.
+    const std::vector<ZoneName>& zones() const { return m_zones; }
+
+private:
+    std::vector<InstanceState> m_instances;
+    absl::flat_hash_map<InstanceId, const InstanceState*> m_byId;
+    absl::flat_hash_map<ServiceName, Members> m_byService;
+    absl::flat_hash_map<ZoneName, Members> m_byZone;
+    std::vector<ZoneName> m_zones;
+};
+
+} // namespace skylark
