--- /dev/null
+++ b/src/node/BackendClient.cpp
@@ -0,0 +1,185 @@
+#include "node/BackendClient.h"
+
+#include "base/Error.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    // The library adds these to a request's headers; they never came from the caller.
+    bool isLibraryHeader(const std::string& name)
+    {
+        return name == "REMOTE_ADDR" || name == "REMOTE_PORT" || name == "LOCAL_ADDR" || name == "LOCAL_PORT";
+    }
+
+    httplib::Request makeRequest(const BackendRequest& request)
+    {
+        httplib::Request result;
+        result.method = request.method;
+        result.path = request.target;
+        for (const auto& [name, value] : request.headers) {
+            if (!isHopByHopHeader(name))
+                result.headers.emplace(name, value);
+        }
+        return result;
+    }
+
+    std::optional<uint64_t> contentLength(const httplib::Response& response)
+    {
+        uint64_t length = 0;
+        if (!response.has_header("Content-Length")
+            || !absl::SimpleAtoi(response.get_header_value("Content-Length"), &length))
+            return std::nullopt;
+        return length;
+    }
+
+    HeaderList forwardedHeaders(const httplib::Response& response)
+    {
+        HeaderList headers;
+        for (const auto& [name, value] : response.headers) {
+            if (!isHopByHopHeader(name))
+                headers.emplace_back(name, value);
+        }
+        return headers;
+    }
+
+} // namespace
+
+bool isHopByHopHeader(const std::string& name)
+{
+    static constexpr const char* names[] = { "connection", "keep-alive", "proxy-connection", "proxy-authenticate",
+        "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect" };
+    return isLibraryHeader(name) || std::any_of(std::begin(names), std::end(names), [&](const char* hop) {
+        return absl::EqualsIgnoreCase(name, hop);
+    });
+}
+
+void BackendCancellation::cancel()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isCancelled = true;
+    if (m_client)
+        m_client->stop();
+}
+
+bool BackendCancellation::isCancelled() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_isCancelled;
+}
+
+bool BackendCancellation::attach(httplib::Client* client)
+{
+    const std::lock_guard lock(m_mutex);
+    m_client = client;
+    return !m_isCancelled;
+}
+
+void BackendCancellation::detach()
+{
+    const std::lock_guard lock(m_mutex);
+    m_client = nullptr;
+}
+
+BackendClient::BackendClient(BackendClientOptions options)
+    : m_options(std::move(options))
+{
+}
+
+std::unique_ptr<httplib::Client> BackendClient::take()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_idle.empty()) {
+            std::unique_ptr<httplib::Client> client = std::move(m_idle.back());
+            m_idle.pop_back();
+            return client;
+        }
+    }
+    auto client = std::make_unique<httplib::Client>(m_options.backend.host, m_options.backend.port);
+    client->set_keep_alive(true);
+    client->set_tcp_nodelay(true);
+    client->set_decompress(false);
+    client->set_compress(false);
+    client->set_follow_location(false);
+    client->set_connection_timeout(m_options.connectTimeout);
+    return client;
+}
+
+void BackendClient::giveBack(std::unique_ptr<httplib::Client> client)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_idle.size() < m_options.mostIdle)
+        m_idle.push_back(std::move(client));
+}
+
+BackendResult BackendClient::exchange(const BackendRequest& request, const BackendAnswerSink& sink,
+    const std::shared_ptr<BackendCancellation>& cancellation)
+{
+    BackendResult result;
+    const Duration left = request.deadline - std::chrono::steady_clock::now();
+    if (left <= Duration::zero())
+        return { .outcome = CallOutcome::NotRun, .step = "backend-send", .message = "the deadline has passed" };
+
+    std::unique_ptr<httplib::Client> client = take();
+    client->set_read_timeout(left);
+    client->set_write_timeout(left);
+    if (!cancellation->attach(client.get()))
+        return { .outcome = CallOutcome::NotRun, .step = "backend-send", .message = "the call was cancelled" };
+
+    httplib::Request message = makeRequest(request);
+    std::string bodyFault;
+    if (request.body)
+        message.body = *request.body;
+    if (request.readBody) {
+        message.is_chunked_content_provider_ = true;
+        message.headers.emplace("Transfer-Encoding", "chunked");
+        message.content_provider_ = [&](size_t, size_t, httplib::DataSink& body) {
+            try {
+                const std::optional<std::string> part = request.readBody();
+                if (part)
+                    return body.write(part->data(), part->size());
+                body.done();
+                return true;
+            } catch (const skylark::Error& error) {
+                bodyFault = error.what();
+                return false;
+            }
+        };
+    }
+    std::optional<uint64_t> expected;
+    uint64_t received = 0;
+    message.response_handler = [&](const httplib::Response& response) {
+        expected = contentLength(response);
+        result.hasHead = true;
+        return sink.onHead(response.status, forwardedHeaders(response), expected);
+    };
+    message.content_receiver = [&](const char* data, size_t size, uint64_t, uint64_t) {
+        received += size;
+        return std::chrono::steady_clock::now() < request.deadline && sink.onBody(std::string(data, size));
+    };
+
+    httplib::Response response;
+    httplib::Error error = httplib::Error::Success;
+    const bool isComplete = client->send(message, response, error);
+    cancellation->detach();
+    const bool isWhole = request.method == "HEAD" || !expected || received == *expected;
+    if (isComplete && isWhole) {
+        giveBack(std::move(client));
+        result.outcome = CallOutcome::Answered;
+        return result;
+    }
+    const bool isUnsent = error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
+    result.outcome = isUnsent ? CallOutcome::NotRun : CallOutcome::Unknown;
+    result.step = isUnsent ? "backend-connect" : "backend-exchange";
+    result.message = isComplete ? "the answer's body was cut off" : httplib::to_string(error);
+    if (!bodyFault.empty())
+        result.message = bodyFault;
+    return result;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/node/CallDispatcher.cpp
@@ -0,0 +1,363 @@
+#include "node/CallDispatcher.h"
+
+#include "base/Digest.h"
+#include "node/BackendClient.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <algorithm>
+#include <thread>
+
+namespace skylark {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr const char* requestIdHeader = "Skylark-Request-Id";
+    constexpr const char* rankHeader = "Skylark-Rank";
+    constexpr const char* deadlineHeader = "Skylark-Deadline-Ms";
+    constexpr const char* depthHeader = "Skylark-Depth";
+    constexpr const char* resendHeader = "Skylark-Resend";
+    constexpr const char* idempotencyHeader = "Idempotency-Key";
+    // The longest call chain; a longer one is taken for a loop.
+    constexpr uint32_t greatestDepth = 9;
+    constexpr size_t longestId = 256;
+    constexpr int statusShed = 503;
+
+    const std::string* findHeader(const HeaderList& headers, const char* name)
+    {
+        for (const auto& [key, value] : headers) {
+            if (absl::EqualsIgnoreCase(key, name))
+                return &value;
+        }
+        return nullptr;
+    }
+
+    void setHeader(HeaderList& headers, const char* name, std::string value)
+    {
+        std::erase_if(headers, [&](const auto& header) { return absl::EqualsIgnoreCase(header.first, name); });
+        headers.emplace_back(name, std::move(value));
+    }
+
+    template <typename Integer> std::optional<Integer> integerHeader(const HeaderList& headers, const char* name)
+    {
+        const std::string* text = findHeader(headers, name);
+        Integer value {};
+        if (!text || !absl::SimpleAtoi(*text, &value))
+            return std::nullopt;
+        return value;
+    }
+
+    int rankByName(const Configuration& configuration, const std::string& name, int fallback)
+    {
+        const auto& ranks = configuration.ranks();
+        const auto rank
+            = std::find_if(ranks.begin(), ranks.end(), [&](const auto& policy) { return policy.name.value() == name; });
+        return rank == ranks.end() ? fallback : static_cast<int>(rank - ranks.begin());
+    }
+
+    // The outcome of one attempt and whether its instance is to blame.
+    struct Verdict {
+        CallOutcome outcome { CallOutcome::Unknown };
+        bool isFault { false };
+        std::optional<LoadHint> load;
+    };
+
+    Verdict judge(const AwaitResult& result)
+    {
+        if (const auto* answer = std::get_if<AnswerStart>(&result))
+            return { .outcome = CallOutcome::Answered, .isFault = answer->status >= 500, .load = answer->load };
+        if (const auto* refusal = std::get_if<Refusal>(&result)) {
+            const bool isBackendFault = refusal->step.starts_with("backend");
+            return { .outcome = refusal->outcome, .isFault = isBackendFault, .load = refusal->load };
+        }
+        const auto& failure = std::get<StreamFailure>(result);
+        return { .outcome = failure.outcome, .isFault = !failure.isSilentConnection };
+    }
+
+    CallError errorOf(const AwaitResult& result, CallOutcome outcome, const InstanceId& instance)
+    {
+        CallError error {
+            .status = outcome == CallOutcome::NotRun ? 503 : 504, .outcome = outcome, .peer = instance.value()
+        };
+        if (const auto* refusal = std::get_if<Refusal>(&result)) {
+            error.step = refusal->step;
+            error.message = refusal->reason;
+            if (refusal->step == "duplicate")
+                error.status = 409;
+        } else if (const auto* failure = std::get_if<StreamFailure>(&result)) {
+            error.step = failure->step;
+            error.message = failure->message;
+        }
+        return error;
+    }
+
+} // namespace
+
+const char* outcomeName(CallOutcome outcome)
+{
+    switch (outcome) {
+    case CallOutcome::Answered:
+        return "answered";
+    case CallOutcome::NotRun:
+        return "not-run";
+    case CallOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+const std::string& ClassifiedCall::rankName() const
+{
+    static const std::string unranked = "unranked";
+    const auto& ranks = configuration->ranks();
+    return start.rank < ranks.size() ? ranks[start.rank].name.value() : unranked;
+}
+
+CallDispatcher::Attempt::Attempt(Router& router, Choice choice, std::shared_ptr<ClientStream> stream, TimePoint sentAt)
+    : m_router(router)
+    , m_choice(std::move(choice))
+    , m_stream(std::move(stream))
+    , m_sentAt(sentAt)
+{
+    m_router.began(m_choice);
+}
+
+CallDispatcher::Attempt::~Attempt() { report({ .outcome = CallOutcome::Unknown }, m_sentAt); }
+
+void CallDispatcher::Attempt::report(const CallReport& report, TimePoint now)
+{
+    if (!std::exchange(m_isReported, true))
+        m_router.finished(m_choice, report, now);
+}
+
+CallDispatcher::CallDispatcher(CallDispatcherOptions options, const RcuCell<Configuration>& configuration,
+    Router& router, PeerNetwork& network, Metrics& metrics, const Clock& clock)
+    : m_options(std::move(options))
+    , m_configuration(configuration)
+    , m_router(router)
+    , m_network(network)
+    , m_metrics(metrics)
+    , m_clock(clock)
+{
+}
+
+Random& CallDispatcher::random()
+{
+    thread_local Random generator(seededHash(m_options.instance.value(), m_options.seed + m_threadSeeds.fetch_add(1)));
+    return generator;
+}
+
+std::variant<ClassifiedCall, CallError> CallDispatcher::classify(const CallerRequest& request)
+{
+    ClassifiedCall call;
+    call.arrivedAt = m_clock.now();
+    call.configuration = m_configuration.load();
+    if (!call.configuration)
+        return CallError { .step = "classify", .message = "this node holds no configuration yet" };
+    call.route = call.configuration->match(request.host, request.method, request.path);
+    if (!call.route)
+        return CallError { .status = 404, .step = "classify", .message = "no route matches the request" };
+
+    const Route& route = *call.route;
+    const uint32_t depth = integerHeader<uint32_t>(request.headers, depthHeader).value_or(0) + 1;
+    if (depth > greatestDepth)
+        return CallError { .status = 508, .step = "classify", .message = "the call chain is longer than 9 calls" };
+    Duration allowed = route.deadline;
+    if (const auto remaining = integerHeader<int64_t>(request.headers, deadlineHeader)) {
+        if (*remaining <= 0)
+            return CallError { .step = "classify", .message = "the deadline has passed" };
+        allowed = std::min<Duration>({ allowed, m_options.maxDeadline, std::chrono::milliseconds(*remaining) });
+    }
+    call.deadline = call.arrivedAt + allowed;
+
+    CallStart& start = call.start;
+    start.requestId = RequestId(m_options.instance.value() + "-" + std::to_string(m_options.processNumber) + "-"
+        + std::to_string(m_lastRequest.fetch_add(1) + 1));
+    start.service = route.service;
+    start.method = request.method;
+    start.target = request.target;
+    start.depth = depth;
+    start.worth = route.worth;
+    start.isIdempotent = route.isIdempotent;
+    // Inner calls keep the rank of the whole chain, so that urgent work stays urgent at each level.
+    const std::string* rank = depth > 1 ? findHeader(request.headers, rankHeader) : nullptr;
+    start.rank = static_cast<uint32_t>(rank ? rankByName(*call.configuration, *rank, route.rank) : route.rank);
+    if (const std::string* key = findHeader(request.headers, idempotencyHeader); key && !route.isIdempotent) {
+        if (key->size() > longestId)
+            return CallError {
+                .status = 400, .step = "classify", .message = "Idempotency-Key is longer than 256 bytes"
+            };
+        start.idempotencyKey = *key;
+    }
+    const std::string* resend = findHeader(request.headers, resendHeader);
+    start.isResend = resend && *resend == "1";
+
+    for (const auto& [name, value] : request.headers) {
+        if (!isHopByHopHeader(name))
+            start.headers.emplace_back(name, value);
+    }
+    const std::string* chain = findHeader(request.headers, requestIdHeader);
+    setHeader(start.headers, requestIdHeader,
+        chain && !chain->empty() && chain->size() <= longestId ? *chain : start.requestId.value());
+    setHeader(start.headers, rankHeader, call.rankName());
+    setHeader(start.headers, depthHeader, std::to_string(depth));
+    return call;
+}
+
+std::optional<Choice> CallDispatcher::choose(const ClassifiedCall& call, const std::vector<InstanceId>& tried)
+{
+    return m_router.choose({ .service = call.route->service,
+                               .excluded = tried,
+                               .isIdempotent = call.route->isIdempotent,
+                               .idempotencyKey = call.start.idempotencyKey },
+        random(), m_clock.now());
+}
+
+std::shared_ptr<CallDispatcher::Attempt> CallDispatcher::open(
+    ClassifiedCall& call, Choice choice, std::string body, bool isBodyComplete)
+{
+    const TimePoint now = m_clock.now();
+    CallStart start = call.start;
+    start.gateIncarnation = choice.incarnation;
+    start.remainingDeadline = call.deadline - now;
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(start.remainingDeadline);
+    setHeader(start.headers, deadlineHeader, std::to_string(remaining.count()));
+    m_metrics.countAttempt(start.attempt > 1);
+    const Endpoint gate = choice.peer;
+    const InstanceId instance = choice.instance;
+    auto stream = m_network.openCall(gate, instance, std::move(start), std::move(body), isBodyComplete);
+    return std::make_shared<Attempt>(m_router, std::move(choice), std::move(stream), now);
+}
+
+// An attempt that could be repeated does not get all of the remaining time: an instance that has stopped
+// without closing its connections would use it up.
+TimePoint CallDispatcher::attemptDeadline(const ClassifiedCall& call, const Choice& choice) const
+{
+    const Route& route = *call.route;
+    if (!route.isIdempotent || call.start.depth > 1 || call.start.attempt > static_cast<uint32_t>(route.retries))
+        return call.deadline;
+    const auto attemptsLeft = static_cast<int64_t>(route.retries) + 2 - call.start.attempt;
+    const TimePoint now = m_clock.now();
+    const Duration share = (call.deadline - now) / attemptsLeft;
+    // Three mean latencies leave room for slow answers of a healthy instance.
+    return std::min(call.deadline, now + std::max(share, 3 * choice.expectedLatency));
+}
+
+void CallDispatcher::report(Attempt& attempt, const AwaitResult& result)
+{
+    const TimePoint now = m_clock.now();
+    const Verdict verdict = judge(result);
+    attempt.report({ .outcome = verdict.outcome,
+                       .isFault = verdict.isFault,
+                       .latency = now - attempt.m_sentAt,
+                       .load = verdict.load },
+        now);
+    // Only what shows that the instance itself did not answer: a refusal or a slow answer is no such sign.
+    const auto* failure = std::get_if<StreamFailure>(&result);
+    if (failure && m_failureObserver && !failure->isSilentConnection && !failure->isTimeout)
+        m_failureObserver(attempt.m_choice.instance, attempt.m_choice.incarnation);
+}
+
+CallResult CallDispatcher::call(ClassifiedCall& call, const std::string& body)
+{
+    const std::shared_ptr<RetryBudget> retryBudget = budget(call.route->service);
+    std::vector<InstanceId> tried;
+    bool mayHaveRun = false;
+    std::optional<CallError> lastError;
+    m_inFlight.fetch_add(1);
+    const std::unique_ptr<std::atomic<int>, void (*)(std::atomic<int>*)> guard(
+        &m_inFlight, [](std::atomic<int>* count) { count->fetch_sub(1); });
+    for (call.start.attempt = 1;; ++call.start.attempt) {
+        std::optional<Choice> choice = choose(call, tried);
+        if (!choice) {
+            return lastError.value_or(CallError { .step = "choose-instance",
+                .peer = call.route->service.value(),
+                .message = "no instance of the service is available" });
+        }
+        const InstanceId instance = choice->instance;
+        const Duration expectedLatency = choice->expectedLatency;
+        const TimePoint until = attemptDeadline(call, *choice);
+        const std::shared_ptr<Attempt> attempt = open(call, std::move(*choice), body, true);
+        const AwaitResult result = attempt->stream().awaitAnswer(until);
+        report(*attempt, result);
+        const Verdict verdict = judge(result);
+        const auto* answer = std::get_if<AnswerStart>(&result);
+        // An answer 503 means that the backend server shed the call, which another one may take. Only
+        // idempotent requests are repeated for it, since it does not prove that nothing ran.
+        const bool isShed = answer && answer->status == statusShed && call.route->isIdempotent;
+        const CallOutcome outcome = isShed ? CallOutcome::Unknown : verdict.outcome;
+        retryBudget->noteAttempt(call.start.attempt, outcome);
+        if (answer && !isShed)
+            return CallAnswer { *answer, attempt->m_stream, call.deadline, instance };
+
+        const RetryDecision decision
+            = m_retryPolicy.decide({ .isIdempotent = call.route->isIdempotent,
+                                       .depth = call.start.depth,
+                                       .number = call.start.attempt,
+                                       .maxRetries = static_cast<uint32_t>(call.route->retries),
+                                       .deadline = call.deadline,
+                                       .expectedLatency = expectedLatency,
+                                       .mayHaveRun = mayHaveRun },
+                outcome, *retryBudget, random(), m_clock.now());
+        if (const auto* passOn = std::get_if<PassOn>(&decision)) {
+            if (isShed)
+                return CallAnswer { *answer, attempt->m_stream, call.deadline, instance };
+            return errorOf(result, passOn->outcome, instance);
+        }
+        mayHaveRun = mayHaveRun || outcome == CallOutcome::Unknown;
+        lastError = errorOf(result, mayHaveRun ? CallOutcome::Unknown : outcome, instance);
+        tried.push_back(instance);
+        std::this_thread::sleep_for(std::get<Retry>(decision).delay);
+    }
+}
+
+std::variant<std::shared_ptr<CallDispatcher::Attempt>, CallError> CallDispatcher::start(
+    ClassifiedCall& call, std::string firstPart)
+{
+    std::optional<Choice> choice = choose(call, {});
+    if (!choice) {
+        return CallError { .step = "choose-instance",
+            .peer = call.route->service.value(),
+            .message = "no instance of the service is available" };
+    }
+    return open(call, std::move(*choice), std::move(firstPart), false);
+}
+
+CallResult CallDispatcher::finish(ClassifiedCall& call, const std::shared_ptr<Attempt>& attempt)
+{
+    const AwaitResult result = attempt->stream().awaitAnswer(call.deadline);
+    report(*attempt, result);
+    const InstanceId instance = attempt->m_choice.instance;
+    const CallOutcome outcome = judge(result).outcome;
+    budget(call.route->service)->noteAttempt(1, outcome);
+    if (const auto* answer = std::get_if<AnswerStart>(&result))
+        return CallAnswer { *answer, attempt->m_stream, call.deadline, instance };
+    return errorOf(result, outcome, instance);
+}
+
+void CallDispatcher::reconfigure(const Configuration& configuration)
+{
+    const std::shared_ptr<const Budgets> old = m_budgets.load();
+    auto updated = std::make_shared<Budgets>();
+    for (const auto& [name, service] : configuration.services()) {
+        const auto known = old ? old->find(name) : Budgets::const_iterator {};
+        updated->emplace(name,
+            old && known != old->end() ? known->second
+                                       : std::make_shared<RetryBudget>(RetryBudgetOptions {}, m_clock.now()));
+    }
+    m_budgets.store(std::move(updated));
+}
+
+std::shared_ptr<RetryBudget> CallDispatcher::budget(const ServiceName& service) const
+{
+    if (const std::shared_ptr<const Budgets> budgets = m_budgets.load()) {
+        if (const auto entry = budgets->find(service); entry != budgets->end())
+            return entry->second;
+    }
+    // A service of a version that was replaced meanwhile: no retries beyond the initial tokens.
+    return std::make_shared<RetryBudget>(RetryBudgetOptions {}, m_clock.now());
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/node/CallerServer.cpp
@@ -0,0 +1,285 @@
+#include "node/CallerServer.h"
+
+#include "base/Error.h"
+#include "node/BackendClient.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <nlohmann/json.hpp>
+
+namespace skylark {
+
+namespace {
+
+    constexpr size_t mostRepeatableBytes = size_t { 256 } * 1024;
+
+    CallerRequest callerRequest(const httplib::Request& request)
+    {
+        CallerRequest result { .method = request.method,
+            .target = request.target,
+            .path = request.path,
+            .host = request.get_header_value("Host"),
+            .headers = {} };
+        for (const auto& [name, value] : request.headers) {
+            // The library has already undone the body's encoding.
+            if (!absl::EqualsIgnoreCase(name, "Content-Encoding") || request.get_header_value("Content-Length") == "0")
+                result.headers.emplace_back(name, value);
+        }
+        return result;
+    }
+
+    // Requests whose length two parties could read differently are refused, since one connection carries many.
+    const char* ambiguousLength(const httplib::Request& request)
+    {
+        const size_t lengths = request.get_header_value_count("Content-Length");
+        const size_t encodings = request.get_header_value_count("Transfer-Encoding");
+        if (lengths > 1)
+            return "the request has more than one Content-Length";
+        if (lengths > 0 && encodings > 0)
+            return "the request has both Content-Length and Transfer-Encoding";
+        if (encodings > 0 && !absl::EqualsIgnoreCase(request.get_header_value("Transfer-Encoding"), "chunked"))
+            return "the request has a Transfer-Encoding other than chunked";
+        uint64_t length = 0;
+        if (lengths > 0 && !absl::SimpleAtoi(request.get_header_value("Content-Length"), &length))
+            return "the request's Content-Length is not a number";
+        return nullptr;
+    }
+
+    bool hasBody(const httplib::Request& request)
+    {
+        return request.has_header("Transfer-Encoding")
+            || (request.has_header("Content-Length") && request.get_header_value("Content-Length") != "0");
+    }
+
+} // namespace
+
+CallerServer::CallerServer(
+    CallerServerOptions options, CallDispatcher& dispatcher, Metrics& metrics, const Clock& clock)
+    : m_options(std::move(options))
+    , m_dispatcher(dispatcher)
+    , m_metrics(metrics)
+    , m_clock(clock)
+    , m_server(m_options.http)
+{
+    const auto withoutBody
+        = [this](const httplib::Request& request, httplib::Response& response) { handle(request, response, nullptr); };
+    const auto withBody = [this](const httplib::Request& request, httplib::Response& response,
+                              const httplib::ContentReader& body) { handle(request, response, &body); };
+    m_server.Get(".*", withoutBody);
+    m_server.Options(".*", withoutBody);
+    m_server.Post(".*", withBody);
+    m_server.Put(".*", withBody);
+    m_server.Patch(".*", withBody);
+    m_server.Delete(".*", withBody);
+    if (m_options.listen.port == 0) {
+        const int port = m_server.bind_to_any_port(m_options.listen.host);
+        m_port = port > 0 ? static_cast<uint16_t>(port) : 0;
+    } else if (m_server.bind_to_port(m_options.listen.host, m_options.listen.port)) {
+        m_port = m_options.listen.port;
+    }
+    if (m_port == 0) {
+        throw Error({ .step = "listen-for-callers",
+            .peer = m_options.listen.toString(),
+            .message = "the address cannot be used",
+            .advice = "check callerAddress and whether another process holds the port" });
+    }
+}
+
+CallerServer::~CallerServer() { drain(); }
+
+void CallerServer::start()
+{
+    m_thread = std::thread([this] { m_server.listen_after_bind(); });
+}
+
+void CallerServer::drain()
+{
+    m_server.drain();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void CallerServer::handle(
+    const httplib::Request& request, httplib::Response& response, const httplib::ContentReader* body)
+{
+    const CallerRequest copy = callerRequest(request);
+    // The library would apply Range, Accept-Encoding and a multipart Content-Type itself, but they are meant
+    // for the backend server. The request object is not const where the library made it.
+    auto& owned = const_cast<httplib::Request&>(request);
+    owned.ranges.clear();
+    owned.headers.erase("Accept-Encoding");
+    owned.headers.erase("Content-Type");
+    try {
+        serve(copy, request, response, body);
+    } catch (const std::exception& error) {
+        HttpServer::closeAfterRequest();
+        writeError(
+            response, { .status = 500, .outcome = CallOutcome::Unknown, .step = "serve", .message = error.what() });
+    }
+    if (m_server.isDraining())
+        HttpServer::closeAfterRequest();
+    if (HttpServer::isCloseAfterRequest())
+        owned.set_header("Connection", "close");
+}
+
+void CallerServer::serve(const CallerRequest& caller, const httplib::Request& request, httplib::Response& response,
+    const httplib::ContentReader* body)
+{
+    bool isBodyRead = !hasBody(request);
+    CallResult result = CallError { .status = 400, .step = "read-request" };
+    std::string rank = "unranked";
+    const TimePoint arrivedAt = m_clock.now();
+    if (const char* fault = ambiguousLength(request)) {
+        std::get<CallError>(result).message = fault;
+    } else if (!isBodyRead && !body) {
+        std::get<CallError>(result).message = "a " + request.method + " request has a body";
+    } else if (!m_isOpen.load()) {
+        result = CallError { .step = "startup", .message = "this node does not serve yet or any more" };
+    } else {
+        auto classified = m_dispatcher.classify(caller);
+        if (auto* call = std::get_if<ClassifiedCall>(&classified)) {
+            rank = call->rankName();
+            result = forward(*call, isBodyRead ? nullptr : body, isBodyRead);
+        } else {
+            result = std::get<CallError>(classified);
+        }
+    }
+    if (!isBodyRead)
+        HttpServer::closeAfterRequest();
+    if (const auto* error = std::get_if<CallError>(&result)) {
+        const bool isWithoutRoute = error->status == 404;
+        m_metrics.countRequest(
+            rank, isWithoutRoute ? "no-route" : outcomeName(error->outcome), m_clock.now() - arrivedAt);
+        writeError(response, *error);
+        return;
+    }
+    m_metrics.countRequest(rank, outcomeName(CallOutcome::Answered), m_clock.now() - arrivedAt);
+    writeAnswer(caller, response, std::get<CallAnswer>(result));
+}
+
+CallResult CallerServer::forward(ClassifiedCall& call, const httplib::ContentReader* body, bool& isBodyRead)
+{
+    if (!body)
+        return m_dispatcher.call(call, "");
+    std::string collected;
+    uint64_t total = 0;
+    std::shared_ptr<CallDispatcher::Attempt> attempt;
+    std::optional<CallError> error;
+    isBodyRead = (*body)([&](const char* data, size_t size) {
+        total += size;
+        if (total > call.route->maxBodyBytes.value()) {
+            error = CallError {
+                .status = 413, .step = "read-request", .message = "the body is longer than the route allows"
+            };
+            return false;
+        }
+        if (m_clock.now() >= call.deadline) {
+            error = CallError { .status = 408, .step = "read-request", .message = "the body did not arrive in time" };
+            return false;
+        }
+        if (attempt)
+            return attempt->stream().sendBody(std::string(data, size), false, call.deadline);
+        collected.append(data, size);
+        if (collected.size() <= mostRepeatableBytes)
+            return true;
+        auto started = m_dispatcher.start(call, std::move(collected));
+        if (const auto* failure = std::get_if<CallError>(&started)) {
+            error = *failure;
+            return false;
+        }
+        attempt = std::get<std::shared_ptr<CallDispatcher::Attempt>>(started);
+        return true;
+    });
+    if (error) {
+        // The gate may have handed the first part of the body to the backend server.
+        if (attempt)
+            error->outcome = CallOutcome::Unknown;
+        return *error;
+    }
+    if (!attempt && !isBodyRead)
+        return CallError { .status = 400, .step = "read-request", .message = "the body was cut off or is malformed" };
+    if (!attempt)
+        return m_dispatcher.call(call, collected);
+    if (isBodyRead)
+        attempt->stream().sendBody("", true, call.deadline);
+    return m_dispatcher.finish(call, attempt);
+}
+
+void CallerServer::writeAnswer(const CallerRequest& caller, httplib::Response& response, const CallAnswer& answer)
+{
+    response.status = static_cast<int>(answer.start.status);
+    std::string type;
+    std::optional<uint64_t> length;
+    for (const auto& [name, value] : answer.start.headers) {
+        uint64_t number = 0;
+        if (absl::EqualsIgnoreCase(name, "Content-Length") && absl::SimpleAtoi(value, &number))
+            length = number;
+        else if (absl::EqualsIgnoreCase(name, "Content-Type"))
+            type = value;
+        else
+            response.headers.emplace(name, value);
+    }
+    if (caller.method == "HEAD" || !answer.start.hasBody) {
+        if (!type.empty())
+            response.set_header("Content-Type", type);
+        if (caller.method == "HEAD" && length)
+            response.set_header("Content-Length", std::to_string(*length));
+        return;
+    }
+    std::optional<std::string> first = answer.stream->readBody(answer.deadline);
+    if (length && first && first->size() == *length) {
+        if (!type.empty())
+            response.set_header("Content-Type", type);
+        response.body = std::move(*first);
+        return;
+    }
+    streamAnswer(response, answer, type, length, std::move(first));
+}
+
+void CallerServer::streamAnswer(httplib::Response& response, const CallAnswer& answer, const std::string& type,
+    std::optional<uint64_t> length, std::optional<std::string> first)
+{
+    // Shared, since the library copies the provider.
+    struct Body {
+        std::shared_ptr<ClientStream> stream;
+        TimePoint deadline;
+        std::optional<std::string> first;
+
+        std::optional<std::string> next()
+        {
+            return first ? std::exchange(first, std::nullopt) : stream->readBody(deadline);
+        }
+    };
+    const auto rest = std::make_shared<Body>(Body { answer.stream, answer.deadline, std::move(first) });
+    // A body that breaks off makes the library close the connection, by which the caller sees it.
+    const auto write = [rest](httplib::DataSink& sink, bool isChunked) {
+        try {
+            const std::optional<std::string> part = rest->next();
+            if (part)
+                return sink.write(part->data(), part->size());
+            if (isChunked)
+                sink.done();
+            return isChunked;
+        } catch (const Error&) {
+            return false;
+        }
+    };
+    if (length) {
+        response.set_content_provider(
+            *length, type, [write](size_t, size_t, httplib::DataSink& sink) { return write(sink, false); });
+    } else {
+        response.set_chunked_content_provider(
+            type, [write](size_t, httplib::DataSink& sink) { return write(sink, true); });
+    }
+}
+
+void CallerServer::writeError(httplib::Response& response, const CallError& error)
+{
+    const nlohmann::json body = { { "outcome", outcomeName(error.outcome) }, { "step", error.step },
+        { "peer", error.peer }, { "message", error.message } };
+    response.status = error.status;
+    response.set_header("Skylark-Outcome", outcomeName(error.outcome));
+    response.set_content(body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), "application/json");
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/node/Gate.cpp
@@ -0,0 +1,377 @@
+#include "node/Gate.h"
+
+#include "base/Invariant.h"
+#include "node/AnswerRelay.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    AdmissionOptions admissionOptions(std::vector<RankPolicy> ranks, int slots, int maxQueue)
+    {
+        return { .ranks = std::move(ranks), .slots = slots, .maxQueue = maxQueue };
+    }
+
+    std::string keyWithinService(const CallStart& call)
+    {
+        // One key may be used for different operations of a service.
+        return call.idempotencyKey.empty() ? "" : call.method + " " + call.target + " " + call.idempotencyKey;
+    }
+
+} // namespace
+
+struct Gate::Call {
+    std::shared_ptr<ServerStream> stream;
+    Ticket ticket;
+    std::shared_ptr<BackendCancellation> cancellation { std::make_shared<BackendCancellation>() };
+
+    const CallStart& start() const { return stream->call(); }
+};
+
+Gate::Gate(GateOptions options, Metrics& metrics, const Clock& clock)
+    : m_options(std::move(options))
+    , m_metrics(metrics)
+    , m_clock(clock)
+    , m_backend(BackendClientOptions { .backend = m_options.backend })
+    , m_admitted(Admitted {
+          AdmissionController(admissionOptions({ RankPolicy {} }, m_options.defaultSlots, 256), clock.now()), {} })
+    , m_record(ExecutionRecordOptions { .gate = m_options.incarnation }, clock.now())
+{
+    ensureThreads(2 * m_options.defaultSlots);
+}
+
+Gate::~Gate() { stop(); }
+
+void Gate::accept(const std::shared_ptr<ServerStream>& stream)
+{
+    const CallStart& start = stream->call();
+    const auto call = std::make_shared<Call>();
+    call->stream = stream;
+    call->ticket = { .id = TicketId(m_lastTicket.fetch_add(1) + 1),
+        .rank = static_cast<int>(start.rank),
+        .deadline = stream->receivedAt() + start.remainingDeadline,
+        .worth = start.worth };
+    if (start.service != m_options.service) {
+        refuse(call, "accept", "this gate serves " + m_options.service.value());
+        return;
+    }
+    if (!claim(call))
+        return;
+    stream->onCancelled([this, weak = std::weak_ptr<Call>(call)] {
+        if (const CallPointer cancelled = weak.lock())
+            cancel(cancelled);
+    });
+    offer(call);
+}
+
+// Decides whether the call may run at all; answers it and gives false when it may not.
+bool Gate::claim(const CallPointer& call)
+{
+    const CallStart& start = call->start();
+    const TimePoint now = m_clock.now();
+    if (start.isIdempotent) {
+        if (!m_record.with([&](ExecutionRecord& record) { return record.wasRefused(start.requestId, start.attempt); }))
+            return true;
+        refuse(call, "claim", claimRefusalName(ClaimRefusal::RefusedBefore));
+        return false;
+    }
+    const ClaimRequest request { .requestId = start.requestId,
+        .attempt = start.attempt,
+        .idempotencyKey = keyWithinService(start),
+        .gate = start.gateIncarnation,
+        .isResend = start.isResend,
+        .receivedAt = call->stream->receivedAt() };
+    const Claim claim = m_record.with([&](ExecutionRecord& record) { return record.claim(request, now); });
+    if (std::holds_alternative<ClaimNew>(claim))
+        return true;
+    m_metrics.countAdmission(rankName(start.rank), "duplicate");
+    Refusal refusal { .outcome = CallOutcome::Unknown, .step = "duplicate", .load = load() };
+    if (const auto* refused = std::get_if<ClaimRefused>(&claim)) {
+        refusal.outcome = CallOutcome::NotRun;
+        refusal.step = "claim";
+        refusal.reason = claimRefusalName(refused->reason);
+    } else if (std::holds_alternative<ClaimNotCovered>(claim)) {
+        refusal.step = "claim";
+        refusal.reason = "a copy may have run before this gate's record begins";
+    } else {
+        refusal.reason = std::holds_alternative<ClaimRunning>(claim) ? "a copy of this request is running"
+                                                                     : "a copy of this request has run";
+    }
+    call->stream->refuse(refusal);
+    return false;
+}
+
+void Gate::offer(const CallPointer& call)
+{
+    const TimePoint now = m_clock.now();
+    std::vector<std::pair<CallPointer, RefusalReason>> refused;
+    const AdmitResult result = m_admitted.with([&](Admitted& admitted) {
+        AdmitResult offered = admitted.controller.offer(call->ticket, now);
+        for (const RefusedTicket& displaced : offered.displaced) {
+            const auto entry = admitted.calls.find(displaced.ticket.id);
+            invariant(entry != admitted.calls.end(), { .rule = "a displaced call is known", .step = "admit" });
+            refused.emplace_back(entry->second, displaced.reason);
+            admitted.calls.erase(entry);
+        }
+        if (offered.admission != Admission::Refused)
+            admitted.calls.emplace(call->ticket.id, call);
+        publishLoad(admitted);
+        return offered;
+    });
+    switch (result.admission) {
+    case Admission::Admitted:
+        m_metrics.countAdmission(rankName(call->start().rank), "admitted");
+        enqueue({ call });
+        break;
+    case Admission::Queued:
+        m_metrics.countAdmission(rankName(call->start().rank), "queued");
+        break;
+    case Admission::Refused:
+        refused.emplace_back(call, result.reason);
+        break;
+    }
+    refuseAll(refused);
+}
+
+void Gate::refuseAll(const std::vector<std::pair<CallPointer, RefusalReason>>& refused)
+{
+    for (const auto& [call, reason] : refused)
+        refuse(call, "admit", refusalReasonName(reason));
+}
+
+// For calls that were not handed to the backend server. The record comes first: it makes the refusal true.
+void Gate::refuse(const CallPointer& call, const std::string& step, const std::string& reason)
+{
+    const CallStart& start = call->start();
+    const TimePoint now = m_clock.now();
+    m_record.with([&](ExecutionRecord& record) { record.refuse(start.requestId, start.attempt, now); });
+    m_metrics.countAdmission(rankName(start.rank), "refused");
+    call->stream->refuse({ .outcome = CallOutcome::NotRun, .step = step, .reason = reason, .load = load() });
+}
+
+void Gate::cancel(const CallPointer& call)
+{
+    const bool wasWaiting = m_admitted.with([&](Admitted& admitted) {
+        if (!admitted.controller.cancel(call->ticket.id))
+            return false;
+        admitted.calls.erase(call->ticket.id);
+        publishLoad(admitted);
+        return true;
+    });
+    if (wasWaiting)
+        refuse(call, "admit", "cancelled");
+    else
+        call->cancellation->cancel();
+}
+
+void Gate::finishDispatch(Dispatch dispatch, Admitted& admitted, std::vector<CallPointer>& started,
+    std::vector<std::pair<CallPointer, RefusalReason>>& refused)
+{
+    for (const Ticket& ticket : dispatch.started)
+        started.push_back(admitted.calls.at(ticket.id));
+    for (const RefusedTicket& entry : dispatch.refused) {
+        refused.emplace_back(admitted.calls.at(entry.ticket.id), entry.reason);
+        admitted.calls.erase(entry.ticket.id);
+    }
+    publishLoad(admitted);
+}
+
+void Gate::advance()
+{
+    const TimePoint now = m_clock.now();
+    std::vector<CallPointer> started;
+    std::vector<std::pair<CallPointer, RefusalReason>> refused;
+    m_record.with([&](ExecutionRecord& record) { record.advance(now); });
+    m_admitted.with(
+        [&](Admitted& admitted) { finishDispatch(admitted.controller.advance(now), admitted, started, refused); });
+    enqueue(started);
+    refuseAll(refused);
+    m_metrics.setConcurrency(m_limit.load(), m_inFlight.load(), m_queued.load());
+}
+
+void Gate::reconfigure(const Configuration& configuration)
+{
+    const ServicePolicy* service = configuration.service(m_options.service);
+    const int slots = std::min(service ? service->slots : m_options.defaultSlots, m_options.mostThreads / 2);
+    const int maxQueue = service ? service->maxQueue : ServicePolicy {}.maxQueue;
+    const TimePoint now = m_clock.now();
+    m_rankNames.with([&](std::vector<RankName>& names) {
+        names.clear();
+        for (const RankPolicy& rank : configuration.ranks())
+            names.push_back(rank.name);
+    });
+    ensureThreads(2 * slots);
+    m_admitted.with([&](Admitted& admitted) {
+        admitted.controller.reconfigure(admissionOptions(configuration.ranks(), slots, maxQueue), now);
+        publishLoad(admitted);
+    });
+}
+
+void Gate::noteOwnersChanged()
+{
+    m_record.with([&](ExecutionRecord& record) { record.noteOwnersChanged(m_clock.now()); });
+}
+
+void Gate::drain()
+{
+    m_isDraining.store(true);
+    m_admitted.with([](Admitted& admitted) { admitted.controller.drain(); });
+}
+
+bool Gate::isIdle()
+{
+    return m_admitted.with([](Admitted& admitted) { return admitted.controller.isIdle(); });
+}
+
+void Gate::stop()
+{
+    {
+        const std::lock_guard lock(m_workMutex);
+        if (m_isStopping)
+            return;
+        m_isStopping = true;
+    }
+    m_hasWork.notify_all();
+    for (std::thread& thread : m_threads)
+        thread.join();
+    for (const CallPointer& call : m_work)
+        refuse(call, "shutdown", "the node has stopped");
+    m_work.clear();
+}
+
+LoadHint Gate::load() const
+{
+    return { .inFlight = static_cast<uint32_t>(m_inFlight.load(std::memory_order_relaxed)),
+        .queued = static_cast<uint32_t>(m_queued.load(std::memory_order_relaxed)),
+        .limit = static_cast<uint32_t>(m_limit.load(std::memory_order_relaxed)),
+        .isLeaving = m_isDraining.load(std::memory_order_relaxed) };
+}
+
+void Gate::publishLoad(const Admitted& admitted)
+{
+    m_inFlight.store(admitted.controller.inFlight(), std::memory_order_relaxed);
+    m_queued.store(admitted.controller.queued(), std::memory_order_relaxed);
+    m_limit.store(admitted.controller.limit(), std::memory_order_relaxed);
+}
+
+std::string Gate::rankName(uint32_t rank)
+{
+    return m_rankNames.with(
+        [&](const std::vector<RankName>& names) { return rank < names.size() ? names[rank].value() : "unranked"; });
+}
+
+nlohmann::json Gate::state()
+{
+    const TimePoint now = m_clock.now();
+    nlohmann::json ranks = nlohmann::json::array();
+    const size_t count = m_rankNames.with([](const std::vector<RankName>& names) { return names.size(); });
+    m_admitted.with([&](Admitted& admitted) {
+        for (size_t rank = 0; rank < count; ++rank) {
+            const int number = static_cast<int>(rank);
+            ranks.push_back({ { "queued", admitted.controller.queuedOf(number) },
+                { "shareOfCapacity", admitted.controller.shareOf(number, now) },
+                { "estimatedWaitMs",
+                    std::chrono::duration<double, std::milli>(admitted.controller.estimatedWait(number, now))
+                        .count() } });
+        }
+    });
+    for (size_t rank = 0; rank < count; ++rank)
+        ranks[rank]["rank"] = rankName(static_cast<uint32_t>(rank));
+    const LoadHint hint = load();
+    return { { "service", m_options.service.value() }, { "backend", m_options.backend.toString() },
+        { "concurrencyLimit", hint.limit }, { "inFlight", hint.inFlight }, { "queued", hint.queued },
+        { "isDraining", hint.isLeaving }, { "ranks", ranks },
+        { "executionRecordEntries", m_record.with([](ExecutionRecord& record) { return record.size(); }) } };
+}
+
+void Gate::enqueue(const std::vector<CallPointer>& calls)
+{
+    if (calls.empty())
+        return;
+    {
+        const std::lock_guard lock(m_workMutex);
+        m_work.insert(m_work.end(), calls.begin(), calls.end());
+    }
+    for (size_t call = 0; call < calls.size(); ++call)
+        m_hasWork.notify_one();
+}
+
+void Gate::ensureThreads(int count)
+{
+    const std::lock_guard lock(m_workMutex);
+    const size_t wanted = static_cast<size_t>(std::clamp(count, 1, m_options.mostThreads));
+    while (!m_isStopping && m_threads.size() < wanted)
+        m_threads.emplace_back([this] { work(); });
+}
+
+void Gate::work()
+{
+    std::unique_lock lock(m_workMutex);
+    while (true) {
+        m_hasWork.wait(lock, [this] { return m_isStopping || !m_work.empty(); });
+        if (m_isStopping)
+            return;
+        const CallPointer call = std::move(m_work.front());
+        m_work.pop_front();
+        lock.unlock();
+        run(call);
+        lock.lock();
+    }
+}
+
+void Gate::run(const CallPointer& call)
+{
+    const TimePoint startedAt = m_clock.now();
+    ServiceResult result = ServiceResult::Failed;
+    if (call->stream->isCancelled() || startedAt >= call->ticket.deadline)
+        refuse(call, "admit", refusalReasonName(RefusalReason::TooLate));
+    else
+        result = exchange(call);
+    release(call, result, m_clock.now() - startedAt);
+}
+
+// Runs the call on the backend server and answers it. The claim is ended before the answer is sent, so that
+// a copy that follows the answer finds it ended.
+ServiceResult Gate::exchange(const CallPointer& call)
+{
+    const CallStart& start = call->start();
+    AnswerRelay relay(*call->stream, call->ticket.deadline, [this] { return load(); });
+    BackendResult result;
+    try {
+        const BackendRequest request = relay.request();
+        result = m_backend.exchange(request, relay.sink(), call->cancellation);
+    } catch (const Error& error) {
+        // The first part of the caller's body did not arrive, so nothing was handed over.
+        result = { .outcome = CallOutcome::NotRun, .step = error.step(), .message = error.message() };
+    }
+    if (result.outcome == CallOutcome::NotRun) {
+        refuse(call, result.step, result.message);
+        return ServiceResult::Failed;
+    }
+    if (!start.isIdempotent)
+        m_record.with([&](ExecutionRecord& record) { record.finish(start.requestId, result.outcome, m_clock.now()); });
+    if (result.outcome == CallOutcome::Answered) {
+        relay.finish();
+        return relay.isShed() ? ServiceResult::Shed : ServiceResult::Answered;
+    }
+    relay.fail(result.step, result.message);
+    return ServiceResult::Failed;
+}
+
+void Gate::release(const CallPointer& call, ServiceResult result, Duration serviceTime)
+{
+    const TimePoint now = m_clock.now();
+    std::vector<CallPointer> started;
+    std::vector<std::pair<CallPointer, RefusalReason>> refused;
+    m_admitted.with([&](Admitted& admitted) {
+        Dispatch dispatch = admitted.controller.release(call->ticket.id, result, serviceTime, now);
+        admitted.calls.erase(call->ticket.id);
+        finishDispatch(std::move(dispatch), admitted, started, refused);
+    });
+    enqueue(started);
+    refuseAll(refused);
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/node/Gate.h
@@ -0,0 +1,109 @@
+// The only way to this instance's backend server: admits, runs and answers calls from all nodes.
+//
+// accept → claim → admit → run → answer. accept() runs on the network's thread and only decides; workers
+// hand admitted calls to the backend server and stream both bodies. A call that is refused before it was
+// handed over is recorded as refused first, so that "not run" stays true when a copy arrives late.
+//
+// Bounds: one worker thread for each call that the admission limit may allow (twice the configured slots),
+// at most options.mostThreads; waiting calls by the document's maxQueue; see retry/ExecutionRecord.h for the
+// record.
+#pragma once
+
+#include "admission/AdmissionController.h"
+#include "base/Clock.h"
+#include "base/Guarded.h"
+#include "document/Configuration.h"
+#include "node/BackendClient.h"
+#include "node/Metrics.h"
+#include "retry/ExecutionRecord.h"
+#include "transport/CallStream.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace skylark {
+
+struct GateOptions {
+    InstanceId instance;
+    Incarnation incarnation;
+    ServiceName service;
+    Endpoint backend;
+    // Used until a configuration names the service.
+    int defaultSlots { 12 };
+    int mostThreads { 256 };
+};
+
+class Gate {
+public:
+    Gate(GateOptions options, Metrics& metrics, const Clock& clock);
+    ~Gate();
+    Gate(const Gate&) = delete;
+    Gate& operator=(const Gate&) = delete;
+
+    // On the network's thread; does not block on the backend server.
+    void accept(const std::shared_ptr<ServerStream>& stream);
+
+    // From the control loop: expires waiting calls and notices pauses; every 100 ms.
+    void advance();
+    void reconfigure(const Configuration& configuration);
+    // The list of this service's instances has changed, and with it the owners of idempotency keys.
+    void noteOwnersChanged();
+
+    // Refuses new calls from now on; waiting and running ones are served.
+    void drain();
+    bool isIdle();
+    // Ends the workers. Calls that still wait are refused.
+    void stop();
+
+    LoadHint load() const;
+    nlohmann::json state();
+
+private:
+    struct Call;
+    using CallPointer = std::shared_ptr<Call>;
+    struct Admitted {
+        AdmissionController controller;
+        // Waiting and running calls.
+        absl::flat_hash_map<TicketId, CallPointer> calls;
+    };
+
+    bool claim(const CallPointer& call);
+    void offer(const CallPointer& call);
+    void refuseAll(const std::vector<std::pair<CallPointer, RefusalReason>>& refused);
+    void refuse(const CallPointer& call, const std::string& step, const std::string& reason);
+    void enqueue(const std::vector<CallPointer>& calls);
+    void finishDispatch(Dispatch dispatch, Admitted& admitted, std::vector<CallPointer>& started,
+        std::vector<std::pair<CallPointer, RefusalReason>>& refused);
+    void cancel(const CallPointer& call);
+    void ensureThreads(int count);
+    void work();
+    void run(const CallPointer& call);
+    ServiceResult exchange(const CallPointer& call);
+    void release(const CallPointer& call, ServiceResult result, Duration serviceTime);
+    void publishLoad(const Admitted& admitted);
+    std::string rankName(uint32_t rank);
+
+    const GateOptions m_options;
+    Metrics& m_metrics;
+    const Clock& m_clock;
+    BackendClient m_backend;
+    Guarded<Admitted> m_admitted;
+    Guarded<ExecutionRecord> m_record;
+    Guarded<std::vector<RankName>> m_rankNames;
+    std::atomic<uint64_t> m_lastTicket { 0 };
+    std::atomic<int> m_inFlight { 0 };
+    std::atomic<int> m_queued { 0 };
+    std::atomic<int> m_limit { 0 };
+    std::atomic<bool> m_isDraining { false };
+
+    std::mutex m_workMutex;
+    std::condition_variable m_hasWork;
+    std::deque<CallPointer> m_work;
+    std::vector<std::thread> m_threads;
+    bool m_isStopping { false };
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/node/HttpServer.cpp
@@ -0,0 +1,258 @@
+#include "node/HttpServer.h"
+
+#include "base/Error.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace skylark {
+
+namespace {
+
+    int millisecondsUntil(TimePoint deadline)
+    {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
+        return static_cast<int>(std::clamp<int64_t>(left.count(), 0, 1 << 30));
+    }
+
+    // Waits until the socket has the event; false at the deadline or on an error.
+    bool waitFor(int socket, short event, TimePoint deadline)
+    {
+        pollfd entry { .fd = socket, .events = event, .revents = 0 };
+        while (true) {
+            const int count = ::poll(&entry, 1, millisecondsUntil(deadline));
+            if (count > 0)
+                return (entry.revents & event) != 0 || (entry.revents & POLLHUP) != 0;
+            if (count == 0 || errno != EINTR)
+                return false;
+        }
+    }
+
+    void readAddress(const sockaddr_in& address, std::string& ip, int& port)
+    {
+        char text[INET_ADDRSTRLEN] = {};
+        ::inet_ntop(AF_INET, &address.sin_addr, text, sizeof(text));
+        ip = text;
+        port = ntohs(address.sin_port);
+    }
+
+    // The library reads a request through this stream, byte by byte in the head. It buffers what the socket
+    // gives, and counts the bytes of the head, so that an endless head is cut off.
+    class BoundedStream final : public httplib::Stream {
+    public:
+        BoundedStream(int socket, const HttpServerOptions& options)
+            : m_socket(socket)
+            , m_options(options)
+        {
+        }
+
+        bool hasBufferedBytes() const { return m_begin < m_end; }
+
+        void startRequest()
+        {
+            m_headBytes = 0;
+            m_lineBreaks = 0;
+            m_isInHead = true;
+            m_headDeadline = std::chrono::steady_clock::now() + m_options.headTimeout;
+        }
+
+        bool is_readable() const override { return hasBufferedBytes() || waitFor(m_socket, POLLIN, readDeadline()); }
+        bool is_writable() const override
+        {
+            return waitFor(m_socket, POLLOUT, std::chrono::steady_clock::now() + m_options.progressTimeout);
+        }
+
+        ssize_t read(char* target, size_t size) override
+        {
+            if (!hasBufferedBytes() && !fill())
+                return m_isClosed ? 0 : -1;
+            const size_t count = std::min(size, m_end - m_begin);
+            std::memcpy(target, m_buffer + m_begin, count);
+            m_begin += count;
+            if (m_isInHead && !acceptHeadBytes(target, count))
+                return -1;
+            return static_cast<ssize_t>(count);
+        }
+
+        ssize_t write(const char* data, size_t size) override
+        {
+            while (true) {
+                const ssize_t count = ::send(m_socket, data, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+                if (count >= 0)
+                    return count;
+                if (errno == EINTR)
+                    continue;
+                if ((errno != EAGAIN && errno != EWOULDBLOCK) || !is_writable())
+                    return -1;
+            }
+        }
+
+        void get_remote_ip_and_port(std::string& ip, int& port) const override
+        {
+            sockaddr_in address {};
+            socklen_t length = sizeof(address);
+            if (::getpeername(m_socket, reinterpret_cast<sockaddr*>(&address), &length) == 0)
+                readAddress(address, ip, port);
+        }
+        void get_local_ip_and_port(std::string& ip, int& port) const override
+        {
+            sockaddr_in address {};
+            socklen_t length = sizeof(address);
+            if (::getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &length) == 0)
+                readAddress(address, ip, port);
+        }
+        socket_t socket() const override { return m_socket; }
+
+    private:
+        TimePoint readDeadline() const
+        {
+            return m_isInHead ? m_headDeadline : std::chrono::steady_clock::now() + m_options.progressTimeout;
+        }
+
+        bool fill()
+        {
+            while (true) {
+                const ssize_t count = ::recv(m_socket, m_buffer, sizeof(m_buffer), MSG_DONTWAIT);
+                if (count > 0) {
+                    m_begin = 0;
+                    m_end = static_cast<size_t>(count);
+                    return true;
+                }
+                if (count == 0) {
+                    m_isClosed = true;
+                    return false;
+                }
+                if (errno == EINTR)
+                    continue;
+                if ((errno != EAGAIN && errno != EWOULDBLOCK) || !waitFor(m_socket, POLLIN, readDeadline()))
+                    return false;
+            }
+        }
+
+        // False when the head is too long. The head ends at an empty line.
+        bool acceptHeadBytes(const char* bytes, size_t count)
+        {
+            for (size_t index = 0; index < count && m_isInHead; ++index) {
+                if (bytes[index] == '\n')
+                    m_isInHead = ++m_lineBreaks < 2;
+                else if (bytes[index] != '\r')
+                    m_lineBreaks = 0;
+            }
+            m_headBytes += count;
+            return m_headBytes <= m_options.maxHeaderBytes.value();
+        }
+
+        int m_socket;
+        const HttpServerOptions& m_options;
+        char m_buffer[16 * 1024];
+        size_t m_begin { 0 };
+        size_t m_end { 0 };
+        bool m_isClosed { false };
+        bool m_isInHead { true };
+        int m_lineBreaks { 0 };
+        size_t m_headBytes { 0 };
+        TimePoint m_headDeadline;
+    };
+
+    // Waits for the next request's first byte; false at the timeout or when the peer has closed. A drain cuts
+    // the wait down to its grace.
+    bool waitForRequest(int socket, int drainEvent, const HttpServerOptions& options)
+    {
+        pollfd entries[2] = { { .fd = socket, .events = POLLIN, .revents = 0 },
+            { .fd = drainEvent, .events = POLLIN, .revents = 0 } };
+        TimePoint deadline = std::chrono::steady_clock::now() + options.keepAliveTimeout;
+        nfds_t watched = 2;
+        while (true) {
+            const int count = ::poll(entries, watched, millisecondsUntil(deadline));
+            if (count < 0 && errno == EINTR)
+                continue;
+            if (count <= 0)
+                return false;
+            if (entries[0].revents != 0)
+                return (entries[0].revents & POLLIN) != 0;
+            watched = 1;
+            deadline = std::min(deadline, std::chrono::steady_clock::now() + options.drainGrace);
+        }
+    }
+
+    // Closes without a reset: a reset would discard an answer that the peer has not read yet.
+    void closeAfterLinger(int socket)
+    {
+        constexpr auto longestLinger = std::chrono::milliseconds(200);
+        ::shutdown(socket, SHUT_WR);
+        const TimePoint deadline = std::chrono::steady_clock::now() + longestLinger;
+        char discarded[4096];
+        while (waitFor(socket, POLLIN, deadline) && ::recv(socket, discarded, sizeof(discarded), MSG_DONTWAIT) > 0) { }
+        ::close(socket);
+    }
+
+} // namespace
+
+namespace {
+    thread_local bool isCloseRequested = false;
+}
+
+void HttpServer::closeAfterRequest() { isCloseRequested = true; }
+
+bool HttpServer::isCloseAfterRequest() { return isCloseRequested; }
+
+HttpServer::HttpServer(HttpServerOptions options)
+    : m_options(options)
+    , m_drainEvent(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+    if (m_drainEvent < 0)
+        throw Error({ .step = "create-http-server", .message = std::strerror(errno) });
+    set_tcp_nodelay(true);
+    set_keep_alive_max_count(SIZE_MAX);
+    set_socket_options([](socket_t socket) {
+        const int on = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    });
+    new_task_queue = [threads = m_options.threads] { return new httplib::ThreadPool(threads); };
+}
+
+HttpServer::~HttpServer() { ::close(m_drainEvent); }
+
+void HttpServer::drain()
+{
+    m_isDraining.store(true);
+    const uint64_t one = 1;
+    [[maybe_unused]] const ssize_t written = ::write(m_drainEvent, &one, sizeof(one));
+    stop();
+}
+
+bool HttpServer::process_and_close_socket(socket_t socket)
+{
+    m_connections.fetch_add(1);
+    serveConnection(socket);
+    m_connections.fetch_sub(1);
+    closeAfterLinger(socket);
+    return true;
+}
+
+void HttpServer::serveConnection(int socket)
+{
+    const int on = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    BoundedStream stream(socket, m_options);
+    while (stream.hasBufferedBytes() || waitForRequest(socket, m_drainEvent, m_options)) {
+        stream.startRequest();
+        m_inFlight.fetch_add(1);
+        bool isClosed = false;
+        isCloseRequested = false;
+        const bool isServed = process_request(stream, m_isDraining.load(), isClosed, nullptr);
+        m_inFlight.fetch_sub(1);
+        if (!isServed || isClosed || isCloseRequested)
+            return;
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/node/Metrics.h
@@ -0,0 +1,56 @@
+// The node's metrics, in the registry that /metrics serves through prometheus-cpp.
+//
+// Families are made once at start; the handles on the request path are plain atomics of the library.
+// Label values come from configured names only, so the number of series is bounded by the document.
+#pragma once
+
+#include "base/Types.h"
+#include "wire/Messages.h"
+
+#include <memory>
+#include <mutex>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace skylark {
+
+class Metrics {
+public:
+    Metrics();
+
+    // Counts a caller's request with its outcome: "answered", "not-run", "unknown", "no-route", "cancelled".
+    void countRequest(const std::string& rank, const std::string& outcome, Duration latency);
+    void countAttempt(bool isRetry);
+    // Counts a gate decision: "admitted", "queued", "refused", "expired", "duplicate".
+    void countAdmission(const std::string& rank, const std::string& decision);
+    void countSourceCall(const std::string& kind, bool isAnswered);
+    void countReport(const std::string& event);
+
+    void setVersion(VersionNumber version);
+    void setAppliedAge(Duration age);
+    void setInstances(const std::string& condition, size_t count);
+    void setConcurrency(int limit, int inFlight, int queued);
+    // Control traffic so far, by direction ("sent" or "received").
+    void setControlBytes(const std::string& direction, uint64_t bytes);
+    void setReader(bool isReader);
+
+    // Text exposition of all families.
+    std::string exposition();
+
+private:
+    prometheus::Registry m_registry;
+    prometheus::Family<prometheus::Counter>& m_requests;
+    prometheus::Family<prometheus::Histogram>& m_latency;
+    prometheus::Family<prometheus::Counter>& m_attempts;
+    prometheus::Family<prometheus::Counter>& m_admissions;
+    prometheus::Family<prometheus::Counter>& m_sourceCalls;
+    prometheus::Family<prometheus::Counter>& m_reports;
+    prometheus::Family<prometheus::Gauge>& m_gauges;
+    prometheus::Family<prometheus::Gauge>& m_instances;
+    prometheus::Family<prometheus::Gauge>& m_controlBytes;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/node/Node.h
@@ -0,0 +1,64 @@
+// One skylarkd as an object: builds all parts, connects them and stops them in order.
+//
+// The way of a configuration change: SourceWorker → ControlLoop (Distributor) → RcuCell<Configuration>.
+// The way of a request: CallerServer → CallDispatcher → PeerNetwork → Gate → BackendClient.
+#pragma once
+
+#include "document/Builder.h"
+#include "node/CallerServer.h"
+#include "node/ControlLoop.h"
+#include "node/NodeSettings.h"
+
+namespace skylark {
+
+class Node {
+public:
+    // Binds all addresses; throws Error when one is taken.
+    Node(NodeSettings settings, const Clock& clock);
+    ~Node();
+    Node(const Node&) = delete;
+    Node& operator=(const Node&) = delete;
+
+    void start();
+
+    // Graceful shutdown: tells peers, refuses new calls as not run, lets running ones finish for at most
+    // the shutdown timeout, or until isAborted gives true. Gives true when nothing was cut off.
+    bool shutdown(const std::function<bool()>& isAborted);
+
+    nlohmann::json state();
+    std::string metrics() { return m_metrics.exposition(); }
+    uint16_t callerPort() const { return m_callers->port(); }
+    Endpoint adminAddress() const;
+
+private:
+    void startAdmin();
+    void announceLeaving();
+    nlohmann::json explain(const std::string& method, const std::string& path, const std::string& host);
+    DistributorOptions distributorOptions();
+    PeerHandlers peerHandlers();
+
+    const NodeSettings m_settings;
+    const Clock& m_clock;
+    // Time of the start, which tells apart the processes of one incarnation.
+    const uint64_t m_processNumber;
+    const Incarnation m_incarnation;
+    SectionCache m_sectionCache;
+    Metrics m_metrics;
+    RcuCell<Configuration> m_configuration;
+    RcuCell<MembershipView> m_membership;
+    Router m_router;
+    Gate m_gate;
+    SourceWorker m_source;
+    // Set once at construction; the network's handlers need them.
+    std::atomic<ControlLoop*> m_controlForHandlers { nullptr };
+    std::unique_ptr<PeerNetwork> m_network;
+    std::unique_ptr<CallDispatcher> m_dispatcher;
+    std::unique_ptr<ControlLoop> m_control;
+    std::unique_ptr<CallerServer> m_callers;
+    HttpServer m_admin;
+    int m_adminPort { 0 };
+    std::thread m_adminThread;
+    std::atomic<bool> m_isStopping { false };
+};
+
+} // namespace skylark
