Add tests of whole nodes

Cause: what callers are promised needs a test on the connected parts. Change: a fleet of nodes in one process with a stand-in platform, and tests of answers, bodies, bad requests, versions, failures and graceful shutdown.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -70,8 +70,9 @@
                                                   .region = m_settings.region },
         peerHandlers(), clock);
     m_dispatcher = std::make_unique<CallDispatcher>(CallDispatcherOptions { .instance = m_settings.instance,
+                                                        .processNumber = m_processNumber,
                                                         .maxDeadline = m_settings.maxDeadline,
-                                                        .seed = m_incarnation.value() },
+                                                        .seed = m_processNumber },
         m_configuration, m_router, *m_network, m_metrics, clock);
     m_callers = std::make_unique<CallerServer>(CallerServerOptions { .listen = m_settings.callerAddress,
                                                    .http = { .maxHeaderBytes = m_settings.maxHeaderBytes,
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -26,6 +26,8 @@
     bool shutdown(const std::function<bool()>& isAborted);
 
     nlohmann::json state();
+    nlohmann::json status() { return m_control->status(); }
+    const Endpoint& peerAddress() const { return m_network->listenAddress(); }
     std::string metrics() { return m_metrics.exposition(); }
     uint16_t callerPort() const { return m_callers->port(); }
     Endpoint adminAddress() const;
--- /dev/null
+++ b/src/node/tests/FleetTest.cpp
@@ -0,0 +1,104 @@
+// Guards what the fleet does when versions change, instances stop and backend servers fail.
+#include "node/tests/TestFleet.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    TEST(FleetTest, AcceptedVersionIsInForceEverywhereWithinThreeSecondsAndNeverReverts)
+    {
+        TestFleet fleet(4);
+        fleet.publish(2, "1s");
+        EXPECT_TRUE(fleet.waitForVersion(2, 3s));
+        // A lower number is published by mistake.
+        fleet.publish(1, "3s");
+        std::this_thread::sleep_for(1s);
+        EXPECT_TRUE(fleet.waitForVersion(2, 0s));
+        fleet.publish(3, "3s");
+        EXPECT_TRUE(fleet.waitForVersion(3, 3s));
+    }
+
+    TEST(FleetTest, FaultyVersionIsRejectedWholeAndReported)
+    {
+        TestFleet fleet(3);
+        fleet.publishFaulty(2);
+        const auto deadline = std::chrono::steady_clock::now() + 5s;
+        while (fleet[0].node->status()["rejected"].empty() && std::chrono::steady_clock::now() < deadline)
+            std::this_thread::sleep_for(20ms);
+        const nlohmann::json status = fleet[0].node->status();
+        ASSERT_FALSE(status["rejected"].empty());
+        EXPECT_EQ(status["rejected"][0]["version"], 2);
+        EXPECT_TRUE(fleet.waitForVersion(1, 0s));
+        EXPECT_EQ(fleet.client(0).Get("/pitches")->status, 200);
+        fleet.publish(3);
+        EXPECT_TRUE(fleet.waitForVersion(3, 3s));
+    }
+
+    TEST(FleetTest, SourceOutageLeavesTheLastVersionInForce)
+    {
+        TestFleet fleet(3);
+        fleet.platform().setFaults({ { "isDown", true } });
+        std::this_thread::sleep_for(1500ms);
+        EXPECT_EQ(fleet.client(0).Get("/pitches")->status, 200);
+        fleet.platform().setFaults({ { "isDown", false } });
+        fleet.publish(2);
+        // The readers back off for at most 10 s while the source is down.
+        EXPECT_TRUE(fleet.waitForVersion(2, 13s));
+    }
+
+    TEST(FleetTest, DeadBackendServerGivesNotRunOrAnotherInstance)
+    {
+        TestFleet fleet(2);
+        fleet[1].backend->stop();
+        httplib::Client client = fleet.client(0);
+        for (int call = 0; call < 50; ++call) {
+            const std::string id = "fee-" + std::to_string(call);
+            const auto answer = client.Post("/fees", { { "X-Test-Id", id } }, "pay", "text/plain");
+            ASSERT_TRUE(answer);
+            const int executions = fleet[0].backend->executions(id);
+            if (answer->status == 200)
+                EXPECT_EQ(executions, 1);
+            else
+                EXPECT_TRUE(answer->get_header_value("Skylark-Outcome") == "not-run" && executions == 0)
+                    << answer->body;
+        }
+    }
+
+    TEST(FleetTest, GracefulShutdownUnderLoadCutsNoRequest)
+    {
+        TestFleet fleet(3);
+        std::atomic<bool> isDone { false };
+        std::atomic<int> failed { 0 };
+        std::atomic<int> answered { 0 };
+        std::vector<std::thread> callers;
+        for (int caller = 0; caller < 6; ++caller) {
+            callers.emplace_back([&, caller] {
+                httplib::Client client = fleet.client(static_cast<size_t>(caller) % 2);
+                for (int call = 0; !isDone.load(); ++call) {
+                    const std::string id = std::to_string(caller) + "-" + std::to_string(call);
+                    const auto answer = client.Get("/pitches", { { "X-Test-Id", id }, { "X-Test-Delay-Ms", "5" } });
+                    const bool isAnswered = answer && answer->status == 200 && answer->body == "answer to " + id;
+                    ++(isAnswered ? answered : failed);
+                }
+            });
+        }
+        std::this_thread::sleep_for(500ms);
+        const bool isClean = fleet[2].node->shutdown([] { return false; });
+        const int afterShutdown = fleet[2].backend->total();
+        std::this_thread::sleep_for(500ms);
+        isDone = true;
+        for (std::thread& caller : callers)
+            caller.join();
+        EXPECT_TRUE(isClean);
+        EXPECT_EQ(failed, 0);
+        EXPECT_GT(answered, 100);
+        EXPECT_EQ(fleet[2].backend->total(), afterShutdown);
+    }
+
+} // namespace
+} // namespace skylark
--- /dev/null
+++ b/src/node/tests/NodeSettingsTest.cpp
@@ -0,0 +1,45 @@
+// Guards the settings file: a wrong one must stop the start with the place and the reason.
+#include "node/NodeSettings.h"
+#include "base/Error.h"
+
+#include <gtest/gtest.h>
+
+namespace skylark {
+namespace {
+
+    TEST(NodeSettingsTest, DefaultsRoundTrip)
+    {
+        const nlohmann::json json = nodeSettingsToJson({});
+        EXPECT_EQ(nodeSettingsToJson(nodeSettingsFromJson(json)), json);
+    }
+
+    TEST(NodeSettingsTest, FaultsAreRefusedWithTheirPlace)
+    {
+        const auto refuse = [](const char* key, const nlohmann::json& value, const std::string& expected) {
+            nlohmann::json json = nodeSettingsToJson({});
+            json[key] = value;
+            try {
+                nodeSettingsFromJson(json);
+                FAIL() << key << " was accepted";
+            } catch (const Error& error) {
+                EXPECT_NE(std::string(error.what()).find(expected), std::string::npos) << error.what();
+            }
+        };
+        refuse("instance", "", "/instance");
+        refuse("callerAddress", "here", "/callerAddress");
+        refuse("callerThreads", 0, "/callerThreads");
+        refuse("shutdownTimeout", 30, "/shutdownTimeout");
+        refuse("peers", "127.0.0.1:1", "/peers");
+        refuse("log", nlohmann::json { { "level", "loud" } }, "loud");
+        refuse("callerAdress", "127.0.0.1:1", "did you mean \"callerAddress\"?");
+    }
+
+    TEST(NodeSettingsTest, OtherFilesAreRefused)
+    {
+        EXPECT_THROW(nodeSettingsFromFile("/nonexistent/settings.json"), Error);
+        EXPECT_THROW(nodeSettingsFromJson(nlohmann::json::parse(R"({"ranks": []})")), Error);
+        EXPECT_THROW(nodeSettingsFromJson(nlohmann::json::array()), Error);
+    }
+
+} // namespace
+} // namespace skylark
--- /dev/null
+++ b/src/node/tests/RequestPathTest.cpp
@@ -0,0 +1,209 @@
+// Guards what a caller is promised, on whole nodes over loopback.
+#include "node/tests/RawConnection.h"
+#include "node/tests/TestFleet.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class RequestPathTest : public testing::Test {
+    protected:
+        static void SetUpTestSuite() { s_fleet = std::make_unique<TestFleet>(3); }
+        static void TearDownTestSuite() { s_fleet.reset(); }
+
+        static int executions(const std::string& id)
+        {
+            int count = 0;
+            for (size_t index = 0; index < s_fleet->size(); ++index)
+                count += (*s_fleet)[index].backend->executions(id);
+            return count;
+        }
+        static int totalExecutions()
+        {
+            int count = 0;
+            for (size_t index = 0; index < s_fleet->size(); ++index)
+                count += (*s_fleet)[index].backend->total();
+            return count;
+        }
+        static RawConnection connect() { return RawConnection((*s_fleet)[0].node->callerPort()); }
+
+        static inline std::unique_ptr<TestFleet> s_fleet;
+    };
+
+    TEST_F(RequestPathTest, EachCallerGetsItsOwnAnswer)
+    {
+        std::vector<std::thread> callers;
+        std::atomic<int> wrong { 0 };
+        for (int caller = 0; caller < 8; ++caller) {
+            callers.emplace_back([&, caller] {
+                httplib::Client client = s_fleet->client(static_cast<size_t>(caller) % s_fleet->size());
+                for (int call = 0; call < 100; ++call) {
+                    const std::string id = "own-" + std::to_string(caller) + "-" + std::to_string(call);
+                    const auto answer = client.Get("/pitches/1", { { "X-Test-Id", id } });
+                    if (!answer || answer->status != 200 || answer->body != "answer to " + id)
+                        ++wrong;
+                }
+            });
+        }
+        for (std::thread& caller : callers)
+            caller.join();
+        EXPECT_EQ(wrong, 0);
+    }
+
+    TEST_F(RequestPathTest, LargeBodiesArriveWholeInBothDirections)
+    {
+        std::string body(5'000'000, '\0');
+        for (size_t index = 0; index < body.size(); ++index)
+            body[index] = static_cast<char>((index * 2654435761u) >> 24);
+        httplib::Client client = s_fleet->client(0);
+        for (const size_t size :
+            { size_t { 0 }, size_t { 1 }, size_t { 65'536 }, size_t { 262'144 }, size_t { 262'145 }, body.size() }) {
+            const auto answer = client.Post("/echo", body.substr(0, size), "application/octet-stream");
+            ASSERT_TRUE(answer) << size;
+            EXPECT_EQ(answer->status, 200) << size;
+            EXPECT_TRUE(answer->body == body.substr(0, size)) << size;
+        }
+    }
+
+    TEST_F(RequestPathTest, MultipartBodyIsPassedOnUnparsed)
+    {
+        const std::string body = "--edge\r\nContent-Disposition: form-data; name=\"a\"\r\n\r\n1\r\n--edge--\r\n";
+        const auto answer = s_fleet->client(0).Post("/echo", body, "multipart/form-data; boundary=edge");
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 200);
+    }
+
+    // A body that is shorter than announced must not look like a whole answer.
+    TEST_F(RequestPathTest, CutOffAnswerIsAnError)
+    {
+        const auto answer = s_fleet->client(0).Get("/cut");
+        EXPECT_TRUE(!answer || answer->status == 504);
+    }
+
+    TEST_F(RequestPathTest, CopiesWithOneIdempotencyKeyRunOnce)
+    {
+        std::vector<std::thread> callers;
+        std::atomic<int> answered { 0 };
+        for (int caller = 0; caller < 6; ++caller) {
+            callers.emplace_back([&, caller] {
+                const auto answer = s_fleet->client(static_cast<size_t>(caller) % s_fleet->size())
+                                        .Post("/fees", { { "X-Test-Id", "fee-1" }, { "Idempotency-Key", "key-1" } },
+                                            "pay", "text/plain");
+                if (answer && answer->status == 200)
+                    ++answered;
+                else
+                    EXPECT_TRUE(answer && answer->status == 409);
+            });
+        }
+        for (std::thread& caller : callers)
+            caller.join();
+        EXPECT_EQ(answered, 1);
+        EXPECT_EQ(executions("fee-1"), 1);
+    }
+
+    TEST_F(RequestPathTest, CallThatIsTooLateIsUnknownAndRunsOnce)
+    {
+        const auto answer
+            = s_fleet->client(0).Get("/slow", { { "X-Test-Id", "slow-1" }, { "X-Test-Delay-Ms", "900" } });
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 504);
+        EXPECT_EQ(answer->get_header_value("Skylark-Outcome"), "unknown");
+        EXPECT_EQ(executions("slow-1"), 1);
+    }
+
+    TEST_F(RequestPathTest, PassedDeadlineIsRefusedAsNotRun)
+    {
+        const auto answer
+            = s_fleet->client(0).Get("/pitches", { { "X-Test-Id", "late-1" }, { "Skylark-Deadline-Ms", "0" } });
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->get_header_value("Skylark-Outcome"), "not-run");
+        EXPECT_EQ(executions("late-1"), 0);
+    }
+
+    TEST_F(RequestPathTest, CallChainOverNineIsRefused)
+    {
+        const auto answer = s_fleet->client(0).Get("/pitches", { { "Skylark-Depth", "9" } });
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 508);
+    }
+
+    TEST_F(RequestPathTest, UnknownRouteIsNotFound)
+    {
+        const auto answer = s_fleet->client(0).Get("/nowhere");
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 404);
+    }
+
+    // Two parties that read a length differently would take a body for a request.
+    TEST_F(RequestPathTest, RequestsOfAmbiguousLengthAreRefused)
+    {
+        const int before = totalExecutions();
+        for (const char* lengths :
+            { "Content-Length: 4\r\nContent-Length: 40\r\n", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                "Transfer-Encoding: gzip\r\n", "Content-Length: 4x\r\n" }) {
+            RawConnection connection = connect();
+            connection.write("POST /echo HTTP/1.1\r\nHost: a\r\n" + std::string(lengths)
+                + "\r\nbodyGET /pitches HTTP/1.1\r\nHost: a\r\n\r\n");
+            const std::string answer = connection.readToEnd(3s);
+            EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << lengths << answer;
+            EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << lengths;
+        }
+        EXPECT_EQ(totalExecutions(), before);
+    }
+
+    TEST_F(RequestPathTest, BodyOfAGetIsNotTakenForARequest)
+    {
+        const int before = totalExecutions();
+        RawConnection connection = connect();
+        const std::string inner = "GET /pitches HTTP/1.1\r\nHost: a\r\n\r\n";
+        connection.write(
+            "GET /pitches HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner);
+        EXPECT_TRUE(connection.readToEnd(3s).starts_with("HTTP/1.1 400"));
+        EXPECT_EQ(totalExecutions(), before);
+    }
+
+    TEST_F(RequestPathTest, EndlessHeadIsCutOff)
+    {
+        RawConnection connection = connect();
+        connection.write("GET /pitches HTTP/1.1\r\n");
+        bool isCut = false;
+        const std::string header = "X-Filler: " + std::string(1000, 'x') + "\r\n";
+        for (int count = 0; count < 2000 && !isCut; ++count)
+            isCut = !connection.write(header);
+        EXPECT_TRUE(isCut || connection.readToEnd(3s).find("200 OK") == std::string::npos);
+        EXPECT_TRUE(s_fleet->client(0).Get("/pitches"));
+    }
+
+    TEST_F(RequestPathTest, SlowBodyEndsAtTheDeadline)
+    {
+        RawConnection connection = connect();
+        connection.write("POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n");
+        for (int count = 0; count < 12; ++count) {
+            connection.write("x");
+            std::this_thread::sleep_for(50ms);
+        }
+        EXPECT_TRUE(connection.readToEnd(3s).starts_with("HTTP/1.1 408"));
+    }
+
+    TEST_F(RequestPathTest, OperatorsPagesAnswer)
+    {
+        const Endpoint admin = (*s_fleet)[0].node->adminAddress();
+        httplib::Client client(admin.host, admin.port);
+        for (const char* path :
+            { "/state", "/status", "/explain?method=GET&path=/pitches/1", "/metrics", "/healthz" }) {
+            const auto answer = client.Get(path);
+            ASSERT_TRUE(answer) << path;
+            EXPECT_EQ(answer->status, 200) << path;
+        }
+        const auto explanation = nlohmann::json::parse(client.Get("/explain?method=GET&path=/pitches/1")->body);
+        EXPECT_EQ(explanation["route"], "lookup");
+        EXPECT_EQ(explanation["instances"].size(), 3u);
+    }
+
+} // namespace
+} // namespace skylark
--- /dev/null
+++ b/src/node/tests/TestFleet.h
@@ -0,0 +1,66 @@
+// A few whole nodes in one process, with a stand-in platform and small backend servers, on loopback.
+#pragma once
+
+#include "document/Builder.h"
+#include "node/Node.h"
+#include "testing/HttpService.h"
+#include "testing/PlatformStandin.h"
+
+#include <map>
+#include <mutex>
+
+namespace skylark {
+
+// A backend server that counts the executions of each X-Test-Id and answers by path.
+class TestBackend {
+public:
+    TestBackend();
+
+    const Endpoint& address() const { return m_service->address(); }
+    int executions(const std::string& id);
+    int total();
+    // Ends listening, so that connections are refused.
+    void stop() { m_service->stop(); }
+
+private:
+    void handle(const httplib::Request& request, httplib::Response& response);
+
+    std::mutex m_mutex;
+    std::map<std::string, int> m_executions;
+    int m_total { 0 };
+    std::unique_ptr<HttpService> m_service;
+};
+
+struct TestInstance {
+    std::unique_ptr<TestBackend> backend;
+    std::unique_ptr<Node> node;
+    InstanceRecord record;
+};
+
+class TestFleet {
+public:
+    // Starts nodes in turn over three zones, all of the service "pitch", and waits until all serve.
+    explicit TestFleet(int count);
+
+    TestInstance& operator[](size_t index) { return *m_instances[index]; }
+    size_t size() const { return m_instances.size(); }
+    PlatformStandin& platform() { return *m_platform; }
+
+    // Publishes a document whose lookup route has this deadline.
+    void publish(uint64_t version, const std::string& deadline = "2s");
+    void publishFaulty(uint64_t version);
+    // Waits until all nodes show the version; false after the limit.
+    bool waitForVersion(uint64_t version, Duration limit);
+    httplib::Client client(size_t index);
+    uint64_t versionOf(size_t index);
+
+private:
+    void publishSections(uint64_t version, const std::map<std::string, std::string>& texts);
+    void addInstance(int number);
+
+    SystemClock m_clock;
+    std::unique_ptr<PlatformStandin> m_platform;
+    std::vector<std::unique_ptr<TestInstance>> m_instances;
+};
+
+} // namespace skylark
