Parse, validate and compile the configuration document

Cause: no node can read a document yet. Change: a strict JSON reader over nlohmann_json's SAX interface, a reader that collects faults with their places, the section schema, references between sections, the compiled route table, the manifest text, the section cache and the diff. manifestOf() makes the manifest of given texts. Conclusion: the route table, the cache and the diff need their own tests.

--- /dev/null
+++ b/src/document/Builder.cpp
@@ -0,0 +1,269 @@
+#include "document/Builder.h"
+
+#include "document/Section.h"
+
+#include <absl/strings/string_view.h>
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    // A view of a strong type's text as a key; the text outlives the build.
+    absl::string_view keyOf(std::string_view text) { return { text.data(), text.size() }; }
+
+    std::string declaredBy(const SectionName& section)
+    {
+        return " is declared by section " + shownText(section.value());
+    }
+
+    // Places of all routes of a host and path prefix, by method; the empty method stands for all.
+    struct MatchKey {
+        absl::string_view host;
+        absl::string_view prefix;
+        absl::string_view method;
+
+        bool operator==(const MatchKey&) const = default;
+        template <typename H> friend H AbslHashValue(H state, const MatchKey& key)
+        {
+            return H::combine(std::move(state), key.host, key.prefix, key.method);
+        }
+    };
+
+} // namespace
+
+// One build: resolves the texts, parses what the cache does not hold, and checks references in the order of
+// the manifest, so that the first declaration of a name is the same on every node.
+class DocumentBuilder {
+public:
+    DocumentBuilder(const Manifest& manifest, SectionCache* cache)
+        : m_manifest(manifest)
+        , m_cache(cache)
+    {
+    }
+
+    BuildResult build(const std::vector<SectionText>& texts)
+    {
+        checkManifest();
+        indexTexts(texts);
+        for (const auto& [name, digest] : m_manifest.sections)
+            addSection(name, digest);
+        if (m_documentBytes > mostDocumentBytes)
+            m_faults.add(SectionName(globalSection), "", "a document of " + std::to_string(m_documentBytes) + " bytes",
+                "at most " + std::to_string(mostDocumentBytes) + " bytes");
+        collectRanks();
+        for (const auto& section : m_sections)
+            collectServices(*section);
+        for (const auto& section : m_sections)
+            collectRoutes(*section);
+        if (m_cache)
+            m_cache->finishBuild();
+        if (!m_faults.isEmpty())
+            return m_faults.takeOrdered();
+        return std::make_shared<const Configuration>(
+            m_manifest, std::move(m_ranks), std::move(m_services), std::move(m_routes));
+    }
+
+private:
+    struct IndexedText {
+        const SectionText* text;
+        Digest digest;
+    };
+
+    void checkManifest()
+    {
+        if (m_manifest.sections.size() > mostSections)
+            m_faults.add(SectionName(globalSection), "",
+                "a manifest of " + std::to_string(m_manifest.sections.size()) + " sections",
+                "at most " + std::to_string(mostSections) + " sections");
+        if (!m_manifest.sections.contains(SectionName(globalSection)))
+            m_faults.add(SectionName(globalSection), "", "no such section in the manifest",
+                "a section named \"global\" with the ranks");
+        for (const auto& [name, digest] : m_manifest.sections)
+            if (!isName(name.value()))
+                m_faults.add(name, "", "the name " + shownText(name.value()),
+                    "1 to 63 of a-z, 0-9, '-', '_' and '.', starting with a letter or digit");
+    }
+
+    // Of several texts under one name, keeps the one that the manifest names, else the one of least digest.
+    void indexTexts(const std::vector<SectionText>& texts)
+    {
+        m_texts.reserve(texts.size());
+        for (const SectionText& text : texts) {
+            const auto named = m_manifest.sections.find(text.name);
+            if (named == m_manifest.sections.end())
+                continue;
+            const IndexedText indexed { .text = &text, .digest = digestOf(text.text) };
+            const auto [entry, isNew] = m_texts.try_emplace(keyOf(text.name.value()), indexed);
+            const bool isBetter = indexed.digest == named->second
+                || (entry->second.digest != named->second && indexed.digest < entry->second.digest);
+            if (!isNew && isBetter)
+                entry->second = indexed;
+        }
+    }
+
+    void addSection(const SectionName& name, const Digest& digest)
+    {
+        const auto entry = m_texts.find(keyOf(name.value()));
+        if (entry == m_texts.end() || entry->second.digest != digest) {
+            m_isIncomplete = true;
+            m_faults.add(name, "",
+                entry == m_texts.end() ? "no text" : "a text with digest " + entry->second.digest.hex(),
+                "the text with digest " + digest.hex());
+            return;
+        }
+        const SectionText& text = *entry->second.text;
+        m_documentBytes += text.text.size();
+        std::shared_ptr<const ParsedSection> section = m_cache ? m_cache->find(digest, name) : nullptr;
+        if (!section) {
+            const size_t faultsBefore = m_faults.size();
+            section = parseSection(text, m_faults);
+            if (m_cache && section && m_faults.size() == faultsBefore && !m_faults.isFull())
+                m_cache->insert(digest, section);
+        }
+        if (section)
+            m_sections.push_back(std::move(section));
+        else
+            m_isIncomplete = true;
+    }
+
+    void collectRanks()
+    {
+        const auto global = std::find_if(m_sections.begin(), m_sections.end(),
+            [](const auto& section) { return section->name.value() == globalSection; });
+        if (global != m_sections.end())
+            m_ranks = (*global)->ranks;
+    }
+
+    void collectServices(const ParsedSection& section)
+    {
+        for (const ParsedService& service : section.services) {
+            if (service.policy.name.value().empty())
+                continue;
+            const auto [first, isNew] = m_services.try_emplace(service.policy.name, service.policy);
+            if (!isNew)
+                m_faults.add(section.name, "/services/" + std::to_string(service.index) + "/name",
+                    shownText(service.policy.name.value()) + ", which" + declaredBy(first->second.section),
+                    "each service once in a document");
+        }
+    }
+
+    void collectRoutes(const ParsedSection& section)
+    {
+        for (const ParsedRoute& parsed : section.routes) {
+            const std::string pointer = "/routes/" + std::to_string(parsed.index);
+            if (m_routes.size() == mostRoutes) {
+                m_faults.add(section.name, pointer, "one route more than " + std::to_string(mostRoutes),
+                    "at most " + std::to_string(mostRoutes) + " routes in a document");
+                return;
+            }
+            const Route& route = parsed.route;
+            checkName(route, pointer);
+            checkMatchKeys(route, pointer);
+            if (!route.service.value().empty() && !m_isIncomplete && !m_services.contains(route.service))
+                m_faults.add(section.name, pointer + "/service", shownText(route.service.value()),
+                    "a service that a section of the document declares");
+            m_routes.push_back(route);
+            m_routes.back().rank = rankNumber(parsed, section.name, pointer);
+        }
+    }
+
+    void checkName(const Route& route, const std::string& pointer)
+    {
+        if (route.name.empty())
+            return;
+        const auto [first, isNew] = m_routeNames.try_emplace(keyOf(route.name), &route);
+        if (!isNew)
+            m_faults.add(route.section, pointer + "/name",
+                shownText(route.name) + ", which" + declaredBy(first->second->section),
+                "each route name once in a document");
+    }
+
+    // Two routes with a host, prefix and method in common would leave the choice to their order.
+    void checkMatchKeys(const Route& route, const std::string& pointer)
+    {
+        if (route.pathPrefix.empty())
+            return;
+        static const std::vector<std::string> everyMethod { "" };
+        bool isReported = false;
+        for (const std::string& method : route.methods.empty() ? everyMethod : route.methods) {
+            const auto [first, isNew] = m_matchKeys.try_emplace(
+                MatchKey { keyOf(route.host), keyOf(route.pathPrefix), keyOf(method) }, &route);
+            if (!isNew && !isReported)
+                m_faults.add(route.section, pointer,
+                    "the host, path prefix and " + (method.empty() ? "methods" : "method " + method) + " of route "
+                        + shownText(first->second->name),
+                    "routes that differ in host, path prefix or methods");
+            isReported = isReported || !isNew;
+        }
+    }
+
+    int rankNumber(const ParsedRoute& parsed, const SectionName& section, const std::string& pointer)
+    {
+        if (parsed.rank.value().empty() || m_ranks.empty())
+            return 0;
+        const auto rank = std::find_if(
+            m_ranks.begin(), m_ranks.end(), [&](const RankPolicy& policy) { return policy.name == parsed.rank; });
+        if (rank != m_ranks.end())
+            return static_cast<int>(rank - m_ranks.begin());
+        std::string names;
+        for (const RankPolicy& policy : m_ranks)
+            names += (names.empty() ? "" : ", ") + shownText(policy.name.value());
+        m_faults.add(
+            section, pointer + "/rank", shownText(parsed.rank.value()), "a rank of the global section: " + names);
+        return 0;
+    }
+
+    const Manifest& m_manifest;
+    SectionCache* m_cache;
+    FaultList m_faults;
+    absl::flat_hash_map<absl::string_view, IndexedText> m_texts;
+    size_t m_documentBytes { 0 };
+    // Set when a section cannot be read. What it declares is unknown then, so that references are not checked.
+    bool m_isIncomplete { false };
+    std::vector<std::shared_ptr<const ParsedSection>> m_sections;
+    std::vector<RankPolicy> m_ranks;
+    std::map<ServiceName, ServicePolicy> m_services;
+    std::vector<Route> m_routes;
+    absl::flat_hash_map<absl::string_view, const Route*> m_routeNames;
+    absl::flat_hash_map<MatchKey, const Route*> m_matchKeys;
+};
+
+SectionCache::SectionCache() = default;
+SectionCache::~SectionCache() = default;
+
+std::shared_ptr<const ParsedSection> SectionCache::find(const Digest& digest, const SectionName& name)
+{
+    const auto entry = m_entries.find(digest);
+    // One text under two names is valid under at most one of them.
+    if (entry == m_entries.end() || entry->second.section->name != name) {
+        ++m_misses;
+        return nullptr;
+    }
+    ++m_hits;
+    entry->second.lastBuild = m_build;
+    return entry->second.section;
+}
+
+void SectionCache::insert(const Digest& digest, std::shared_ptr<const ParsedSection> section)
+{
+    m_entries.insert_or_assign(digest, Entry { .section = std::move(section), .lastBuild = m_build });
+}
+
+void SectionCache::finishBuild()
+{
+    absl::erase_if(m_entries, [this](const auto& entry) { return entry.second.lastBuild + 1 < m_build; });
+    ++m_build;
+}
+
+BuildResult buildConfiguration(const Manifest& manifest, const std::vector<SectionText>& sections)
+{
+    return DocumentBuilder(manifest, nullptr).build(sections);
+}
+
+BuildResult buildConfiguration(const Manifest& manifest, const std::vector<SectionText>& sections, SectionCache& cache)
+{
+    return DocumentBuilder(manifest, &cache).build(sections);
+}
+
+} // namespace skylark
--- a/src/document/Builder.h
+++ b/src/document/Builder.h
@@ -66,8 +66,8 @@
         uint64_t lastBuild { 0 };
     };
 
-    // Null where the digest is not known.
-    std::shared_ptr<const ParsedSection> find(const Digest& digest);
+    // Null where no section of this digest and name is known.
+    std::shared_ptr<const ParsedSection> find(const Digest& digest, const SectionName& name);
     void insert(const Digest& digest, std::shared_ptr<const ParsedSection> section);
     void finishBuild();
 
@@ -83,6 +83,9 @@
 BuildResult buildConfiguration(const Manifest& manifest, const std::vector<SectionText>& sections);
 BuildResult buildConfiguration(const Manifest& manifest, const std::vector<SectionText>& sections, SectionCache& cache);
 
+// The manifest that accepts exactly these texts. Throws Error if two have one name.
+Manifest manifestOf(VersionNumber version, const std::vector<SectionText>& sections);
+
 // {"version": 7, "sections": {"registration": "<32 hexadecimal digits>"}}. The revision is the platform's
 // and not part of the text; manifestFromJson leaves it 0.
 std::string manifestToJson(const Manifest& manifest);
--- /dev/null
+++ b/src/document/ObjectReader.cpp
@@ -0,0 +1,138 @@
+#include "document/ObjectReader.h"
+
+#include "base/Settings.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+using Json = nlohmann::json;
+
+std::string shown(const Json& value)
+{
+    if (value.is_string())
+        return shownText(value.get_ref<const std::string&>());
+    if (value.is_object())
+        return "an object";
+    if (value.is_array())
+        return "an array of " + std::to_string(value.size());
+    return value.dump();
+}
+
+ObjectReader::ObjectReader(const Json& value, ReaderPlace place)
+    : m_value(value)
+    , m_place(std::move(place))
+{
+    if (!m_value.is_object())
+        m_place.faults.add(m_place.section, m_place.pointer, shown(m_value), "an object");
+}
+
+void ObjectReader::fault(const char* key, std::string found, std::string allowed)
+{
+    if (!m_place.faults.isFull())
+        m_place.faults.add(m_place.section, pointerOf(key), std::move(found), std::move(allowed));
+}
+
+const Json* ObjectReader::find(const char* key)
+{
+    if (!m_value.is_object())
+        return nullptr;
+    m_known.emplace_back(key);
+    const auto entry = m_value.find(key);
+    return entry == m_value.end() ? nullptr : &*entry;
+}
+
+void ObjectReader::refuse(const char* key, const Json* value, const std::string& allowed)
+{
+    if (m_value.is_object())
+        fault(key, value ? shown(*value) : "nothing", allowed);
+}
+
+std::string ObjectReader::text(const char* key, const TextRule& rule, std::optional<std::string> fallback)
+{
+    const Json* value = find(key);
+    if (value && value->is_string() && rule.isAllowed(value->get_ref<const std::string&>()))
+        return value->get<std::string>();
+    if (value || !fallback)
+        refuse(key, value, rule.allowed);
+    return fallback.value_or("");
+}
+
+int64_t ObjectReader::integer(const char* key, std::optional<int64_t> fallback, int64_t least, int64_t most)
+{
+    const Json* value = find(key);
+    // A number beyond int64_t converts to a negative one, which no caller allows.
+    if (value && value->is_number_integer()) {
+        const int64_t number = value->get<int64_t>();
+        if (number >= least && number <= most)
+            return number;
+    }
+    if (value || !fallback)
+        refuse(key, value, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    return fallback.value_or(least);
+}
+
+double ObjectReader::number(const char* key, std::optional<double> fallback, double least, double most)
+{
+    const Json* value = find(key);
+    if (value && value->is_number() && value->get<double>() >= least && value->get<double>() <= most)
+        return value->get<double>();
+    if (value || !fallback)
+        refuse(key, value, "a number from " + Json(least).dump() + " to " + Json(most).dump());
+    return fallback.value_or(least);
+}
+
+bool ObjectReader::boolean(const char* key, bool fallback)
+{
+    const Json* value = find(key);
+    if (value && value->is_boolean())
+        return value->get<bool>();
+    if (value)
+        refuse(key, value, "true or false");
+    return fallback;
+}
+
+Duration ObjectReader::duration(const char* key, Duration least, Duration most)
+{
+    const Json* value = find(key);
+    if (value && value->is_string()) {
+        const std::optional<Duration> parsed = parseDuration(value->get_ref<const std::string&>());
+        if (parsed && *parsed >= least && *parsed <= most)
+            return *parsed;
+    }
+    refuse(key, value, "a duration with its unit, from " + formatDuration(least) + " to " + formatDuration(most));
+    return least;
+}
+
+const Json::array_t& ObjectReader::array(const char* key, size_t least, size_t most)
+{
+    static const Json::array_t none;
+    const Json* value = find(key);
+    if (value && value->is_array() && value->size() >= least && value->size() <= most)
+        return value->get_ref<const Json::array_t&>();
+    if (value || least > 0)
+        refuse(key, value, "an array of " + std::to_string(least) + " to " + std::to_string(most));
+    return none;
+}
+
+void ObjectReader::finish()
+{
+    if (!m_value.is_object())
+        return;
+    // Longer keys are no slips of a known one, and comparing them would take long.
+    constexpr size_t mostCompared = 64;
+    for (const auto& [key, value] : m_value.items()) {
+        if (m_place.faults.isFull())
+            return;
+        if (std::find(m_known.begin(), m_known.end(), key) != m_known.end())
+            continue;
+        const auto nearest = key.size() <= mostCompared ? nearestName(key, m_known) : std::nullopt;
+        std::string allowed = nearest ? "\"" + *nearest + "\" (the nearest known key)" : "one of";
+        for (size_t index = 0; !nearest && index < m_known.size(); ++index)
+            allowed += (index ? ", \"" : " \"") + m_known[index] + "\"";
+        m_place.faults.add(
+            m_place.section, childPointer(m_place.pointer, key), "the unknown key " + shownText(key), allowed);
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/document/RouteTable.h
@@ -0,0 +1,55 @@
+// Finds the route of a request without allocating.
+//
+// The table maps (host, path prefix) to the routes with that pair. A request probes the prefixes of its path
+// from the longest to "/", for its host and for no host, so the cost is one or two hash lookups per segment
+// and does not grow with the number of routes. Hosts are numbered, so that a probe hashes only a number and
+// the prefix. The table refers to the routes that it was made from.
+#pragma once
+
+#include "document/Configuration.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/string_view.h>
+#include <optional>
+
+namespace skylark {
+
+class RouteTable {
+public:
+    // The routes must outlive the table and stay in place.
+    explicit RouteTable(const std::vector<Route>& routes);
+
+    const Route* match(std::string_view host, std::string_view method, std::string_view path) const;
+
+private:
+    using HostNumber = uint32_t;
+    static constexpr HostNumber anyHost = 0;
+
+    struct Key {
+        HostNumber host;
+        // Empty for "/".
+        absl::string_view prefix;
+
+        bool operator==(const Key&) const = default;
+        template <typename H> friend H AbslHashValue(H state, const Key& key)
+        {
+            return H::combine(std::move(state), key.host, key.prefix);
+        }
+    };
+    struct Range {
+        uint32_t first;
+        uint32_t count;
+    };
+
+    std::optional<HostNumber> hostNumber(std::string_view host) const;
+    const Route* matchPrefix(HostNumber host, std::string_view prefix, std::string_view method) const;
+
+    absl::flat_hash_map<absl::string_view, HostNumber> m_hosts;
+    absl::flat_hash_map<Key, Range> m_ranges;
+    // Grouped by key; within one, routes with methods come first.
+    std::vector<const Route*> m_ordered;
+    bool m_hasAnyHost { false };
+    size_t m_mostSegments { 0 };
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/document/Section.cpp
@@ -0,0 +1,265 @@
+#include "document/Section.h"
+
+#include "document/ObjectReader.h"
+#include "document/StrictJson.h"
+
+#include <algorithm>
+#include <array>
+
+namespace skylark {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using Json = nlohmann::json;
+
+    // Wide enough for any real value; they keep slips of unit or digits out.
+    constexpr int64_t mostSlots = 10'000;
+    constexpr int64_t mostConnections = 100'000;
+    constexpr int64_t mostQueue = 65'536;
+    constexpr int64_t mostBodyBytes = int64_t { 1 } << 30;
+    constexpr int64_t mostRetries = 5;
+    constexpr double mostWorth = 1'000'000;
+    constexpr Duration leastDeadline = 1ms;
+    constexpr Duration mostDeadline = 10min;
+
+    constexpr int64_t defaultQueue = 256;
+    constexpr int64_t defaultBodyBytes = int64_t { 8 } << 20;
+
+    constexpr std::array<std::string_view, 7> knownMethods { "DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST",
+        "PUT" };
+
+    bool isLowerOrDigit(char character)
+    {
+        return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9');
+    }
+
+    bool isPrintable(std::string_view text)
+    {
+        return std::none_of(text.begin(), text.end(),
+            [](char character) { return static_cast<unsigned char>(character) < ' ' || character == '\x7f'; });
+    }
+
+    char toLower(char character)
+    {
+        return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
+    }
+
+    // Labels of letters, digits and '-', split by dots. Numeric addresses have this form too.
+    bool isHost(std::string_view text)
+    {
+        char previous = '.';
+        for (const char character : text) {
+            if (character == '.' ? previous == '.' : !isLowerOrDigit(toLower(character)) && character != '-')
+                return false;
+            previous = character;
+        }
+        return text.empty() || (text.size() <= mostHostBytes && previous != '.');
+    }
+
+    bool isHealthPath(std::string_view text)
+    {
+        return text.empty()
+            || (text.size() <= mostPrefixBytes && text.front() == '/'
+                && std::all_of(
+                    text.begin(), text.end(), [](char character) { return character > ' ' && character <= '~'; }));
+    }
+
+    constexpr TextRule nameRule { "1 to 63 of a-z, 0-9, '-', '_' and '.', starting with a letter or digit", isName };
+    constexpr TextRule ownerRule { "a text of at most 200 bytes without control characters",
+        [](std::string_view text) { return text.size() <= 200 && isPrintable(text); } };
+    constexpr TextRule hostRule { "a host name without port, or an empty text for every host", isHost };
+    constexpr TextRule prefixRule { "\"/\" or a path such as \"/pitch/list\": at most 512 bytes and 32 segments of "
+                                    "printable ASCII without '?', '#', empty segments, \".\" or \"..\"",
+        isPathPrefix };
+    constexpr TextRule healthPathRule { "a path of printable ASCII that starts with '/'", isHealthPath };
+
+    struct Limits {
+        int maxQueue { defaultQueue };
+        ByteCount maxBodyBytes { defaultBodyBytes };
+    };
+
+    class SectionParser {
+    public:
+        SectionParser(const SectionName& name, FaultList& faults)
+            : m_name(name)
+            , m_faults(faults)
+        {
+        }
+
+        std::shared_ptr<const ParsedSection> parse(const Json& text)
+        {
+            ObjectReader reader = readerOf(text, "");
+            m_parsed->name = m_name;
+            const std::string declared = reader.text("section", nameRule);
+            if (!declared.empty() && declared != m_name.value())
+                reader.fault("section", shownText(declared), shownText(m_name.value()) + ", the name in the manifest");
+            reader.text("owner", ownerRule, "");
+            if (m_name.value() == globalSection)
+                parseRanks(reader);
+            else
+                parseTeamSection(reader);
+            reader.finish();
+            return m_parsed;
+        }
+
+    private:
+        ObjectReader readerOf(const Json& value, std::string pointer)
+        {
+            return { value, { .section = m_name, .pointer = std::move(pointer), .faults = m_faults } };
+        }
+
+        void parseRanks(ObjectReader& reader)
+        {
+            const Json::array_t& ranks = reader.array("ranks", 1, mostRanks);
+            double floors = 0;
+            for (size_t index = 0; index < ranks.size(); ++index) {
+                parseRank(readerOf(ranks[index], childPointer(reader.pointerOf("ranks"), index)));
+                floors += m_parsed->ranks.back().floor;
+            }
+            // Sums of decimal fractions such as 0.7 + 0.2 + 0.1 miss 1 by rounding.
+            constexpr double roundingError = 1e-9;
+            if (floors > 1 + roundingError)
+                reader.fault("ranks", "floors with a sum of " + Json(floors).dump(), "floors with a sum of at most 1");
+        }
+
+        void parseRank(ObjectReader reader)
+        {
+            RankPolicy rank;
+            rank.name = RankName(reader.text("name", nameRule));
+            rank.target = reader.duration("target", leastDeadline, mostDeadline);
+            rank.floor = reader.number("floor", 0.0, 0, 1);
+            rank.worth = reader.number("worth", 1.0, 0, mostWorth);
+            reader.finish();
+            const bool isRepeated = std::any_of(m_parsed->ranks.begin(), m_parsed->ranks.end(),
+                [&](const RankPolicy& other) { return other.name == rank.name; });
+            if (isRepeated && !rank.name.value().empty())
+                reader.fault("name", shownText(rank.name.value()) + " a second time", "each rank once");
+            m_parsed->ranks.push_back(std::move(rank));
+        }
+
+        void parseTeamSection(ObjectReader& reader)
+        {
+            const Limits limits = parseLimits(reader);
+            const Json::array_t& services = reader.array("services", 0, mostRoutes);
+            for (size_t index = 0; index < services.size() && !m_faults.isFull(); ++index)
+                parseService(
+                    readerOf(services[index], childPointer(reader.pointerOf("services"), index)), index, limits);
+            const Json::array_t& routes = reader.array("routes", 0, mostRoutes);
+            for (size_t index = 0; index < routes.size() && !m_faults.isFull(); ++index)
+                parseRoute(readerOf(routes[index], childPointer(reader.pointerOf("routes"), index)), index, limits);
+        }
+
+        Limits parseLimits(ObjectReader& reader)
+        {
+            Limits limits;
+            const Json* value = reader.find("limits");
+            if (!value)
+                return limits;
+            ObjectReader fields = readerOf(*value, reader.pointerOf("limits"));
+            limits.maxBodyBytes = ByteCount(fields.integer("maxBodyBytes", defaultBodyBytes, 0, mostBodyBytes));
+            limits.maxQueue = static_cast<int>(fields.integer("maxQueue", defaultQueue, 0, mostQueue));
+            fields.finish();
+            return limits;
+        }
+
+        void parseService(ObjectReader reader, size_t index, const Limits& limits)
+        {
+            ServicePolicy service;
+            service.name = ServiceName(reader.text("name", nameRule));
+            service.section = m_name;
+            service.port = static_cast<uint16_t>(reader.integer("port", std::nullopt, 1, 65'535));
+            service.slots = static_cast<int>(reader.integer("slots", std::nullopt, 1, mostSlots));
+            service.connections = static_cast<int>(reader.integer("connections", std::nullopt, 1, mostConnections));
+            service.healthPath = reader.text("healthPath", healthPathRule, "");
+            service.maxQueue = limits.maxQueue;
+            reader.finish();
+            m_parsed->services.push_back({ std::move(service), index });
+        }
+
+        void parseRoute(ObjectReader reader, size_t index, const Limits& limits)
+        {
+            ParsedRoute parsed;
+            Route& route = parsed.route;
+            route.name = reader.text("name", nameRule);
+            route.section = m_name;
+            route.host = reader.text("host", hostRule, "");
+            std::transform(route.host.begin(), route.host.end(), route.host.begin(), toLower);
+            route.pathPrefix = reader.text("pathPrefix", prefixRule);
+            route.methods = parseMethods(reader);
+            route.service = ServiceName(reader.text("service", nameRule));
+            parsed.rank = RankName(reader.text("rank", nameRule));
+            route.deadline = reader.duration("deadline", leastDeadline, mostDeadline);
+            route.worth = reader.number("worth", 1.0, 0, mostWorth);
+            route.isIdempotent = reader.boolean("idempotent", false);
+            route.retries = static_cast<int>(reader.integer("retries", 0, 0, mostRetries));
+            route.maxBodyBytes = limits.maxBodyBytes;
+            reader.finish();
+            parsed.index = index;
+            m_parsed->routes.push_back(std::move(parsed));
+        }
+
+        std::vector<std::string> parseMethods(ObjectReader& reader)
+        {
+            std::vector<std::string> methods;
+            const Json::array_t& values = reader.array("methods", 0, knownMethods.size());
+            for (size_t index = 0; index < values.size(); ++index) {
+                const std::string* method = values[index].get_ptr<const std::string*>();
+                const std::string pointer = childPointer(reader.pointerOf("methods"), index);
+                if (!method || std::find(knownMethods.begin(), knownMethods.end(), *method) == knownMethods.end())
+                    m_faults.add(
+                        m_name, pointer, shown(values[index]), "DELETE, GET, HEAD, OPTIONS, PATCH, POST or PUT");
+                else if (std::find(methods.begin(), methods.end(), *method) != methods.end())
+                    m_faults.add(m_name, pointer, shownText(*method) + " a second time", "each method once");
+                else
+                    methods.push_back(*method);
+            }
+            // The order has no meaning, so the configuration does not depend on it.
+            std::sort(methods.begin(), methods.end());
+            return methods;
+        }
+
+        const SectionName& m_name;
+        FaultList& m_faults;
+        std::shared_ptr<ParsedSection> m_parsed { std::make_shared<ParsedSection>() };
+    };
+
+} // namespace
+
+bool isName(std::string_view text)
+{
+    constexpr size_t mostNameBytes = 63;
+    return !text.empty() && text.size() <= mostNameBytes && isLowerOrDigit(text.front())
+        && std::all_of(text.begin(), text.end(), [](char character) {
+               return isLowerOrDigit(character) || character == '-' || character == '_' || character == '.';
+           });
+}
+
+bool isPathPrefix(std::string_view text)
+{
+    if (text == "/")
+        return true;
+    if (text.empty() || text.front() != '/' || text.size() > mostPrefixBytes)
+        return false;
+    size_t segments = 0;
+    while (!text.empty()) {
+        text.remove_prefix(1);
+        const std::string_view segment = text.substr(0, text.find('/'));
+        if (segment.empty() || segment == "." || segment == ".." || ++segments > mostPrefixSegments)
+            return false;
+        if (std::any_of(segment.begin(), segment.end(), [](char character) {
+                return character <= ' ' || character > '~' || character == '?' || character == '#';
+            }))
+            return false;
+        text.remove_prefix(segment.size());
+    }
+    return true;
+}
+
+std::shared_ptr<const ParsedSection> parseSection(const SectionText& section, FaultList& faults)
+{
+    const std::optional<Json> value = parseStrictJson(section.text, mostSectionBytes, section.name, faults);
+    return value ? SectionParser(section.name, faults).parse(*value) : nullptr;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/document/tests/BuilderTest.cpp
@@ -0,0 +1,361 @@
+// Guards what a document may contain: a node must never accept a text that means two things, and operators
+// must see every fault with its place.
+#include "base/Error.h"
+#include "document/Builder.h"
+#include "document/Section.h"
+#include "document/tests/SyntheticDocument.h"
+
+#include <algorithm>
+#include <gmock/gmock.h>
+#include <locale>
+#include <random>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+    using testing::HasSubstr;
+
+    BuildResult buildTexts(const std::vector<SectionText>& texts)
+    {
+        return buildConfiguration(manifestOf(VersionNumber(1), texts), texts);
+    }
+
+    std::vector<Fault> faultsOf(const BuildResult& result)
+    {
+        const auto* faults = std::get_if<std::vector<Fault>>(&result);
+        return faults ? *faults : std::vector<Fault>();
+    }
+
+    std::vector<Fault> faultsOfTeam(const std::string& text)
+    {
+        return faultsOf(buildTexts({ globalText(), { SectionName("team"), text } }));
+    }
+
+    std::vector<Fault> faultsOfGlobal(const std::string& text)
+    {
+        return faultsOf(buildTexts({ { SectionName(globalSection), text } }));
+    }
+
+    std::string replaced(std::string text, const std::string& from, const std::string& to)
+    {
+        const size_t place = text.find(from);
+        EXPECT_NE(place, std::string::npos) << from;
+        return text.replace(place, from.size(), to);
+    }
+
+    TEST(BuilderTest, ReadsEveryFieldOfTheDesignExample)
+    {
+        const SectionText registration { SectionName("registration"), R"({"section": "registration",
+ "owner": "registration-team",
+ "services": [{"name": "pitch", "port": 8080, "slots": 13, "connections": 120, "healthPath": "/health"}],
+ "routes": [{"name": "pitch-lookup", "host": "Gessetto.example", "pathPrefix": "/pitches", "methods": ["POST", "GET"],
+   "service": "pitch", "rank": "normal", "deadline": "800ms", "worth": 5, "idempotent": true, "retries": 2}],
+ "limits": {"maxBodyBytes": 4096, "maxQueue": 99}})" };
+        const auto result = buildTexts({ registration, globalText() });
+        ASSERT_TRUE(faultsOf(result).empty()) << describe(faultsOf(result).front());
+        const Configuration& configuration = *std::get<0>(result);
+        ASSERT_EQ(configuration.ranks().size(), 3u);
+        EXPECT_EQ(configuration.ranks()[0],
+            (RankPolicy { .name = RankName("urgent"), .target = 100ms, .floor = 0.3, .worth = 100 }));
+        EXPECT_EQ(*configuration.service(ServiceName("pitch")),
+            (ServicePolicy { .name = ServiceName("pitch"),
+                .section = SectionName("registration"),
+                .port = 8080,
+                .slots = 13,
+                .connections = 120,
+                .healthPath = "/health",
+                .maxQueue = 99 }));
+        ASSERT_EQ(configuration.routes().size(), 1u);
+        EXPECT_EQ(configuration.routes()[0],
+            (Route { .name = "pitch-lookup",
+                .section = SectionName("registration"),
+                .host = "gessetto.example",
+                .pathPrefix = "/pitches",
+                .methods = { "GET", "POST" },
+                .service = ServiceName("pitch"),
+                .rank = 1,
+                .deadline = 800ms,
+                .worth = 5,
+                .isIdempotent = true,
+                .retries = 2,
+                .maxBodyBytes = ByteCount(4096) }));
+    }
+
+    struct FieldCase {
+        const char* from;
+        const char* to;
+        const char* pointer;
+        const char* found;
+        const char* allowed;
+    };
+
+    void expectFieldFault(const FieldCase& field, const std::vector<Fault>& faults)
+    {
+        SCOPED_TRACE(std::string(field.from) + " -> " + field.to);
+        ASSERT_EQ(faults.size(), 1u);
+        EXPECT_EQ(faults[0].pointer, field.pointer);
+        EXPECT_THAT(faults[0].found, HasSubstr(field.found));
+        EXPECT_THAT(faults[0].allowed, HasSubstr(field.allowed));
+    }
+
+    TEST(BuilderTest, ReportsThePlaceAndRuleOfAFaultyField)
+    {
+        const std::string valid = syntheticSection("team", 1).text;
+        const FieldCase cases[] = {
+            { R"("section": "team")", R"("section": "other")", "/section", "other", "team" },
+            { R"("port": 8080)", R"("port": 65536)", "/services/0/port", "65536", "1 to 65535" },
+            { R"("port": 8080)", R"("port": 8080.0)", "/services/0/port", "8080.0", "whole number" },
+            { R"("port": 8080)", R"("port": 18446744073709551615)", "/services/0/port", "18446744073709551615", "1" },
+            { R"("slots": 13, )", "", "/services/0/slots", "nothing", "whole number" },
+            { R"("connections")", R"("conections")", "/services/0/connections", "nothing", "whole number" },
+            { R"("healthPath")", R"("healthpath")", "/services/0/healthpath", "unknown key", "\"healthPath\"" },
+            { R"("name": "team-0")", R"("name": "Team")", "/routes/0/name", "Team", "a-z" },
+            { R"(team.internal.example)", R"(team.example:80)", "/routes/0/host", "team.example:80", "without port" },
+            { R"("/api/v1/resource0")", R"("/api/")", "/routes/0/pathPrefix", "/api/", "segments" },
+            { R"("/api/v1/resource0")", R"("/a/../b")", "/routes/0/pathPrefix", "..", "segments" },
+            { R"(["GET"])", R"(["GET", "get"])", "/routes/0/methods/1", "get", "GET" },
+            { R"(["GET"])", R"(["GET", "GET"])", "/routes/0/methods/1", "second time", "once" },
+            { R"("service": "team")", R"("service": "tea")", "/routes/0/service", "tea", "service" },
+            { R"("rank": "normal")", R"("rank": "norm")", "/routes/0/rank", "norm", "\"urgent\", \"normal\"" },
+            { R"("800ms")", R"("11m")", "/routes/0/deadline", "11m", "1ms to 10m" },
+            { R"("800ms")", "800", "/routes/0/deadline", "800", "unit" },
+            { R"("retries": 2)", R"("retries": 6)", "/routes/0/retries", "6", "0 to 5" },
+            { R"("idempotent": true)", R"("idempotent": 1)", "/routes/0/idempotent", "1", "true or false" },
+            { R"("worth": 5)", R"("worth": -1)", "/routes/0/worth", "-1", "number" },
+            { R"("maxQueue": 256)", R"("maxQueue": -1)", "/limits/maxQueue", "-1", "0 to 65536" },
+            { R"("owner")", R"("ranks": [], "owner")", "/ranks", "unknown key", "one of" },
+        };
+        for (const FieldCase& field : cases) {
+            const std::vector<Fault> faults = faultsOfTeam(replaced(valid, field.from, field.to));
+            if (std::string(field.to) != R"("conections")") {
+                expectFieldFault(field, faults);
+                continue;
+            }
+            // A misspelt required key is missing and unknown.
+            ASSERT_EQ(faults.size(), 2u);
+            expectFieldFault(field, { faults[0] });
+            EXPECT_THAT(faults[1].allowed, HasSubstr("\"connections\""));
+        }
+    }
+
+    TEST(BuilderTest, ReportsFaultyRanks)
+    {
+        const FieldCase cases[] = {
+            { R"("floor": 0.3)", R"("floor": 0.8)", "/ranks", "sum of 1.05", "at most 1" },
+            { R"("name": "bulk")", R"("name": "urgent")", "/ranks/2/name", "second time", "once" },
+            { R"("target": "5s")", R"("target": "5")", "/ranks/2/target", "5", "unit" },
+            { R"("section")", R"("services": [], "section")", "/services", "unknown key", "one of" },
+        };
+        for (const FieldCase& field : cases)
+            expectFieldFault(field, faultsOfGlobal(replaced(globalText().text, field.from, field.to)));
+        std::string ranks;
+        for (int index = 0; index < 17; ++index)
+            ranks += std::string(index ? "," : "") + R"({"name": "r)" + std::to_string(index) + R"(", "target": "1s"})";
+        EXPECT_EQ(faultsOfGlobal(R"({"section": "global", "ranks": [)" + ranks + "]}").size(), 1u);
+        EXPECT_EQ(faultsOfGlobal(R"({"section": "global", "ranks": []})").size(), 1u);
+        EXPECT_EQ(faultsOfGlobal(R"({"section": "global"})").size(), 1u);
+        EXPECT_EQ(faultsOf(buildTexts({})).size(), 1u);
+    }
+
+    // 0.1 + 0.2 + 0.7 in floating point differs from 1 by rounding.
+    TEST(BuilderTest, AcceptsFloorsThatSumToOne)
+    {
+        const std::string text = R"({"section": "global", "ranks": [{"name": "a", "target": "1s", "floor": 0.7},
+{"name": "b", "target": "1s", "floor": 0.1}, {"name": "c", "target": "1s", "floor": 0.1},
+{"name": "d", "target": "1s", "floor": 0.1}]})";
+        EXPECT_TRUE(faultsOfGlobal(text).empty());
+    }
+
+    TEST(BuilderTest, RefusesTextThatIsNotStrictJson)
+    {
+        const std::string nested
+            = R"({"section": "team", "owner": )" + std::string(40, '[') + std::string(40, ']') + "}";
+        const std::pair<std::string, std::string> cases[] = {
+            { "", "0 bytes" },
+            { "null", "null" },
+            { "[]", "an array" },
+            { R"({"section": "team", "section": "team"})", "second time" },
+            { "{\"section\": \"team\", \"owner\": \"\xff\"}", "UTF-8" },
+            { "\xEF\xBB\xBF{\"section\": \"team\"}", "byte order mark" },
+            { R"({"section": "team"} x)", "parse error" },
+            { R"({"section": "team", "owner": 1e999})", "" },
+            { R"({"section": "team", "owner": NaN})", "" },
+            { nested, "more than 32" },
+            { R"({"section": "team", "owner": ")" + std::string(mostSectionBytes, 'x') + "\"}", "bytes" },
+            { std::string(900'000, '['), "more than 32" },
+        };
+        for (const auto& [text, found] : cases) {
+            const std::vector<Fault> faults = faultsOfTeam(text);
+            ASSERT_EQ(faults.size(), 1u) << text.substr(0, 60);
+            EXPECT_THAT(faults[0].found, HasSubstr(found));
+            EXPECT_LT(describe(faults[0]).size(), 500u);
+        }
+        const std::string valid = syntheticSection("team", 2).text;
+        for (size_t length = 0; length < valid.size(); ++length)
+            EXPECT_FALSE(faultsOfTeam(valid.substr(0, length)).empty()) << "cut at " << length;
+        EXPECT_TRUE(faultsOfTeam(valid).empty());
+    }
+
+    TEST(BuilderTest, AcceptsNestingOfThirtyTwoButNotMore)
+    {
+        for (const size_t depth : { mostNesting, mostNesting + 1 }) {
+            const std::string text
+                = R"({"section": "team", "owner": )" + std::string(depth - 1, '[') + std::string(depth - 1, ']') + "}";
+            const std::vector<Fault> faults = faultsOfTeam(text);
+            ASSERT_EQ(faults.size(), 1u);
+            EXPECT_EQ(faults[0].pointer.starts_with("/owner/0"), depth > mostNesting) << describe(faults[0]);
+        }
+    }
+
+    TEST(BuilderTest, ReportsAllFaultsOfAllSectionsInOrder)
+    {
+        const std::vector<Fault> faults = faultsOf(buildTexts({ globalText(), syntheticSection("b", 2, "none"),
+            { SectionName("a"), R"({"section": "a", "service": [], "routes": [{"name": "a"}, 7]})" } }));
+        std::vector<std::string> places;
+        for (const Fault& fault : faults)
+            places.push_back(fault.section.value() + fault.pointer);
+        EXPECT_EQ(places,
+            (std::vector<std::string> { "a/routes/0/pathPrefix", "a/routes/0/service", "a/routes/0/rank",
+                "a/routes/0/deadline", "a/routes/1", "a/service", "b/routes/0/rank", "b/routes/1/rank" }));
+    }
+
+    // A hostile text must not make a node keep or send an unbounded list.
+    TEST(BuilderTest, ReportsAtMostAThousandFaultsOfBoundedSize)
+    {
+        std::string text = R"({"section": "team", ")" + std::string(200'000, 'k') + R"(": 0)";
+        for (int index = 0; index < 20'000; ++index)
+            text += ", \"key~/\xC3\xA9" + std::to_string(index) + "\": 0";
+        const std::vector<Fault> faults = faultsOfTeam(text + "}");
+        EXPECT_EQ(faults.size(), mostFaults);
+        for (const Fault& fault : faults)
+            EXPECT_LT(describe(fault).size(), 500u);
+        EXPECT_THAT(faults[0].pointer, HasSubstr("key~0~1"));
+    }
+
+    TEST(BuilderTest, ReportsSecondDeclarationsInTheLaterSection)
+    {
+        const SectionText first = syntheticSection("aa", 1);
+        const SectionText second { SectionName("bb"),
+            replaced(first.text, R"("section": "aa")", R"("section": "bb")") };
+        const std::vector<Fault> faults = faultsOf(buildTexts({ second, first, globalText() }));
+        ASSERT_EQ(faults.size(), 3u);
+        for (const Fault& fault : faults)
+            EXPECT_EQ(fault.section, SectionName("bb"));
+        EXPECT_EQ(faults[0].pointer, "/services/0/name");
+        EXPECT_EQ(faults[1].pointer, "/routes/0/name");
+        EXPECT_EQ(faults[2].pointer, "/routes/0");
+    }
+
+    // Without this rule, the order of two routes would decide which one takes a request.
+    TEST(BuilderTest, RefusesRoutesWithACommonMatchKey)
+    {
+        const auto countWithMethods = [](const std::string& first, const std::string& second) {
+            std::string text = syntheticSection("team", 2).text;
+            text = replaced(text, "resource1", "resource0");
+            text = replaced(replaced(text, R"(["GET"])", first), R"(["GET"])", second);
+            return faultsOfTeam(text).size();
+        };
+        EXPECT_EQ(countWithMethods(R"(["GET"])", R"(["POST", "GET"])"), 1u);
+        EXPECT_EQ(countWithMethods("[]", "[]"), 1u);
+        EXPECT_EQ(countWithMethods("[]", R"(["GET"])"), 0u);
+        EXPECT_EQ(countWithMethods(R"(["PUT"])", R"(["GET"])"), 0u);
+    }
+
+    TEST(BuilderTest, ResolvesServicesOfOtherSectionsUnlessOneIsUnreadable)
+    {
+        const std::string text = replaced(syntheticSection("b", 1).text, R"("service": "b")", R"("service": "c")");
+        const std::vector<SectionText> texts { globalText(), { SectionName("b"), text }, syntheticSection("c", 0) };
+        EXPECT_TRUE(faultsOf(buildTexts(texts)).empty());
+        // The unreadable section may declare the service, so its absence is no second fault.
+        const auto faults = faultsOf(buildTexts({ texts[0], texts[1], { SectionName("c"), "{" } }));
+        ASSERT_EQ(faults.size(), 1u);
+        EXPECT_EQ(faults[0].section, SectionName("c"));
+    }
+
+    TEST(BuilderTest, UsesExactlyTheTextsThatTheManifestNames)
+    {
+        const std::vector<SectionText> texts { globalText(), syntheticSection("a", 1), syntheticSection("b", 2) };
+        const Manifest manifest = manifestOf(VersionNumber(4), texts);
+        const BuildResult expected = buildConfiguration(manifest, texts);
+        ASSERT_EQ(expected.index(), 0u);
+
+        std::vector<SectionText> mixed = texts;
+        mixed.push_back({ SectionName("a"), "an older text" });
+        mixed.push_back(syntheticSection("unnamed", 1));
+        std::mt19937_64 engine(3);
+        for (int round = 0; round < 20; ++round) {
+            std::shuffle(mixed.begin(), mixed.end(), engine);
+            EXPECT_TRUE(isSame(buildConfiguration(manifest, mixed), expected));
+        }
+        const std::vector<SectionText> torn { texts[0], syntheticSection("a", 2), texts[2] };
+        EXPECT_THAT(faultsOf(buildConfiguration(manifest, torn)).at(0).found, HasSubstr("digest"));
+        EXPECT_EQ(faultsOf(buildConfiguration(manifest, { texts[0], texts[2] })).at(0).found, "no text");
+    }
+
+    class CommaPunctuation : public std::numpunct<char> {
+        char do_decimal_point() const override { return ','; }
+        char do_thousands_sep() const override { return '.'; }
+        std::string do_grouping() const override { return "\3"; }
+    };
+
+    // Two nodes with different settings must not disagree about a version.
+    TEST(BuilderTest, ResultDoesNotDependOnTheLocale)
+    {
+        const std::vector<SectionText> good { globalText(), syntheticSection("a", 1) };
+        const std::vector<SectionText> bad { { SectionName(globalSection),
+            replaced(globalText().text, "0.3", "0.85") } };
+        const BuildResult expectedGood = buildTexts(good);
+        const BuildResult expectedBad = buildTexts(bad);
+        const std::locale previous = std::locale::global(std::locale(std::locale(), new CommaPunctuation));
+        const BuildResult actualGood = buildTexts(good);
+        const BuildResult actualBad = buildTexts(bad);
+        std::locale::global(previous);
+        EXPECT_TRUE(isSame(actualGood, expectedGood));
+        EXPECT_TRUE(isSame(actualBad, expectedBad));
+        EXPECT_EQ(faultsOf(expectedBad).size(), 1u);
+    }
+
+    TEST(BuilderTest, BoundsSectionsAndRoutes)
+    {
+        const std::vector<Fault> sections = faultsOf(buildTexts(syntheticDocument(mostSections, 0)));
+        ASSERT_EQ(sections.size(), 1u);
+        EXPECT_THAT(sections[0].found, HasSubstr("4097 sections"));
+        EXPECT_EQ(buildTexts(syntheticDocument(mostSections - 1, 0)).index(), 0u);
+        EXPECT_EQ(buildTexts(syntheticDocument(64, mostRoutes / 64)).index(), 0u);
+        const std::vector<Fault> routes = faultsOf(buildTexts(syntheticDocument(64, mostRoutes / 64 + 1)));
+        ASSERT_FALSE(routes.empty());
+        EXPECT_THAT(routes[0].allowed, HasSubstr("65536 routes"));
+    }
+
+    TEST(ManifestTest, RoundTripsWithoutTheRevision)
+    {
+        Manifest manifest = manifestOf(VersionNumber(7), { globalText(), syntheticSection("a", 1) });
+        EXPECT_EQ(manifestFromJson(manifestToJson(manifest)), manifest);
+        Manifest revised = manifest;
+        revised.revision = Revision(9);
+        EXPECT_EQ(manifestToJson(revised), manifestToJson(manifest));
+        EXPECT_EQ(revised.digest(), manifest.digest());
+        EXPECT_TRUE(revised.isNewerThan(manifest));
+        revised.version = VersionNumber(8);
+        EXPECT_NE(revised.digest(), manifest.digest());
+        EXPECT_THROW(manifestOf(VersionNumber(1), { globalText(), globalText() }), Error);
+    }
+
+    TEST(ManifestTest, RefusesOtherText)
+    {
+        const std::string digest = digestOf("x").hex();
+        const auto refuses = [](const std::string& text) { EXPECT_THROW(manifestFromJson(text), Error) << text; };
+        for (const char* text : { "", "{}", "[]", "{\"version\": 1}", "{\"version\": 0, \"sections\": {}}",
+                 "{\"version\": 1.5, \"sections\": {}}", "{\"version\": 1, \"sections\": []}",
+                 "{\"version\": 1, \"sections\": {}, \"revision\": 2}", "{\"version\": 1, \"sections\": {\"a\": 1}}",
+                 "{\"version\": 1, \"version\": 2, \"sections\": {}}" })
+            refuses(text);
+        refuses(R"({"version": 1, "sections": {"../a": ")" + digest + "\"}}");
+        refuses(R"({"version": 1, "sections": {"a\u0000b": ")" + digest + "\"}}");
+        refuses(R"({"version": 1, "sections": {"a": "A)" + digest.substr(1) + "\"}}");
+        EXPECT_EQ(manifestFromJson(R"({"version": 1, "sections": {"a": ")" + digest + "\"}}").sections.size(), 1u);
+    }
+
+} // namespace
+} // namespace skylark
