--- a/src/document/tests/BuilderTest.cpp
+++ b/src/document/tests/BuilderTest.cpp
@@ -1,7 +1,7 @@
 // Guards what a document may contain: a node must never accept a text that means two things, and operators
 // must see every fault with its place.
-#include "base/Error.h"
 #include "document/Builder.h"
+#include "base/Error.h"
 #include "document/Section.h"
 #include "document/tests/SyntheticDocument.h"
 
@@ -37,13 +37,6 @@
         return faultsOf(buildTexts({ { SectionName(globalSection), text } }));
     }
 
-    std::string replaced(std::string text, const std::string& from, const std::string& to)
-    {
-        const size_t place = text.find(from);
-        EXPECT_NE(place, std::string::npos) << from;
-        return text.replace(place, from.size(), to);
-    }
-
     TEST(BuilderTest, ReadsEveryFieldOfTheDesignExample)
     {
         const SectionText registration { SectionName("registration"), R"({"section": "registration",
--- a/src/document/tests/SyntheticDocument.h
+++ b/src/document/tests/SyntheticDocument.h
@@ -34,6 +34,12 @@
     return texts;
 }
 
+// The text with the first occurrence replaced; throws std::out_of_range where there is none.
+inline std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
 inline bool isSame(const BuildResult& left, const BuildResult& right)
 {
     const auto* leftFaults = std::get_if<std::vector<Fault>>(&left);
