--- a/src/document/ObjectReader.cpp
+++ b/src/document/ObjectReader.cpp
@@ -48,7 +48,7 @@
         fault(key, value ? shown(*value) : "nothing", allowed);
 }
 
-std::string ObjectReader::text(const char* key, const TextRule& rule, std::optional<std::string> fallback)
+std::string ObjectReader::text(const char* key, const TextRule& rule, const std::optional<std::string>& fallback)
 {
     const Json* value = find(key);
     if (value && value->is_string() && rule.isAllowed(value->get_ref<const std::string&>()))
--- a/src/document/ObjectReader.h
+++ b/src/document/ObjectReader.h
@@ -29,7 +29,7 @@
     // The value must outlive the reader.
     ObjectReader(const nlohmann::json& value, ReaderPlace place);
 
-    std::string text(const char* key, const TextRule& rule, std::optional<std::string> fallback = std::nullopt);
+    std::string text(const char* key, const TextRule& rule, const std::optional<std::string>& fallback = std::nullopt);
     int64_t integer(const char* key, std::optional<int64_t> fallback, int64_t least, int64_t most);
     double number(const char* key, std::optional<double> fallback, double least, double most);
     bool boolean(const char* key, bool fallback);
