--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -22,6 +22,12 @@
 constexpr uint32_t protocolVersionMinimum = 1;
 constexpr uint32_t protocolVersionMaximum = 1;
 
+// What a connection carries, as the side that opened it chose.
+enum class ConnectionPurpose : uint8_t {
+    Control,
+    Calls,
+};
+
 // First message in each direction on a connection.
 struct Hello {
     uint32_t protocolMinimum { protocolVersionMinimum };
@@ -31,6 +37,7 @@
     ZoneName zone;
     RegionName region;
     Endpoint listenAddress;
+    ConnectionPurpose purpose { ConnectionPurpose::Control };
     bool operator==(const Hello&) const = default;
 };
 
