--- a/src/wire/Codec.h
+++ b/src/wire/Codec.h
@@ -2,8 +2,8 @@
 //
 // A message is the array [protocolVersion, type, fields...] of wire/Messages.h. decode() is strict: a wrong
 // type, a missing field, a count above its bound, a number out of range or bytes after the array give an
-// Error with the step "decode". It allocates at most about 24 bytes for each byte of the payload, whatever
-// counts the payload announces, because an element of an array takes at least one byte. Fields beyond the
+// Error with the step "decode". Counts are checked before space for the elements is taken, so that a payload of
+// n bytes makes it allocate at most about 48 n bytes and 10 MB, whatever counts it announces. Fields beyond the
 // known ones are ignored, so that a newer peer may add some at the end.
 //
 // Names are written as msgpack strings; plain std::string fields, which may hold any bytes, as binary.
--- /dev/null
+++ b/src/wire/Frame.cpp
@@ -0,0 +1,65 @@
+#include "wire/Frame.h"
+
+#include "base/Error.h"
+
+namespace skylark {
+
+namespace {
+    constexpr unsigned bitsPerByte = 8;
+
+    size_t readLength(const char* header)
+    {
+        size_t length = 0;
+        for (size_t i = 0; i < frameHeaderBytes; ++i)
+            length = length << bitsPerByte | static_cast<unsigned char>(header[i]);
+        return length;
+    }
+
+    void checkLength(size_t length)
+    {
+        if (length > 0 && length <= maximumFrameBytes)
+            return;
+        throw Error({ .step = "frame",
+            .message = "a frame of " + std::to_string(length) + " bytes; 1 to " + std::to_string(maximumFrameBytes)
+                + " are allowed" });
+    }
+} // namespace
+
+void FrameReader::feed(std::string_view bytes)
+{
+    m_buffer.erase(0, m_position);
+    m_position = 0;
+    m_buffer.append(bytes);
+}
+
+std::optional<std::string_view> FrameReader::next()
+{
+    if (bufferedBytes() < frameHeaderBytes)
+        return std::nullopt;
+    const size_t length = readLength(m_buffer.data() + m_position);
+    checkLength(length);
+    if (bufferedBytes() < frameHeaderBytes + length)
+        return std::nullopt;
+    const std::string_view payload(m_buffer.data() + m_position + frameHeaderBytes, length);
+    m_position += frameHeaderBytes + length;
+    return payload;
+}
+
+void writeFrameHeader(char* header, size_t payloadBytes)
+{
+    checkLength(payloadBytes);
+    for (size_t i = frameHeaderBytes; i > 0; --i) {
+        header[i - 1] = static_cast<char>(payloadBytes & 0xff);
+        payloadBytes >>= bitsPerByte;
+    }
+}
+
+std::string frameOf(std::string_view payload)
+{
+    std::string frame(frameHeaderBytes, '\0');
+    writeFrameHeader(frame.data(), payload.size());
+    frame.append(payload);
+    return frame;
+}
+
+} // namespace skylark
--- a/src/wire/Frame.h
+++ b/src/wire/Frame.h
@@ -33,4 +33,7 @@
 // Throws Error when the payload is empty or too large.
 std::string frameOf(std::string_view payload);
 
+// Writes the length of a payload into frameHeaderBytes bytes; throws as frameOf.
+void writeFrameHeader(char* header, size_t payloadBytes);
+
 } // namespace skylark
