--- /dev/null
+++ b/src/transport/Connection.cpp
@@ -0,0 +1,418 @@
+#include "transport/Connection.h"
+
+#include "base/Error.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace skylark {
+
+namespace {
+    // Above this many queued bytes, body waits in its stream so that short messages overtake it.
+    constexpr size_t congestedBytes = size_t { 512 } * 1024;
+    // Starts, answers and credits are bounded by the number of streams; a peer that reads none of them for
+    // this long is not worth more memory.
+    constexpr size_t maximumCallQueueBytes = size_t { 8 } * 1024 * 1024;
+} // namespace
+
+NetworkContext::NetworkContext(PeerNetworkOptions networkOptions, const Clock& networkClock)
+    : options(std::move(networkOptions))
+    , clock(networkClock)
+    , wakeup(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    if (!wakeup)
+        throw Error({ .step = "start-network", .message = std::string("eventfd: ") + std::strerror(errno) });
+}
+
+NetworkContext::~NetworkContext() = default;
+
+void NetworkContext::wake()
+{
+    const uint64_t one = 1;
+    // Fails only when the counter is full, and then the thread wakes up anyway.
+    [[maybe_unused]] const ssize_t written = ::write(wakeup.value(), &one, sizeof(one));
+}
+
+Connection::Connection(
+    std::shared_ptr<NetworkContext> context, uint64_t serial, Endpoint remote, ConnectionPurpose purpose, bool isDialed)
+    : m_context(std::move(context))
+    , m_serial(serial)
+    , m_isDialed(isDialed)
+    , m_remote(std::move(remote))
+    , m_purpose(purpose)
+    // The two sides number their calls apart: odd from the dialing side, even from the accepting one.
+    , m_nextStream(isDialed ? 1 : 2)
+    , m_lastUsed(m_context->clock.now())
+{
+    m_loop.startedAt = m_lastUsed;
+    m_loop.lastReceived = m_lastUsed;
+}
+
+StreamFailure Connection::closeReason() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_closeReason;
+}
+
+bool Connection::isCongested() const
+{
+    const std::lock_guard lock(m_mutex);
+    return queuedBytes() > congestedBytes;
+}
+
+TimePoint Connection::lastUsed() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_lastUsed;
+}
+
+void Connection::appendMessage(std::string& frames, const Message& message)
+{
+    const size_t bytes = appendFrame(frames, message, m_version.load(std::memory_order_relaxed));
+    m_context->counters.countSent(m_purpose, message.index(), bytes);
+}
+
+void Connection::noteOwed()
+{
+    if (!std::exchange(m_isReplyOwed, true))
+        m_owedSince = m_lastUsed;
+}
+
+bool Connection::sendControl(const Message& message)
+{
+    std::string frame;
+    const size_t bytes = appendFrame(frame, message, m_version.load(std::memory_order_relaxed));
+    const std::lock_guard lock(m_mutex);
+    if (state() == State::Closed || queuedBytes() + bytes > m_context->options.maximumQueuedBytes)
+        return false;
+    if (state() != State::Ready) {
+        m_held.push_back(message);
+        m_heldBytes += bytes;
+        return true;
+    }
+    m_context->counters.countSent(m_purpose, message.index(), bytes);
+    write(frame);
+    noteOwed();
+    return true;
+}
+
+bool Connection::openStream(const std::shared_ptr<Stream>& stream, CallStart& call, BodyChunk* first)
+{
+    const std::lock_guard lock(m_mutex);
+    if (state() != State::Ready || queuedBytes() > congestedBytes
+        || m_streams.size() >= m_context->options.maximumStreams)
+        return false;
+    call.stream = StreamId(m_nextStream);
+    std::string frames;
+    appendMessage(frames, call);
+    if (first) {
+        first->stream = call.stream;
+        appendMessage(frames, std::move(*first));
+    }
+    m_nextStream += 2;
+    const uint64_t start = m_written;
+    const bool isWritten = write(frames);
+    if (m_streams.empty())
+        m_owedSince = m_lastUsed;
+    m_streams.emplace(
+        call.stream, OpenStream { .stream = stream, .start = isWritten ? std::optional(start) : std::nullopt });
+    m_streamCount = m_streams.size();
+    ++m_context->counters.openStreams;
+    return true;
+}
+
+bool Connection::sendChunk(const BodyChunk& chunk, const std::shared_ptr<Stream>& stream)
+{
+    std::string frame;
+    const std::lock_guard lock(m_mutex);
+    if (state() != State::Ready)
+        return false;
+    if (queuedBytes() > congestedBytes) {
+        m_waiting.push_back(stream);
+        return false;
+    }
+    appendMessage(frame, chunk);
+    write(frame);
+    return true;
+}
+
+void Connection::sendFrames(std::string_view frames)
+{
+    const std::lock_guard lock(m_mutex);
+    if (state() == State::Ready)
+        write(frames);
+}
+
+void Connection::removeStream(StreamId id)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_streams.erase(id) == 0)
+        return;
+    m_streamCount = m_streams.size();
+    --m_context->counters.openStreams;
+}
+
+bool Connection::write(std::string_view frames)
+{
+    m_lastUsed = m_context->clock.now();
+    if (m_context->options.faults && applyFault(frames))
+        return false;
+    writeToSocket(frames);
+    return true;
+}
+
+void Connection::writeToSocket(std::string_view frames)
+{
+    m_written += frames.size();
+    if (m_fd < 0)
+        return;
+    if (m_queue.empty()) {
+        const ssize_t sent = ::send(m_fd, frames.data(), frames.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent > 0) {
+            m_handed += static_cast<size_t>(sent);
+            frames.remove_prefix(static_cast<size_t>(sent));
+        } else if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+            return breakConnection(std::strerror(errno));
+        }
+    }
+    // The socket reports when it is writable again, since its event is edge-triggered and it was full.
+    m_queue.append(frames);
+    if (m_purpose == ConnectionPurpose::Calls && queuedBytes() > maximumCallQueueBytes)
+        breakConnection("the peer does not read its answers");
+}
+
+bool Connection::applyFault(std::string_view frames)
+{
+    const FaultInjector& faults = *m_context->options.faults;
+    const TrafficFault fault = faults.faultFor(m_remote, m_context->options.region, m_peer.region);
+    if (fault.isCut) {
+        breakConnection("cut by the fault injector");
+        return true;
+    }
+    if (fault.isDropped)
+        return true;
+    if (fault.delay == Duration::zero() && m_delayed.empty())
+        return false;
+    TimePoint due = m_lastUsed + fault.delay;
+    if (m_delayed.empty())
+        ++m_context->delayedConnections;
+    else
+        due = std::max(due, m_delayed.back().first);
+    m_delayed.emplace_back(due, frames);
+    m_delayedBytes += frames.size();
+    m_context->wake();
+    return true;
+}
+
+void Connection::breakConnection(const char* reason)
+{
+    if (m_closeReason.step.empty())
+        m_closeReason = { .step = "connection", .message = reason };
+    // The network's thread sees the end of the stream and closes the connection.
+    if (m_fd >= 0)
+        ::shutdown(m_fd, SHUT_RDWR);
+}
+
+void Connection::attach(FileDescriptor socket)
+{
+    const std::lock_guard lock(m_mutex);
+    m_loop.socket = std::move(socket);
+    m_fd = m_loop.socket.value();
+}
+
+void Connection::sendHello(const Endpoint& listenAddress)
+{
+    const PeerNetworkOptions& options = m_context->options;
+    std::string frame;
+    appendMessage(frame,
+        Hello { .protocolMinimum = options.protocolMinimum,
+            .protocolMaximum = options.protocolMaximum,
+            .instance = options.instance,
+            .incarnation = options.incarnation,
+            .zone = options.zone,
+            .region = options.region,
+            .listenAddress = listenAddress,
+            .purpose = m_purpose });
+    const std::lock_guard lock(m_mutex);
+    write(frame);
+}
+
+void Connection::adoptHello(const Hello& hello, uint32_t version)
+{
+    const std::lock_guard lock(m_mutex);
+    m_peer = { .instance = hello.instance,
+        .incarnation = hello.incarnation,
+        .zone = hello.zone,
+        .region = hello.region,
+        .endpoint = hello.listenAddress };
+    if (!m_isDialed) {
+        m_remote = hello.listenAddress;
+        m_purpose = hello.purpose;
+    }
+    m_version = version;
+}
+
+void Connection::becomeReady()
+{
+    const std::lock_guard lock(m_mutex);
+    setState(State::Ready);
+    std::string frames;
+    for (const Message& message : std::exchange(m_held, {}))
+        appendMessage(frames, message);
+    m_heldBytes = 0;
+    if (frames.empty())
+        return;
+    write(frames);
+    noteOwed();
+}
+
+void Connection::flush()
+{
+    std::vector<std::weak_ptr<Stream>> resumed;
+    {
+        const std::lock_guard lock(m_mutex);
+        while (m_fd >= 0 && m_queuePosition < m_queue.size()) {
+            const ssize_t sent = ::send(
+                m_fd, m_queue.data() + m_queuePosition, m_queue.size() - m_queuePosition, MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (sent < 0) {
+                if (errno != EAGAIN && errno != EINTR)
+                    breakConnection(std::strerror(errno));
+                break;
+            }
+            m_handed += static_cast<size_t>(sent);
+            m_queuePosition += static_cast<size_t>(sent);
+        }
+        // Moving the rest is worth its cost once half is sent.
+        if (m_queuePosition * 2 >= m_queue.size()) {
+            m_queue.erase(0, m_queuePosition);
+            m_queuePosition = 0;
+        }
+        if (queuedBytes() <= congestedBytes)
+            resumed.swap(m_waiting);
+    }
+    for (const auto& waiting : resumed) {
+        if (const auto stream = waiting.lock())
+            stream->resume();
+    }
+}
+
+std::optional<TimePoint> Connection::releaseDelayed(TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_delayed.empty())
+        return std::nullopt;
+    while (!m_delayed.empty() && m_delayed.front().first <= now) {
+        const std::string frames = std::move(m_delayed.front().second);
+        m_delayed.pop_front();
+        m_delayedBytes -= frames.size();
+        writeToSocket(frames);
+    }
+    if (!m_delayed.empty())
+        return m_delayed.front().first;
+    --m_context->delayedConnections;
+    return std::nullopt;
+}
+
+std::shared_ptr<Stream> Connection::findStream(StreamId id) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto entry = m_streams.find(id);
+    return entry == m_streams.end() ? nullptr : entry->second.stream;
+}
+
+Connection::Accepted Connection::acceptStream(const CallStart& call, std::shared_ptr<Stream>& stream)
+{
+    const std::lock_guard lock(m_mutex);
+    const uint64_t id = call.stream.value();
+    const bool isOdd = id % 2 == 1;
+    if (id <= m_lastPeerStream || isOdd == m_isDialed)
+        return Accepted::WrongId;
+    m_lastPeerStream = id;
+    if (m_streams.size() >= m_context->options.maximumStreams)
+        return Accepted::TooMany;
+    stream = std::make_shared<Stream>(shared_from_this(), call.stream, call.hasBody);
+    if (m_streams.empty())
+        m_owedSince = m_context->clock.now();
+    m_streams.emplace(call.stream, OpenStream { .stream = stream, .start = std::nullopt });
+    m_streamCount = m_streams.size();
+    ++m_context->counters.openStreams;
+    return Accepted::Yes;
+}
+
+std::optional<TimePoint> Connection::owedSince() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_streams.empty() && !m_isReplyOwed)
+        return std::nullopt;
+    return std::max(m_owedSince, m_loop.lastReceived);
+}
+
+void Connection::noteReceived(TimePoint now)
+{
+    m_loop.lastReceived = now;
+    m_loop.pingSentAt.reset();
+    const std::lock_guard lock(m_mutex);
+    m_isReplyOwed = false;
+    m_lastUsed = now;
+}
+
+bool Connection::isFlushed() const
+{
+    std::vector<std::shared_ptr<Stream>> streams;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (queuedBytes() > 0)
+            return false;
+        for (const auto& [id, open] : m_streams)
+            streams.push_back(open.stream);
+    }
+    return std::none_of(streams.begin(), streams.end(), [](const auto& stream) { return stream->hasUnsentBody(); });
+}
+
+void Connection::finishSending()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_fd >= 0)
+        ::shutdown(m_fd, SHUT_WR);
+}
+
+bool Connection::close(const StreamFailure& reason)
+{
+    absl::flat_hash_map<StreamId, OpenStream> streams;
+    StreamFailure failure;
+    uint64_t handed = 0;
+    bool isControlLost = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (state() == State::Closed)
+            return false;
+        if (m_closeReason.step.empty())
+            m_closeReason = reason;
+        setState(State::Closed);
+        m_fd = -1;
+        m_loop.socket.reset();
+        streams.swap(m_streams);
+        m_streamCount = 0;
+        m_context->counters.openStreams -= streams.size();
+        handed = m_handed;
+        failure = m_closeReason;
+        isControlLost = m_purpose == ConnectionPurpose::Control && (queuedBytes() > 0 || m_isReplyOwed);
+        if (!m_delayed.empty())
+            --m_context->delayedConnections;
+        m_delayed.clear();
+        m_queue.clear();
+        m_held.clear();
+        m_queuePosition = m_heldBytes = m_delayedBytes = 0;
+    }
+    for (const auto& [id, open] : streams) {
+        failure.outcome = open.start && handed <= *open.start ? CallOutcome::NotRun : CallOutcome::Unknown;
+        open.stream->handleLoss(failure);
+    }
+    return isControlLost;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/transport/PeerNetworkImpl.h
@@ -0,0 +1,126 @@
+// The table of peers and the epoll loop behind PeerNetwork. Internal to transport.
+//
+// PeerNetwork.cpp holds what any thread calls, NetworkLoop.cpp what the network's thread runs. The mutex
+// guards the table of peers and is taken before a connection's mutex, never after it.
+#pragma once
+
+#include "base/Log.h"
+#include "transport/Connection.h"
+
+#include <condition_variable>
+#include <future>
+#include <thread>
+
+namespace skylark {
+
+class PeerNetwork::Impl {
+public:
+    Impl(PeerNetworkOptions options, PeerHandlers handlers, const Clock& clock);
+    ~Impl();
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    const Endpoint& listenAddress() const { return m_listenAddress; }
+    bool send(const Endpoint& peer, const Message& message);
+    std::shared_ptr<ClientStream> openCall(
+        const Endpoint& gate, const InstanceId& expected, CallStart& call, std::string& body, bool isBodyComplete);
+    TrafficSnapshot traffic() const { return m_context->counters.snapshot(); }
+    void stopAccepting();
+    void close(TimePoint deadline);
+
+private:
+    using ConnectionPtr = std::shared_ptr<Connection>;
+    using Task = std::function<void()>;
+
+    struct Peer {
+        std::vector<ConnectionPtr> calls;
+        std::vector<ConnectionPtr> control;
+        std::vector<ConnectionPtr>& of(ConnectionPurpose purpose)
+        {
+            return purpose == ConnectionPurpose::Calls ? calls : control;
+        }
+    };
+
+    // Epoll keys of the descriptors that are no connections, and the first of those that are.
+    static constexpr uint64_t listenerKey = 0;
+    static constexpr uint64_t wakeupKey = 1;
+    static constexpr uint64_t timerKey = 2;
+    static constexpr uint64_t firstSerial = 3;
+    static constexpr size_t callConnectionsPerPeer = 2;
+    static constexpr size_t controlConnectionsPerPeer = 1;
+
+    static size_t connectionLimit(ConnectionPurpose purpose)
+    {
+        return purpose == ConnectionPurpose::Calls ? callConnectionsPerPeer : controlConnectionsPerPeer;
+    }
+
+    enum class Phase { Running, Flushing, Finishing, Stopped };
+
+    // PeerNetwork.cpp
+    void post(Task task);
+    void runOnLoop(const Task& task);
+    ConnectionPtr dial(const Endpoint& remote, ConnectionPurpose purpose, bool isProbe);
+    // With the mutex held: the best connection for a call, or null; dials when there are too few.
+    ConnectionPtr chooseForCall(const Endpoint& gate, ConnectionPtr& dialing);
+    ConnectionPtr readyForCall(
+        std::unique_lock<std::mutex>& lock, const Endpoint& gate, TimePoint deadline, StreamFailure& failure);
+    void failSend(const Endpoint& peer);
+
+    // NetworkLoop.cpp
+    void run();
+    int waitMilliseconds() const;
+    void runTasks();
+    void startDial(const ConnectionPtr& connection);
+    void acceptConnections();
+    bool watch(const ConnectionPtr& connection, FileDescriptor socket);
+    bool makeRoom();
+    void handleEvent(uint64_t serial, uint32_t events);
+    void finishDial(const ConnectionPtr& connection);
+    void readFrom(const ConnectionPtr& connection);
+    void handlePayload(const ConnectionPtr& connection, std::string_view payload);
+    void handleMessage(const ConnectionPtr& connection, Message&& message);
+    void handleHello(const ConnectionPtr& connection, const Hello& hello);
+    void registerAccepted(const ConnectionPtr& connection);
+    void handleCall(const ConnectionPtr& connection, CallStart&& call);
+    template <typename Frame, typename Handler>
+    void deliver(const ConnectionPtr& connection, const Frame& frame, const Handler& handler);
+    void closeConnection(const ConnectionPtr& connection, const StreamFailure& reason);
+    void refuseProtocol(const ConnectionPtr& connection, const Error& error);
+    void checkTimers(TimePoint now);
+    void checkConnection(const ConnectionPtr& connection, TimePoint now);
+    void checkSilence(const ConnectionPtr& connection, TimePoint now);
+    void releaseDelayed(TimePoint now);
+    void advancePhase(TimePoint now);
+    void closeAll();
+
+    const std::shared_ptr<NetworkContext> m_context;
+    const PeerHandlers m_handlers;
+    Endpoint m_listenAddress;
+    RateLimitedLog m_protocolLog;
+    RateLimitedLog m_silenceLog;
+    RateLimitedLog m_limitLog;
+
+    std::mutex m_mutex;
+    std::condition_variable m_readyOrClosed;
+    absl::flat_hash_map<Endpoint, Peer> m_peers;
+    uint64_t m_nextSerial;
+    bool m_isClosing { false };
+
+    std::mutex m_taskMutex;
+    std::vector<Task> m_tasks;
+    bool m_isLoopDone { false };
+
+    // The network's thread only.
+    FileDescriptor m_epoll;
+    FileDescriptor m_timer;
+    FileDescriptor m_listener;
+    absl::flat_hash_map<uint64_t, ConnectionPtr> m_connections;
+    std::vector<uint64_t> m_unread;
+    std::string m_readBuffer;
+    TimePoint m_lastCheck;
+    Phase m_phase { Phase::Running };
+    TimePoint m_closeDeadline;
+    std::thread m_thread;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/transport/Socket.cpp
@@ -0,0 +1,109 @@
+#include "transport/Socket.h"
+
+#include "base/Error.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <memory>
+#include <netdb.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace skylark {
+
+namespace {
+
+    constexpr int listenBacklog = 1024;
+
+    [[noreturn]] void fail(const char* step, const Endpoint& endpoint, const std::string& message)
+    {
+        throw Error({ .step = step, .peer = endpoint.toString(), .message = message });
+    }
+
+    using AddressList = std::unique_ptr<addrinfo, decltype(&freeaddrinfo)>;
+
+    AddressList numericAddress(const char* step, const Endpoint& endpoint)
+    {
+        addrinfo hints {};
+        hints.ai_socktype = SOCK_STREAM;
+        // Names are not looked up: that would block the calling thread for as long as the name server likes.
+        hints.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV;
+        addrinfo* list = nullptr;
+        const int code = getaddrinfo(endpoint.host.c_str(), std::to_string(endpoint.port).c_str(), &hints, &list);
+        if (code != 0)
+            fail(step, endpoint, std::string("not a numeric address: ") + gai_strerror(code));
+        return { list, &freeaddrinfo };
+    }
+
+    void setFlag(int fd, int level, int option)
+    {
+        const int isOn = 1;
+        setsockopt(fd, level, option, &isOn, sizeof(isOn));
+    }
+
+} // namespace
+
+void FileDescriptor::reset()
+{
+    if (m_fd >= 0)
+        ::close(std::exchange(m_fd, -1));
+}
+
+FileDescriptor listenOn(const Endpoint& endpoint)
+{
+    const AddressList address = numericAddress("listen", endpoint);
+    FileDescriptor socket(::socket(address->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket)
+        fail("listen", endpoint, std::strerror(errno));
+    setFlag(socket.value(), SOL_SOCKET, SO_REUSEADDR);
+    if (::bind(socket.value(), address->ai_addr, address->ai_addrlen) != 0
+        || ::listen(socket.value(), listenBacklog) != 0)
+        fail("listen", endpoint, std::strerror(errno));
+    return socket;
+}
+
+Endpoint boundEndpoint(const FileDescriptor& socket)
+{
+    sockaddr_storage address {};
+    socklen_t size = sizeof(address);
+    char host[NI_MAXHOST] = "";
+    char port[NI_MAXSERV] = "0";
+    if (getsockname(socket.value(), reinterpret_cast<sockaddr*>(&address), &size) == 0) {
+        getnameinfo(reinterpret_cast<sockaddr*>(&address), size, host, sizeof(host), port, sizeof(port),
+            NI_NUMERICHOST | NI_NUMERICSERV);
+    }
+    return Endpoint::fromString(std::string(host) + ":" + port);
+}
+
+FileDescriptor acceptFrom(const FileDescriptor& listener)
+{
+    FileDescriptor socket(::accept4(listener.value(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (socket)
+        setFlag(socket.value(), IPPROTO_TCP, TCP_NODELAY);
+    return socket;
+}
+
+FileDescriptor startConnect(const Endpoint& endpoint)
+{
+    const AddressList address = numericAddress("connect", endpoint);
+    FileDescriptor socket(::socket(address->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket)
+        fail("connect", endpoint, std::strerror(errno));
+    setFlag(socket.value(), IPPROTO_TCP, TCP_NODELAY);
+    if (::connect(socket.value(), address->ai_addr, address->ai_addrlen) != 0 && errno != EINPROGRESS)
+        fail("connect", endpoint, std::strerror(errno));
+    return socket;
+}
+
+int pendingError(const FileDescriptor& socket)
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    if (getsockopt(socket.value(), SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+        return errno;
+    return error;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/transport/Stream.cpp
@@ -0,0 +1,394 @@
+#include "transport/Stream.h"
+
+#include "base/Error.h"
+#include "transport/Connection.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+    // Other calls on the connection wait for one chunk at most.
+    constexpr size_t chunkBytes = size_t { 64 } * 1024;
+    // Received pieces are joined up to this size, so that tiny chunks do not multiply the memory of a stream.
+    constexpr size_t joinedBytes = size_t { 16 } * 1024;
+    // Credit is given in steps, which saves messages and still keeps three quarters of the window open.
+    constexpr size_t creditStep = streamWindowBytes / 4;
+} // namespace
+
+Stream::Stream(std::shared_ptr<Connection> connection, StreamId id, bool hasBody)
+    : m_connection(std::move(connection))
+    , m_id(id)
+    , m_isServer(true)
+    , m_isReceiveFinished(!hasBody)
+{
+}
+
+void Stream::setUnsent(std::string body, bool isLast)
+{
+    m_unsent = std::move(body);
+    m_unsentPosition = 0;
+    m_isLastUnsent = isLast;
+}
+
+BodyChunk Stream::nextChunk()
+{
+    const size_t size = std::min({ chunkBytes, unsentBytes(), static_cast<size_t>(m_sendLimit - m_sendOffset) });
+    return { .stream = m_id,
+        .offset = m_sendOffset,
+        .data = m_unsent.substr(m_unsentPosition, size),
+        .isLast = m_isLastUnsent && size == unsentBytes() };
+}
+
+// Called with the mutex held. Stops at the window, at a congested connection or when all is sent.
+void Stream::sendUnsent()
+{
+    while (m_connection && !m_isSendFinished && (unsentBytes() > 0 || m_isLastUnsent)) {
+        if (unsentBytes() > 0 && m_sendOffset == m_sendLimit)
+            return;
+        const BodyChunk chunk = nextChunk();
+        if (!m_connection->sendChunk(chunk, shared_from_this()))
+            return;
+        m_sendOffset += chunk.data.size();
+        m_unsentPosition += chunk.data.size();
+        m_isSendFinished = chunk.isLast;
+    }
+    if (unsentBytes() == 0)
+        setUnsent({}, false);
+    if (m_isSendFinished && m_isServer)
+        leaveConnection();
+}
+
+void Stream::leaveConnection()
+{
+    if (!m_connection)
+        return;
+    m_connection->removeStream(m_id);
+    m_connection.reset();
+}
+
+Stream::OpenResult Stream::open(
+    const std::shared_ptr<Connection>& connection, CallStart& call, std::string& body, bool isComplete)
+{
+    const std::lock_guard lock(m_mutex);
+    call.hasBody = !body.empty() || !isComplete;
+    BodyChunk first { .data = body.substr(0, chunkBytes), .isLast = isComplete && body.size() <= chunkBytes };
+    const bool hasFirst = call.hasBody && (!first.data.empty() || first.isLast);
+    if (!connection->openStream(shared_from_this(), call, hasFirst ? &first : nullptr))
+        return OpenResult::TryAnother;
+    m_id = call.stream;
+    m_connection = connection;
+    m_isSendFinished = !call.hasBody || (hasFirst && first.isLast);
+    if (hasFirst)
+        m_sendOffset = first.data.size();
+    if (!m_isSendFinished) {
+        setUnsent(std::move(body), isComplete);
+        m_unsentPosition = m_sendOffset;
+        sendUnsent();
+    }
+    return OpenResult::Opened;
+}
+
+void Stream::failUnopened(StreamFailure failure)
+{
+    const std::lock_guard lock(m_mutex);
+    m_failure = failure;
+    m_result = std::move(failure);
+}
+
+AwaitResult Stream::awaitAnswer(TimePoint deadline)
+{
+    Lock lock(m_mutex);
+    if (m_changed.wait_until(lock, deadline, [this] { return m_result.has_value(); }))
+        return *m_result;
+    return StreamFailure { .step = "await-answer", .message = "no answer before the deadline", .isTimeout = true };
+}
+
+bool Stream::sendBody(std::string chunk, bool isLast, TimePoint deadline)
+{
+    Lock lock(m_mutex);
+    const auto isTaken = [this] { return !m_connection || (unsentBytes() == 0 && !m_isLastUnsent); };
+    // What an earlier openCall() or answer() left goes first.
+    if (m_changed.wait_until(lock, deadline, isTaken) && m_connection && !m_isSendFinished) {
+        setUnsent(std::move(chunk), isLast);
+        sendUnsent();
+        if (m_changed.wait_until(lock, deadline, isTaken))
+            return m_connection || m_isSendFinished;
+    }
+    // The rest of a body that missed its deadline must not follow later.
+    setUnsent({}, false);
+    return false;
+}
+
+std::optional<std::string> Stream::readBody(TimePoint deadline)
+{
+    Lock lock(m_mutex);
+    const auto isReady = [this] { return !m_received.empty() || m_isReceiveFinished || !m_connection; };
+    if (!m_changed.wait_until(lock, deadline, isReady))
+        throw Error({ .step = "read-body", .message = "the body did not arrive before the deadline" });
+    if (!m_received.empty()) {
+        std::string chunk = std::move(m_received.front());
+        m_received.pop_front();
+        creditRead(chunk.size());
+        return chunk;
+    }
+    if (m_isReceiveFinished)
+        return std::nullopt;
+    throw Error({ .step = "read-body",
+        .message = "the body was cut off after " + std::to_string(m_receiveOffset)
+            + " bytes: " + (m_failure ? m_failure->message : std::string("the call is over")) });
+}
+
+void Stream::creditRead(size_t bytes)
+{
+    m_uncredited += bytes;
+    if (m_isReceiveFinished || !m_connection || m_uncredited < creditStep)
+        return;
+    m_receiveLimit += m_uncredited;
+    m_connection->sendForStream(WindowUpdate { .stream = m_id, .bytes = std::exchange(m_uncredited, 0) });
+}
+
+void Stream::cancel()
+{
+    Lock lock(m_mutex);
+    if (!m_connection)
+        return;
+    m_connection->sendForStream(Cancel { .stream = m_id });
+    endWith(lock, { .step = "cancel", .message = "the caller cancelled the call" });
+}
+
+void Stream::answer(AnswerStart answer, std::string firstBody, bool isComplete)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_connection || std::exchange(m_isAnswered, true))
+        return;
+    answer.stream = m_id;
+    answer.hasBody = !firstBody.empty() || !isComplete;
+    if (!answer.hasBody) {
+        m_isSendFinished = true;
+        m_connection->sendForStream(std::move(answer));
+        leaveConnection();
+        return;
+    }
+    setUnsent(std::move(firstBody), isComplete);
+    if (unsentBytes() == 0) {
+        m_connection->sendForStream(std::move(answer));
+        return;
+    }
+    // The start and the first chunk leave in one write.
+    BodyChunk chunk = nextChunk();
+    m_sendOffset += chunk.data.size();
+    m_unsentPosition += chunk.data.size();
+    m_isSendFinished = chunk.isLast;
+    m_connection->sendForStream(std::move(answer), std::move(chunk));
+    sendUnsent();
+}
+
+void Stream::refuse(Refusal refusal)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_connection || std::exchange(m_isAnswered, true))
+        return;
+    refusal.stream = m_id;
+    m_connection->sendForStream(std::move(refusal));
+    leaveConnection();
+}
+
+void Stream::abandon()
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_connection)
+        return;
+    if (!m_isAnswered) {
+        m_connection->sendForStream(Refusal { .stream = m_id,
+            .outcome = CallOutcome::Unknown,
+            .step = "gate",
+            .reason = "the gate gave up the call without an answer" });
+    } else if (m_isLastUnsent) {
+        // A whole answer goes on being sent as the caller reads.
+        return;
+    } else {
+        m_connection->sendForStream(Cancel { .stream = m_id });
+    }
+    leaveConnection();
+}
+
+bool Stream::isCancelled() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_failure.has_value();
+}
+
+void Stream::onCancelled(std::function<void()> function)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_failure) {
+            m_onCancelled = std::move(function);
+            return;
+        }
+    }
+    function();
+}
+
+void Stream::endWith(Lock& lock, const StreamFailure& failure)
+{
+    leaveConnection();
+    m_failure = failure;
+    if (!m_result)
+        m_result = failure;
+    const std::function<void()> cancelled = std::exchange(m_onCancelled, nullptr);
+    lock.unlock();
+    m_changed.notify_all();
+    if (cancelled)
+        cancelled();
+}
+
+void Stream::breakStream(Lock& lock, const std::string& message)
+{
+    m_connection->sendForStream(Cancel { .stream = m_id });
+    endWith(lock, { .step = "stream", .message = message });
+}
+
+void Stream::handleAnswer(AnswerStart&& answer)
+{
+    Lock lock(m_mutex);
+    if (!m_connection)
+        return;
+    if (m_isServer || m_result)
+        return breakStream(lock, "the peer sent an answer that was not due");
+    m_isReceiveFinished = !answer.hasBody;
+    m_result = std::move(answer);
+    if (m_isReceiveFinished)
+        leaveConnection();
+    lock.unlock();
+    m_changed.notify_all();
+}
+
+void Stream::handleRefusal(Refusal&& refusal)
+{
+    Lock lock(m_mutex);
+    if (!m_connection)
+        return;
+    if (m_isServer || m_result)
+        return breakStream(lock, "the peer sent a refusal that was not due");
+    m_result = std::move(refusal);
+    leaveConnection();
+    lock.unlock();
+    m_changed.notify_all();
+}
+
+void Stream::handleChunk(BodyChunk&& chunk)
+{
+    Lock lock(m_mutex);
+    if (!m_connection)
+        return;
+    const bool isDue = m_isServer || (m_result && std::holds_alternative<AnswerStart>(*m_result));
+    if (!isDue || m_isReceiveFinished)
+        return breakStream(lock, "the peer sent body that was not due");
+    if (chunk.offset != m_receiveOffset)
+        return breakStream(lock,
+            "body at offset " + std::to_string(chunk.offset) + " does not follow on "
+                + std::to_string(m_receiveOffset));
+    if (chunk.data.size() > m_receiveLimit - m_receiveOffset)
+        return breakStream(lock, "the peer sent more body than its window allows");
+    m_receiveOffset += chunk.data.size();
+    if (!m_received.empty() && m_received.back().size() + chunk.data.size() <= joinedBytes)
+        m_received.back() += chunk.data;
+    else if (!chunk.data.empty())
+        m_received.push_back(std::move(chunk.data));
+    m_isReceiveFinished = chunk.isLast;
+    if (m_isReceiveFinished && !m_isServer)
+        leaveConnection();
+    lock.unlock();
+    m_changed.notify_all();
+}
+
+void Stream::handleWindow(uint64_t bytes)
+{
+    Lock lock(m_mutex);
+    if (!m_connection)
+        return;
+    if (bytes > m_sendOffset + streamWindowBytes - m_sendLimit)
+        return breakStream(lock, "the peer opened the window beyond its size");
+    m_sendLimit += bytes;
+    sendUnsent();
+    lock.unlock();
+    m_changed.notify_all();
+}
+
+void Stream::handleCancel()
+{
+    Lock lock(m_mutex);
+    if (m_connection)
+        endWith(lock, { .step = "peer-cancel", .message = "the peer cancelled the call" });
+}
+
+void Stream::handleLoss(const StreamFailure& failure)
+{
+    Lock lock(m_mutex);
+    if (m_connection)
+        endWith(lock, failure);
+}
+
+void Stream::resume()
+{
+    Lock lock(m_mutex);
+    sendUnsent();
+    lock.unlock();
+    m_changed.notify_all();
+}
+
+bool Stream::hasUnsentBody() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_connection && (unsentBytes() > 0 || m_isLastUnsent);
+}
+
+ClientStream::ClientStream(std::shared_ptr<Stream> stream)
+    : m_stream(std::move(stream))
+{
+}
+
+ClientStream::~ClientStream() { m_stream->cancel(); }
+
+bool ClientStream::sendBody(std::string chunk, bool isLast, TimePoint deadline)
+{
+    return m_stream->sendBody(std::move(chunk), isLast, deadline);
+}
+
+AwaitResult ClientStream::awaitAnswer(TimePoint deadline) { return m_stream->awaitAnswer(deadline); }
+
+std::optional<std::string> ClientStream::readBody(TimePoint deadline) { return m_stream->readBody(deadline); }
+
+void ClientStream::cancel() { m_stream->cancel(); }
+
+ServerStream::ServerStream(std::shared_ptr<Stream> stream, CallStart call, TimePoint receivedAt, PeerInfo peer)
+    : m_stream(std::move(stream))
+    , m_call(std::move(call))
+    , m_receivedAt(receivedAt)
+    , m_peer(std::move(peer))
+{
+}
+
+ServerStream::~ServerStream() { m_stream->abandon(); }
+
+std::optional<std::string> ServerStream::readBody(TimePoint deadline) { return m_stream->readBody(deadline); }
+
+void ServerStream::answer(AnswerStart answer, std::string firstBody, bool isComplete)
+{
+    m_stream->answer(std::move(answer), std::move(firstBody), isComplete);
+}
+
+bool ServerStream::sendBody(std::string chunk, bool isLast, TimePoint deadline)
+{
+    return m_stream->sendBody(std::move(chunk), isLast, deadline);
+}
+
+void ServerStream::refuse(Refusal refusal) { m_stream->refuse(std::move(refusal)); }
+
+bool ServerStream::isCancelled() const { return m_stream->isCancelled(); }
+
+void ServerStream::onCancelled(std::function<void()> function) { m_stream->onCancelled(std::move(function)); }
+
+} // namespace skylark
--- /dev/null
+++ b/src/transport/Stream.h
@@ -0,0 +1,95 @@
+// One end of a call: its windows, its buffered chunks and its result. Internal to transport.
+//
+// A stream is shared between the handle that a blocking thread uses (ClientStream, ServerStream) and its
+// connection, which delivers frames on the network's thread. Its mutex is taken before the connection's
+// mutex, never after it. Received chunks are bounded by streamWindowBytes.
+#pragma once
+
+#include "transport/CallStream.h"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+namespace skylark {
+
+class Connection;
+
+class Stream : public std::enable_shared_from_this<Stream> {
+public:
+    enum class OpenResult { Opened, TryAnother };
+
+    // The caller's end, before it is opened.
+    Stream() = default;
+    // The gate's end.
+    Stream(std::shared_ptr<Connection> connection, StreamId id, bool hasBody);
+
+    // Sends the start of the call and as much of the body as the window allows. Takes the body when opened.
+    OpenResult open(const std::shared_ptr<Connection>& connection, CallStart& call, std::string& body, bool isComplete);
+    void failUnopened(StreamFailure failure);
+
+    AwaitResult awaitAnswer(TimePoint deadline);
+    bool sendBody(std::string chunk, bool isLast, TimePoint deadline);
+    std::optional<std::string> readBody(TimePoint deadline);
+    // The caller's handle gives the call up.
+    void cancel();
+
+    void answer(AnswerStart answer, std::string firstBody, bool isComplete);
+    void refuse(Refusal refusal);
+    // The gate's handle is destroyed.
+    void abandon();
+    bool isCancelled() const;
+    void onCancelled(std::function<void()> function);
+
+    // Called by the connection on the network's thread.
+    void handleAnswer(AnswerStart&& answer);
+    void handleRefusal(Refusal&& refusal);
+    void handleChunk(BodyChunk&& chunk);
+    void handleWindow(uint64_t bytes);
+    void handleCancel();
+    void handleLoss(const StreamFailure& failure);
+    // The connection can take body again.
+    void resume();
+
+    bool hasUnsentBody() const;
+
+private:
+    using Lock = std::unique_lock<std::mutex>;
+
+    size_t unsentBytes() const { return m_unsent.size() - m_unsentPosition; }
+    void setUnsent(std::string body, bool isLast);
+    BodyChunk nextChunk();
+    void sendUnsent();
+    // Ends the stream: nothing is sent or received from then on.
+    void leaveConnection();
+    void endWith(Lock& lock, const StreamFailure& failure);
+    void breakStream(Lock& lock, const std::string& message);
+    void creditRead(size_t bytes);
+
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    // Null when the stream is not open yet or is over.
+    std::shared_ptr<Connection> m_connection;
+    StreamId m_id;
+    bool m_isServer { false };
+
+    std::string m_unsent;
+    size_t m_unsentPosition { 0 };
+    bool m_isLastUnsent { false };
+    bool m_isSendFinished { false };
+    uint64_t m_sendOffset { 0 };
+    uint64_t m_sendLimit { streamWindowBytes };
+
+    std::deque<std::string> m_received;
+    bool m_isReceiveFinished { false };
+    uint64_t m_receiveOffset { 0 };
+    uint64_t m_receiveLimit { streamWindowBytes };
+    uint64_t m_uncredited { 0 };
+
+    std::optional<AwaitResult> m_result;
+    std::optional<StreamFailure> m_failure;
+    bool m_isAnswered { false };
+    std::function<void()> m_onCancelled;
+};
+
+} // namespace skylark
