--- a/src/transport/Connection.h
+++ b/src/transport/Connection.h
@@ -75,8 +75,8 @@
 
     // False when the queue is full or the connection is closed. Throws Error for an oversized message.
     bool sendControl(const Message& message);
-    // Assigns the id and sends the start, with the first chunk unless null, in one write. False when the
-    // connection cannot take the call, of which nothing was sent then.
+    // Assigns the id and sends the start, with the first chunk unless null, in one write; takes the chunk. False when
+    // the connection cannot take the call, of which nothing was sent then.
     bool openStream(const std::shared_ptr<Stream>& stream, CallStart& call, BodyChunk* first);
     // False when the connection is congested or closed; a congested one calls resume() on the stream later.
     bool sendChunk(const BodyChunk& chunk, const std::shared_ptr<Stream>& stream);
--- a/src/transport/Stream.cpp
+++ b/src/transport/Stream.cpp
@@ -73,14 +73,14 @@
     const std::lock_guard lock(m_mutex);
     call.hasBody = !body.empty() || !isComplete;
     BodyChunk first { .data = body.substr(0, chunkBytes), .isLast = isComplete && body.size() <= chunkBytes };
-    const bool hasFirst = call.hasBody && (!first.data.empty() || first.isLast);
+    const size_t firstBytes = first.data.size();
+    const bool hasFirst = call.hasBody && (firstBytes > 0 || first.isLast);
     if (!connection->openStream(shared_from_this(), call, hasFirst ? &first : nullptr))
         return OpenResult::TryAnother;
     m_id = call.stream;
     m_connection = connection;
     m_isSendFinished = !call.hasBody || (hasFirst && first.isLast);
-    if (hasFirst)
-        m_sendOffset = first.data.size();
+    m_sendOffset = firstBytes;
     if (!m_isSendFinished) {
         setUnsent(std::move(body), isComplete);
         m_unsentPosition = m_sendOffset;
--- /dev/null
+++ b/src/transport/tests/CallTest.cpp
@@ -0,0 +1,306 @@
+// Guards calls: whole answers to their own callers, bounded memory, and truthful outcomes of lost calls.
+#include "base/Digest.h"
+#include "base/Error.h"
+#include "transport/tests/TransportFixture.h"
+
+#include <numeric>
+
+namespace skylark {
+namespace {
+
+    std::string patterned(size_t size)
+    {
+        std::string body(size, '\0');
+        for (size_t i = 0; i < size; ++i)
+            body[i] = static_cast<char>(i * 31 + i / 251);
+        return body;
+    }
+
+    // Guards against a body that is shortened, reordered or stuck at a window, in either direction.
+    TEST(CallTest, LargeBodiesArriveWholeInBothDirections)
+    {
+        Node gate("gate", echo);
+        Node caller("caller");
+        const std::string body = patterned(5 << 20);
+        const auto whole = caller.call(gate.address(), body);
+        EXPECT_EQ(digestOf(answerOf(*whole)), digestOf(body));
+
+        const auto pieces = caller.call(gate.address(), "", false);
+        for (size_t at = 0; at < body.size(); at += 300000)
+            ASSERT_TRUE(pieces->sendBody(body.substr(at, 300000), at + 300000 >= body.size(), in(10s)));
+        EXPECT_EQ(digestOf(answerOf(*pieces)), digestOf(body));
+        EXPECT_EQ(answerOf(*caller.call(gate.address())), "");
+    }
+
+    TEST(CallTest, AnswerAndRefusalCarryTheirFields)
+    {
+        Node gate("gate", [](ServerStream& call) {
+            EXPECT_EQ(call.peer().instance, InstanceId("caller"));
+            if (call.call().target == "/refuse")
+                call.refuse({ .outcome = CallOutcome::NotRun, .step = "admission", .reason = "full" });
+            else if (call.call().target == "/answer")
+                call.answer({ .status = 201, .headers = { { "a", "b" } }, .load = { .inFlight = 3 } }, "", true);
+        });
+        Node caller("caller");
+        const auto resultOf = [&](const char* target) {
+            const auto call = caller.network->openCall(
+                gate.address(), InstanceId("gate"), CallStart { .target = target }, "", true);
+            return call->awaitAnswer(in(5s));
+        };
+        const auto answer = std::get<AnswerStart>(resultOf("/answer"));
+        EXPECT_EQ(answer.status, 201U);
+        EXPECT_EQ(answer.headers, (HeaderList { { "a", "b" } }));
+        EXPECT_EQ(answer.load.inFlight, 3U);
+        EXPECT_FALSE(answer.hasBody);
+        EXPECT_EQ(std::get<Refusal>(resultOf("/refuse")).reason, "full");
+        // A gate that drops the call must not leave its caller waiting, nor claim that it did not run.
+        EXPECT_EQ(std::get<Refusal>(resultOf("/drop")).outcome, CallOutcome::Unknown);
+    }
+
+    // Guards against buffering without bound for a reader that is slower than the sender.
+    TEST(CallTest, SlowReadersBoundWhatIsSentAndThenGetTheRest)
+    {
+        std::atomic<size_t> sent { 0 };
+        std::atomic<bool> isGateReading { false };
+        constexpr size_t step = 16384;
+        constexpr size_t total = 128 * step;
+        Node gate("gate", [&](ServerStream& call) {
+            while (!isGateReading)
+                std::this_thread::sleep_for(1ms);
+            const std::string body = readAll(call);
+            call.answer({ .status = 200 }, "", false);
+            for (size_t at = 0; at < body.size(); at += step) {
+                ASSERT_TRUE(call.sendBody(body.substr(at, step), at + step >= body.size(), in(10s)));
+                sent += step;
+            }
+        });
+        Node caller("caller");
+        const std::string body = patterned(total);
+        const auto call = caller.call(gate.address(), "", false);
+        size_t uploaded = 0;
+        // The chunk that does not fit is given up with its call in the second round.
+        while (uploaded < streamWindowBytes) {
+            ASSERT_TRUE(call->sendBody(body.substr(uploaded, step), false, in(5s)));
+            uploaded += step;
+        }
+        std::thread release([&] {
+            std::this_thread::sleep_for(200ms);
+            isGateReading = true;
+        });
+        const TimePoint start = std::chrono::steady_clock::now();
+        ASSERT_TRUE(call->sendBody(body.substr(uploaded), true, in(10s)));
+        EXPECT_GE(std::chrono::steady_clock::now() - start, 150ms);
+        release.join();
+
+        std::this_thread::sleep_for(300ms);
+        EXPECT_LE(sent, streamWindowBytes);
+        EXPECT_EQ(answerOf(*call), body);
+        EXPECT_EQ(sent, total);
+    }
+
+    TEST(CallTest, SendingToAGateThatDoesNotReadEndsAtTheDeadline)
+    {
+        std::atomic<bool> isDone { false };
+        Node gate("gate", [&](ServerStream&) { EXPECT_TRUE(eventually([&] { return isDone.load(); })); });
+        Node caller("caller");
+        const auto call = caller.call(gate.address(), "", false);
+        EXPECT_FALSE(call->sendBody(patterned(streamWindowBytes + 1), true, in(100ms)));
+        EXPECT_FALSE(call->sendBody("more", true, in(10ms)));
+        EXPECT_TRUE(failureOf(*call, 10ms).isTimeout);
+        isDone = true;
+    }
+
+    // Guards against an answer that reaches another caller when answers cross or come late.
+    TEST(CallTest, CrossedAndLateAnswersReachOnlyTheirOwnCallers)
+    {
+        std::mutex mutex;
+        std::vector<std::shared_ptr<ServerStream>> held;
+        SystemClock clock;
+        PeerHandlers handlers;
+        handlers.onCall = [&](std::shared_ptr<ServerStream> call) {
+            const std::lock_guard lock(mutex);
+            held.push_back(std::move(call));
+        };
+        PeerNetwork gate({ .listen = { "127.0.0.1", 0 }, .instance = InstanceId("gate") }, handlers, clock);
+        Node caller("caller");
+        constexpr size_t count = 40;
+        std::vector<std::shared_ptr<ClientStream>> calls;
+        for (size_t i = 0; i < count; ++i)
+            calls.push_back(caller.call(gate.listenAddress(), std::to_string(i)));
+        const auto heldCount = [&] {
+            const std::lock_guard lock(mutex);
+            return held.size();
+        };
+        ASSERT_TRUE(eventually([&] { return heldCount() == count; }));
+        // Every fourth caller gives up; what arrives for it later is dropped.
+        for (size_t i = 0; i < count; i += 4)
+            calls[i].reset();
+        for (auto call = held.rbegin(); call != held.rend(); ++call)
+            (*call)->answer({ .status = 200 }, "answer to " + readAll(**call), true);
+        for (size_t i = 0; i < count; ++i) {
+            if (i % 4 == 0)
+                continue;
+            EXPECT_EQ(answerOf(*calls[i]), "answer to " + std::to_string(i));
+        }
+        EXPECT_TRUE(eventually([&] { return caller.network->traffic().openStreams == 0; }));
+    }
+
+    TEST(CallTest, ThousandsOfShortCallsFromSeveralThreads)
+    {
+        Node gate("gate", echo);
+        Node caller("caller");
+        constexpr int threadCount = 8;
+        constexpr int callsPerThread = 500;
+        std::atomic<int> correct { 0 };
+        std::vector<std::thread> threads;
+        for (int t = 0; t < threadCount; ++t) {
+            threads.emplace_back([&, t] {
+                for (int i = 0; i < callsPerThread; ++i) {
+                    const std::string body = std::to_string(t) + "/" + std::to_string(i) + std::string(200, 'x');
+                    correct += answerOf(*caller.call(gate.address(), body)) == body ? 1 : 0;
+                }
+            });
+        }
+        for (std::thread& thread : threads)
+            thread.join();
+        EXPECT_EQ(correct, threadCount * callsPerThread);
+        const TrafficSnapshot traffic = caller.network->traffic();
+        EXPECT_EQ(traffic.callsSent[Message(CallStart {}).index()].messages, uint64_t { threadCount * callsPerThread });
+        EXPECT_EQ(traffic.lateFrames, 0U);
+        EXPECT_LE(traffic.openConnections, 2U);
+    }
+
+    TEST(CallTest, CallsThatCannotStartAreProvedNotRun)
+    {
+        Node gate("gate", echo);
+        Node caller("caller");
+        Endpoint closedPort;
+        {
+            const FileDescriptor listener = listenOn({ "127.0.0.1", 0 });
+            closedPort = boundEndpoint(listener);
+        }
+        EXPECT_EQ(failureOf(*caller.call(closedPort)).outcome, CallOutcome::NotRun);
+
+        // Accepts connections and never says Hello.
+        const FileDescriptor mute = listenOn({ "127.0.0.1", 0 });
+        const TimePoint start = std::chrono::steady_clock::now();
+        const StreamFailure failure = failureOf(*caller.call(boundEndpoint(mute)));
+        EXPECT_EQ(failure.outcome, CallOutcome::NotRun);
+        EXPECT_LT(std::chrono::steady_clock::now() - start, 600ms);
+
+        const auto other = caller.network->openCall(gate.address(), InstanceId("other"), {}, "", true);
+        EXPECT_EQ(failureOf(*other).outcome, CallOutcome::NotRun);
+        EXPECT_EQ(gate.network->traffic().callsReceived[Message(CallStart {}).index()].messages, 0U);
+    }
+
+    // Guards the proof of "not run": bytes left in our own queue prove it, bytes given to the socket do not.
+    TEST(CallTest, OnlyCallsOfWhichNothingLeftTheQueueAreNotRunAfterALoss)
+    {
+        const FileDescriptor listener = listenOn({ "127.0.0.1", 0 });
+        Node caller("caller");
+        std::vector<std::shared_ptr<ClientStream>> calls;
+        std::thread opener([&] {
+            // The socket fills up, then the queue; the next call needs a second connection and fails.
+            for (int i = 0; i < 200; ++i) {
+                calls.push_back(caller.call(boundEndpoint(listener), std::string(60000, 'x')));
+                if (std::holds_alternative<StreamFailure>(calls.back()->awaitAnswer(in(0ms)))
+                    && !failureOf(*calls.back(), 0ms).isTimeout)
+                    return;
+            }
+        });
+        {
+            RawPeer peer = RawPeer::acceptOne(listener);
+            opener.join();
+        }
+        ASSERT_GT(calls.size(), 4U);
+        EXPECT_EQ(failureOf(*calls.front()).outcome, CallOutcome::Unknown);
+        EXPECT_EQ(failureOf(*calls[calls.size() - 2]).outcome, CallOutcome::NotRun);
+        EXPECT_EQ(failureOf(*calls[calls.size() - 2]).step, "connection");
+    }
+
+    TEST(CallTest, ABodyCutOffIsAnErrorAndCancelsTheGate)
+    {
+        std::atomic<int> cancelled { 0 };
+        std::atomic<bool> isLost { false };
+        Node gate("gate", [&](ServerStream& call) {
+            call.onCancelled([&] { ++cancelled; });
+            call.answer({ .status = 200 }, "first part", false);
+            EXPECT_TRUE(eventually([&] { return call.isCancelled(); }));
+            EXPECT_FALSE(call.sendBody("more", true, in(1s)));
+            isLost = true;
+        });
+        Relay relay(gate.address());
+        Node caller("caller");
+        const auto call = caller.call(relay.address());
+        ASSERT_TRUE(std::holds_alternative<AnswerStart>(call->awaitAnswer(in(5s))));
+        EXPECT_EQ(call->readBody(in(5s)), "first part");
+        relay.cutAll();
+        EXPECT_THROW(call->readBody(in(5s)), Error);
+        EXPECT_TRUE(eventually([&] { return cancelled == 1 && isLost; }));
+
+        const auto given = caller.call(relay.address());
+        ASSERT_TRUE(std::holds_alternative<AnswerStart>(given->awaitAnswer(in(5s))));
+        given->cancel();
+        EXPECT_TRUE(eventually([&] { return cancelled == 2; }));
+        EXPECT_THROW(
+            {
+                while (given->readBody(in(1s))) { }
+            },
+            Error);
+    }
+
+    // Guards against body that is taken although a part of it is missing, or more than the window allows.
+    TEST(CallTest, ABodyThatDoesNotFollowOnBreaksItsStreamAlone)
+    {
+        const FileDescriptor listener = listenOn({ "127.0.0.1", 0 });
+        Node caller("caller");
+        std::thread gate([&] {
+            RawPeer peer = RawPeer::acceptOne(listener);
+            std::vector<StreamId> ids;
+            while (ids.size() < 3) {
+                if (const auto message = peer.next(); message && std::holds_alternative<CallStart>(*message))
+                    ids.push_back(std::get<CallStart>(*message).stream);
+            }
+            for (const StreamId id : ids)
+                peer.send(AnswerStart { .stream = id, .status = 200, .hasBody = true });
+            peer.send(BodyChunk { .stream = ids[0], .offset = 1, .data = "gap", .isLast = true });
+            for (size_t at = 0; at <= streamWindowBytes; at += 65536)
+                peer.send(BodyChunk { .stream = ids[1], .offset = at, .data = std::string(65536, 'x') });
+            peer.send(BodyChunk { .stream = ids[2], .offset = 0, .data = "whole", .isLast = true });
+            while (peer.next()) { }
+        });
+        std::vector<std::shared_ptr<ClientStream>> calls;
+        for (int i = 0; i < 3; ++i)
+            calls.push_back(caller.call(boundEndpoint(listener)));
+        EXPECT_EQ(answerOf(*calls[2]), "whole");
+        for (int i = 0; i < 2; ++i) {
+            EXPECT_THROW(
+                {
+                    while (calls[i]->readBody(in(5s))) { }
+                },
+                Error);
+        }
+        EXPECT_EQ(caller.network->traffic().protocolErrors, 0U);
+        caller.network->close(in(0ms));
+        gate.join();
+    }
+
+    TEST(CallTest, CloseSendsWhatWasAnsweredBefore)
+    {
+        const std::string body = patterned(3 << 20);
+        std::atomic<bool> isAnswered { false };
+        Node gate("gate", [&](ServerStream& call) {
+            call.answer({ .status = 200 }, body, true);
+            isAnswered = true;
+        });
+        Node caller("caller");
+        const auto call = caller.call(gate.address());
+        ASSERT_TRUE(eventually([&] { return isAnswered.load(); }));
+        std::thread closer([&] { gate.network->close(in(5s)); });
+        EXPECT_EQ(answerOf(*call), body);
+        closer.join();
+        EXPECT_EQ(failureOf(*caller.call(gate.address())).outcome, CallOutcome::NotRun);
+    }
+
+} // namespace
+} // namespace skylark
--- /dev/null
+++ b/src/transport/tests/PeerNetworkTest.cpp
@@ -0,0 +1,226 @@
+// Guards control messages, connection handling and the detection of silent connections.
+#include "base/Error.h"
+#include "transport/tests/TransportFixture.h"
+
+namespace skylark {
+namespace {
+
+    // Guards order, and one connection for both directions.
+    TEST(PeerNetworkTest, ControlMessagesKeepTheirOrderAndShareOneConnection)
+    {
+        Node a("a");
+        Node b("b");
+        constexpr uint64_t count = 1000;
+        for (uint64_t i = 1; i <= count; ++i)
+            ASSERT_TRUE(a.network->send(b.address(), PushAck { .version = VersionNumber(i) }));
+        ASSERT_TRUE(eventually([&] { return b.receivedCount() == count; }));
+        const PeerInfo sender = b.received.front().second;
+        EXPECT_EQ(sender.instance, InstanceId("a"));
+        EXPECT_EQ(sender.endpoint, a.address());
+        for (uint64_t i = 1; i <= count; ++i)
+            ASSERT_EQ(std::get<PushAck>(b.received[i - 1].first).version, VersionNumber(i));
+        ASSERT_TRUE(b.network->send(sender.endpoint, Leaving {}));
+        ASSERT_TRUE(eventually([&] { return a.receivedCount() == 1; }));
+        EXPECT_EQ(a.network->traffic().openConnections, 1U);
+        EXPECT_EQ(b.network->traffic().openConnections, 1U);
+        const TrafficCount sent = a.network->traffic().controlSent[Message(PushAck {}).index()];
+        const TrafficCount got = b.network->traffic().controlReceived[Message(PushAck {}).index()];
+        EXPECT_EQ(sent.messages, count);
+        EXPECT_EQ(got.messages, count);
+        EXPECT_EQ(sent.bytes, got.bytes);
+    }
+
+    TEST(PeerNetworkTest, AFullQueueAndALostConnectionAreReported)
+    {
+        Node a("a");
+        const FileDescriptor mute = listenOn({ "127.0.0.1", 0 });
+        const SnapshotPart part { .data = std::string(256 * 1024, 'x') };
+        int accepted = 0;
+        while (accepted < 20 && a.network->send(boundEndpoint(mute), part))
+            ++accepted;
+        // 1 MiB and one snapshot part, less what the frames add.
+        EXPECT_EQ(accepted, 4);
+        ASSERT_TRUE(eventually([&] { return a.failedSends >= 1; }));
+        // The connection itself fails after its timeout, with four messages queued.
+        ASSERT_TRUE(eventually([&] { return a.failedSends == 2; }));
+        EXPECT_THROW(a.network->send(boundEndpoint(mute), SnapshotPart { .data = std::string(1 << 20, 'x') }), Error);
+    }
+
+    TEST(PeerNetworkTest, AnotherProtocolVersionIsRefusedWithAClearError)
+    {
+        Node old("old", echo);
+        Node updated("updated", echo, { .protocolMinimum = 2, .protocolMaximum = 3 });
+        for (auto& [from, to] : { std::pair(&old, &updated), std::pair(&updated, &old) }) {
+            const StreamFailure failure = failureOf(*from->call(to->address()));
+            EXPECT_EQ(failure.outcome, CallOutcome::NotRun);
+            EXPECT_EQ(failure.step, "hello");
+            EXPECT_NE(failure.message.find("speaks protocol versions"), std::string::npos) << failure.message;
+        }
+        EXPECT_GE(old.network->traffic().protocolErrors, 2U);
+    }
+
+    TEST(PeerNetworkTest, PeersThatLieAboutLengthOrTypeLoseTheirConnection)
+    {
+        Node node("node", echo);
+        const std::string hello = frameOf(encode(Hello { .instance = InstanceId("raw") }));
+        const std::string oversized("\x7f\xff\xff\xff", 4);
+        const std::string garbage = frameOf("garbage");
+        const std::string chunk = frameOf(encode(BodyChunk {}));
+        uint64_t errors = 0;
+        for (const std::string& bytes :
+            { oversized, garbage, chunk, hello + oversized, hello + garbage, hello + hello }) {
+            RawPeer peer(connectBlocking(node.address()));
+            peer.sendBytes(bytes);
+            while (peer.next()) { }
+            ++errors;
+            EXPECT_TRUE(eventually([&] { return node.network->traffic().protocolErrors == errors; }));
+        }
+        // An unknown type is skipped, and the connection goes on.
+        RawPeer peer(connectBlocking(node.address()));
+        peer.sendBytes(hello + frameOf(std::string("\x92\x01\x7f", 3)));
+        peer.send(Ping { 5 });
+        EXPECT_TRUE(std::holds_alternative<Hello>(*peer.next()));
+        EXPECT_EQ(peer.next(), Message(Pong { 5 }));
+        EXPECT_EQ(node.network->traffic().unknownMessages, 1U);
+        EXPECT_EQ(node.network->traffic().protocolErrors, errors);
+    }
+
+    // Guards against calls that hang on a connection that carries nothing, and against blaming the instance.
+    TEST(PeerNetworkTest, ASilentConnectionIsReplacedAndThePeerIsNotBlamed)
+    {
+        Node gate("gate", [](ServerStream& call) {
+            if (readAll(call) == "slow")
+                std::this_thread::sleep_for(2500ms);
+            call.answer({ .status = 200 }, "answer", true);
+        });
+        Relay relay(gate.address());
+        Node caller("caller");
+        // A slow answer on a connection that replies to pings is no fault.
+        EXPECT_EQ(answerOf(*caller.call(relay.address(), "slow")), "answer");
+        relay.silenceOpenOnes();
+        std::this_thread::sleep_for(50ms);
+        const TimePoint start = std::chrono::steady_clock::now();
+        const auto lost = caller.call(relay.address());
+        const StreamFailure failure = failureOf(*lost);
+        const Duration taken = std::chrono::steady_clock::now() - start;
+        EXPECT_TRUE(failure.isSilentConnection);
+        EXPECT_EQ(failure.outcome, CallOutcome::Unknown);
+        EXPECT_GE(taken, 1400ms);
+        EXPECT_LE(taken, 2500ms);
+        EXPECT_TRUE(eventually([&] { return caller.reachable == 1; }));
+        EXPECT_EQ(caller.unreachable, 0);
+        EXPECT_EQ(answerOf(*caller.call(relay.address())), "answer");
+        EXPECT_EQ(caller.network->traffic().silentConnections, 1U);
+
+        relay.silenceNewOnes();
+        relay.silenceOpenOnes();
+        std::this_thread::sleep_for(50ms);
+        EXPECT_TRUE(failureOf(*caller.call(relay.address())).isSilentConnection);
+        EXPECT_TRUE(eventually([&] { return caller.unreachable == 1; }));
+    }
+
+    TEST(PeerNetworkTest, ASilentControlConnectionIsReplaced)
+    {
+        Node b("b");
+        Relay relay(b.address());
+        Node a("a");
+        ASSERT_TRUE(a.network->send(relay.address(), Leaving {}));
+        ASSERT_TRUE(eventually([&] { return b.receivedCount() == 1; }));
+        relay.silenceOpenOnes();
+        std::this_thread::sleep_for(50ms);
+        ASSERT_TRUE(a.network->send(relay.address(), Leaving {}));
+        ASSERT_TRUE(eventually([&] { return a.failedSends == 1 && a.reachable == 1; }));
+        ASSERT_TRUE(a.network->send(relay.address(), Leaving {}));
+        ASSERT_TRUE(eventually([&] { return b.receivedCount() == 2; }));
+    }
+
+    TEST(PeerNetworkTest, ConnectionsKeepToTheirLimits)
+    {
+        std::atomic<bool> isDone { false };
+        Node gate("gate", [&](ServerStream& call) {
+            EXPECT_TRUE(eventually([&] { return isDone.load(); }));
+            echo(call);
+        });
+        Node caller("caller", {}, { .maximumStreams = 40 });
+        std::vector<std::shared_ptr<ClientStream>> calls;
+        for (int i = 0; i < 20; ++i)
+            calls.push_back(caller.call(gate.address(), "x"));
+        ASSERT_TRUE(eventually([&] { return caller.network->traffic().openConnections == 2; }));
+        for (int i = 0; i < 60; ++i)
+            calls.push_back(caller.call(gate.address(), "x"));
+        // Both connections are full.
+        EXPECT_EQ(failureOf(*caller.call(gate.address(), "x")).outcome, CallOutcome::NotRun);
+        EXPECT_EQ(caller.network->traffic().openConnections, 2U);
+        isDone = true;
+        for (const auto& call : calls)
+            EXPECT_EQ(answerOf(*call), "x");
+
+        // A peer that opens a third call connection has given up an earlier one.
+        std::vector<std::unique_ptr<RawPeer>> peers;
+        const Hello hello { .instance = InstanceId("raw"), .purpose = ConnectionPurpose::Calls };
+        for (int i = 0; i < 3; ++i) {
+            peers.push_back(std::make_unique<RawPeer>(connectBlocking(gate.address())));
+            peers.back()->send(hello);
+            ASSERT_TRUE(peers.back()->next().has_value());
+            std::this_thread::sleep_for(5ms);
+        }
+        EXPECT_EQ(peers[0]->next(), std::nullopt);
+        EXPECT_TRUE(eventually([&] { return gate.network->traffic().openConnections == 4; }));
+    }
+
+    TEST(PeerNetworkTest, IdleConnectionsAreClosedAndMakeRoomForOthers)
+    {
+        Node b("b");
+        Node c("c");
+        Node a("a", {}, { .idleClose = 400ms, .maximumConnections = 1 });
+        ASSERT_TRUE(a.network->send(b.address(), Leaving {}));
+        ASSERT_TRUE(eventually([&] { return b.receivedCount() == 1; }));
+        ASSERT_TRUE(a.network->send(c.address(), Leaving {}));
+        ASSERT_TRUE(eventually([&] { return c.receivedCount() == 1; }));
+        EXPECT_EQ(a.network->traffic().openConnections, 1U);
+        EXPECT_EQ(a.network->traffic().refusedConnections, 1U);
+        ASSERT_TRUE(eventually([&] { return a.network->traffic().openConnections == 0; }));
+        EXPECT_TRUE(eventually([&] { return c.network->traffic().openConnections == 0; }));
+    }
+
+    TEST(PeerNetworkTest, FaultRulesDelayDropAndCut)
+    {
+        FaultInjector faults;
+        Node gate("gate", echo, { .faults = &faults });
+        Node caller("caller", {}, { .faults = &faults });
+        EXPECT_EQ(answerOf(*caller.call(gate.address(), "x")), "x");
+
+        const RegionName from("caller-region");
+        const RegionName to("gate-region");
+        faults.setForRegions(from, to, { .delay = 30ms });
+        faults.setForRegions(to, from, { .delay = 30ms });
+        const TimePoint start = std::chrono::steady_clock::now();
+        EXPECT_EQ(answerOf(*caller.call(gate.address(), "y")), "y");
+        EXPECT_GE(std::chrono::steady_clock::now() - start, 60ms);
+
+        faults.setForRegions(from, to, { .isDropped = true });
+        EXPECT_TRUE(failureOf(*caller.call(gate.address())).isSilentConnection);
+        faults.clear();
+        EXPECT_EQ(answerOf(*caller.call(gate.address(), "z")), "z");
+
+        faults.setForEndpoint(gate.address(), { .isCut = true });
+        EXPECT_EQ(failureOf(*caller.call(gate.address())).outcome, CallOutcome::Unknown);
+        EXPECT_EQ(failureOf(*caller.call(gate.address())).outcome, CallOutcome::NotRun);
+    }
+
+    TEST(PeerNetworkTest, StopAcceptingRefusesNewConnectionsAndKeepsOpenOnes)
+    {
+        Node gate("gate", echo);
+        Node caller("caller");
+        Node late("late");
+        EXPECT_EQ(answerOf(*caller.call(gate.address(), "x")), "x");
+        gate.network->stopAccepting();
+        EXPECT_EQ(answerOf(*caller.call(gate.address(), "y")), "y");
+        EXPECT_EQ(failureOf(*late.call(gate.address())).outcome, CallOutcome::NotRun);
+        gate.network->close(in(1s));
+        EXPECT_FALSE(gate.network->send(caller.address(), Leaving {}));
+        gate.network->stopAccepting();
+    }
+
+} // namespace
+} // namespace skylark
