Fix a use after free at close and read the socket once per event

Cause: closeAll() passed a reference to a map entry that closing erases; found by ThreadSanitizer. Each event also cost a second recv() that found nothing. Change: the entry is copied; a short read ends the turn unless the peer has closed its side. The test of protocol versions waits for the second error to be counted, which it had compared too early, and still requires exactly two.

--- a/src/transport/NetworkLoop.cpp
+++ b/src/transport/NetworkLoop.cpp
@@ -53,7 +53,7 @@
         for (int i = 0; i < count; ++i)
             handleEvent(events[i].data.u64, events[i].events);
         for (const uint64_t serial : unread)
-            handleEvent(serial, EPOLLIN);
+            handleEvent(serial, EPOLLIN | EPOLLRDHUP);
         runTasks();
         const TimePoint now = m_context->clock.now();
         if (m_context->delayedConnections > 0)
@@ -108,7 +108,7 @@
 bool PeerNetwork::Impl::watch(const ConnectionPtr& connection, FileDescriptor socket)
 {
     epoll_event event {};
-    event.events = EPOLLIN | EPOLLOUT | EPOLLET;
+    event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
     event.data.u64 = connection->serial();
     const int fd = socket.value();
     connection->attach(std::move(socket));
@@ -176,7 +176,7 @@
     if (events & EPOLLOUT)
         connection->flush();
     if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
-        readFrom(connection);
+        readFrom(connection, (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
 }
 
 void PeerNetwork::Impl::finishDial(const ConnectionPtr& connection)
@@ -188,7 +188,7 @@
     connection->sendHello(m_listenAddress);
 }
 
-void PeerNetwork::Impl::readFrom(const ConnectionPtr& connection)
+void PeerNetwork::Impl::readFrom(const ConnectionPtr& connection, bool isEndNear)
 {
     for (int i = 0; i < readsPerTurn; ++i) {
         const FileDescriptor& socket = connection->loop().socket;
@@ -214,6 +214,10 @@
         } catch (const Error& error) {
             return refuseProtocol(connection, error);
         }
+        // A short read has emptied the socket; later bytes raise a new event. An end that came with the
+        // bytes does not, so it is read at once.
+        if (static_cast<size_t>(size) < m_readBuffer.size() && !isEndNear)
+            return;
     }
     m_unread.push_back(connection->serial());
 }
@@ -485,8 +489,10 @@
 
 void PeerNetwork::Impl::closeAll()
 {
-    while (!m_connections.empty())
-        closeConnection(m_connections.begin()->second, { .step = "close", .message = "this node stopped" });
+    while (!m_connections.empty()) {
+        const ConnectionPtr connection = m_connections.begin()->second;
+        closeConnection(connection, { .step = "close", .message = "this node stopped" });
+    }
     m_phase = Phase::Stopped;
     const std::lock_guard lock(m_taskMutex);
     m_isLoopDone = true;
--- a/src/transport/PeerNetworkImpl.h
+++ b/src/transport/PeerNetworkImpl.h
@@ -76,7 +76,7 @@
     bool makeRoom();
     void handleEvent(uint64_t serial, uint32_t events);
     void finishDial(const ConnectionPtr& connection);
-    void readFrom(const ConnectionPtr& connection);
+    void readFrom(const ConnectionPtr& connection, bool isEndNear);
     void handlePayload(const ConnectionPtr& connection, std::string_view payload);
     void handleMessage(const ConnectionPtr& connection, Message&& message);
     void handleHello(const ConnectionPtr& connection, const Hello& hello);
--- a/src/transport/tests/CallTest.cpp
+++ b/src/transport/tests/CallTest.cpp
@@ -93,6 +93,7 @@
         release.join();
 
         std::this_thread::sleep_for(300ms);
+        EXPECT_GT(sent, 0U);
         EXPECT_LE(sent, streamWindowBytes);
         EXPECT_EQ(answerOf(*call), body);
         EXPECT_EQ(sent, total);
--- a/src/transport/tests/PeerNetworkTest.cpp
+++ b/src/transport/tests/PeerNetworkTest.cpp
@@ -56,7 +56,7 @@
             EXPECT_EQ(failure.step, "hello");
             EXPECT_NE(failure.message.find("speaks protocol versions"), std::string::npos) << failure.message;
         }
-        EXPECT_GE(old.network->traffic().protocolErrors, 2U);
+        EXPECT_TRUE(eventually([&] { return old.network->traffic().protocolErrors == 2; }));
     }
 
     TEST(PeerNetworkTest, PeersThatLieAboutLengthOrTypeLoseTheirConnection)
