Add the platform client and the stand-in platform

Cause: the daemon needs its source reader, and tests need a platform with the same limits and faults. A single shutdown in cancel() loses a cancellation during the connect (400 moments of the start are tried). Also broken once and caught: total time limit of a read, 429 as its own kind, value bound, revision of a crossed notice, repeated stale setting, forgetting old seconds, repeated instance ids.

--- /dev/null
+++ b/src/source/PlatformClient.cpp
@@ -0,0 +1,253 @@
+#include "source/PlatformClient.h"
+
+#include <charconv>
+#include <condition_variable>
+#include <httplib.h>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace skylark {
+
+namespace {
+
+    // An entry of a watch answer is a short key and a number; a larger answer is not one.
+    constexpr size_t bytesPerChangedKey = 512;
+
+    struct Exchange {
+        std::string step;
+        std::string path;
+        Duration limit;
+        size_t maxBytes;
+    };
+
+    struct Answer {
+        int status { 0 };
+        httplib::Headers headers;
+        std::string body;
+    };
+
+} // namespace
+
+const char* platformFailureName(PlatformFailure failure)
+{
+    switch (failure) {
+    case PlatformFailure::Unreachable:
+        return "unreachable";
+    case PlatformFailure::TimedOut:
+        return "timed-out";
+    case PlatformFailure::RateLimited:
+        return "rate-limited";
+    case PlatformFailure::Cancelled:
+        return "cancelled";
+    case PlatformFailure::BadAnswer:
+        return "bad-answer";
+    case PlatformFailure::TooLarge:
+        return "too-large";
+    }
+    return "unknown";
+}
+
+// One kept connection on which calls run one after the other.
+class PlatformClient::Channel {
+public:
+    explicit Channel(const PlatformClientOptions& options)
+        : m_peer(options.platform.toString())
+        , m_client(options.platform.host, options.platform.port)
+    {
+        m_client.set_keep_alive(true);
+        m_client.set_tcp_nodelay(true);
+        m_client.set_connection_timeout(options.timeout);
+        m_client.set_write_timeout(options.timeout);
+    }
+
+    Answer get(const Exchange& exchange)
+    {
+        const std::lock_guard call(m_callMutex);
+        begin(exchange);
+        try {
+            Answer answer = perform(exchange);
+            end();
+            return answer;
+        } catch (...) {
+            end();
+            throw;
+        }
+    }
+
+    // A call that is still connecting has no socket to shut down, so the shutdown is repeated until
+    // the call has ended.
+    void cancel()
+    {
+        std::unique_lock state(m_stateMutex);
+        m_isCancelled = true;
+        while (m_isRunning) {
+            state.unlock();
+            m_client.stop();
+            state.lock();
+            m_ended.wait_for(state, std::chrono::milliseconds(10), [this] { return !m_isRunning; });
+        }
+    }
+
+    void resume()
+    {
+        const std::lock_guard state(m_stateMutex);
+        m_isCancelled = false;
+    }
+
+    [[noreturn]] void fail(PlatformFailure kind, const std::string& step, const std::string& message) const
+    {
+        throw PlatformError(kind, { .step = step, .peer = m_peer, .message = message });
+    }
+
+private:
+    void begin(const Exchange& exchange)
+    {
+        const std::lock_guard state(m_stateMutex);
+        if (m_isCancelled)
+            fail(PlatformFailure::Cancelled, exchange.step, "the call was cancelled");
+        m_isRunning = true;
+    }
+
+    void end()
+    {
+        const std::lock_guard state(m_stateMutex);
+        m_isRunning = false;
+        m_ended.notify_all();
+    }
+
+    bool isCancelled()
+    {
+        const std::lock_guard state(m_stateMutex);
+        return m_isCancelled;
+    }
+
+    Answer perform(const Exchange& exchange)
+    {
+        const TimePoint deadline = std::chrono::steady_clock::now() + exchange.limit;
+        const auto isLate = [deadline] { return std::chrono::steady_clock::now() >= deadline; };
+        m_client.set_read_timeout(exchange.limit);
+        Answer answer;
+        bool isTooLarge = false;
+        const httplib::Result result = m_client.Get(
+            exchange.path,
+            [&](const httplib::Response& response) {
+                answer.status = response.status;
+                answer.headers = response.headers;
+                return true;
+            },
+            // The library's read timeout starts anew with each part, so the whole is checked here.
+            [&](const char* data, size_t size) {
+                isTooLarge = answer.body.size() + size > exchange.maxBytes;
+                if (isTooLarge || isLate())
+                    return false;
+                answer.body.append(data, size);
+                return true;
+            });
+        if (isCancelled())
+            fail(PlatformFailure::Cancelled, exchange.step, "the call was cancelled");
+        if (isTooLarge)
+            fail(PlatformFailure::TooLarge, exchange.step,
+                exchange.path + " is larger than " + std::to_string(exchange.maxBytes) + " bytes");
+        if (result)
+            return answer;
+        const bool isTimeout = isLate() || result.error() == httplib::Error::ConnectionTimeout;
+        fail(isTimeout ? PlatformFailure::TimedOut : PlatformFailure::Unreachable, exchange.step,
+            exchange.path + ": " + httplib::to_string(result.error()));
+    }
+
+    std::string m_peer;
+    std::mutex m_callMutex;
+    std::mutex m_stateMutex;
+    std::condition_variable m_ended;
+    bool m_isCancelled { false };
+    bool m_isRunning { false };
+    httplib::Client m_client;
+};
+
+PlatformClient::PlatformClient(PlatformClientOptions options)
+    : m_options(std::move(options))
+    , m_reads(std::make_unique<Channel>(m_options))
+    , m_watches(std::make_unique<Channel>(m_options))
+{
+}
+
+PlatformClient::~PlatformClient() = default;
+
+ReadResult PlatformClient::read(const std::string& key)
+{
+    const std::string step = "read-source";
+    const Answer answer = m_reads->get(
+        { .step = step, .path = "/v1/kv/" + key, .limit = m_options.timeout, .maxBytes = m_options.maxValueBytes });
+    const auto revisionHeader = [&](const char* name) {
+        const auto header = answer.headers.find(name);
+        const std::string text = header == answer.headers.end() ? "" : header->second;
+        uint64_t value = 0;
+        const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (text.empty() || code != std::errc() || end != text.data() + text.size())
+            m_reads->fail(PlatformFailure::BadAnswer, step, key + ": header " + name + " is \"" + text + "\"");
+        return Revision(value);
+    };
+    switch (answer.status) {
+    case 200:
+        return { .value = answer.body,
+            .keyRevision = revisionHeader("X-Revision"),
+            .storeRevision = revisionHeader("X-Store-Revision") };
+    case 404:
+        return { .storeRevision = revisionHeader("X-Store-Revision") };
+    case 429:
+        m_reads->fail(PlatformFailure::RateLimited, step, key + ": the platform limits the rate of calls");
+    default:
+        m_reads->fail(PlatformFailure::BadAnswer, step, key + ": status " + std::to_string(answer.status));
+    }
+}
+
+WatchResult PlatformClient::watch(const std::string& prefix, Revision afterRevision, Duration wait)
+{
+    const std::string step = "watch-source";
+    const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    const Answer answer = m_watches->get({ .step = step,
+        .path = httplib::append_query_params("/v1/watch",
+            { { "prefix", prefix }, { "after", std::to_string(afterRevision.value()) },
+                { "waitMs", std::to_string(waitMs) } }),
+        .limit = wait + m_options.timeout,
+        .maxBytes = m_options.maxChangedKeys * bytesPerChangedKey });
+    if (answer.status == 429)
+        m_watches->fail(PlatformFailure::RateLimited, step, "the platform limits the rate of calls");
+    if (answer.status != 200)
+        m_watches->fail(PlatformFailure::BadAnswer, step, "status " + std::to_string(answer.status));
+    try {
+        const auto document = nlohmann::json::parse(answer.body);
+        const auto revisionOf = [&](const nlohmann::json& object) {
+            const auto& revision = object.at("revision");
+            if (!revision.is_number_unsigned())
+                m_watches->fail(PlatformFailure::BadAnswer, step, "a revision is not a whole number from 0 up");
+            return Revision(revision.get<uint64_t>());
+        };
+        WatchResult result { .storeRevision = revisionOf(document) };
+        const auto& changed = document.at("changed");
+        if (changed.size() > m_options.maxChangedKeys)
+            m_watches->fail(PlatformFailure::TooLarge, step, std::to_string(changed.size()) + " changed keys");
+        for (const auto& item : changed) {
+            result.changed.push_back({ .key = item.at("key").get<std::string>(),
+                .revision = revisionOf(item),
+                .isDeleted = item.value("deleted", false) });
+        }
+        return result;
+    } catch (const nlohmann::json::exception& error) {
+        m_watches->fail(PlatformFailure::BadAnswer, step, error.what());
+    }
+}
+
+void PlatformClient::cancel()
+{
+    m_reads->cancel();
+    m_watches->cancel();
+}
+
+void PlatformClient::resume()
+{
+    m_reads->resume();
+    m_watches->resume();
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/source/tests/PlatformClientTest.cpp
@@ -0,0 +1,185 @@
+// Guards the client against a slow, limited, broken or oversized platform.
+#include "source/PlatformClient.h"
+#include "testing/PlatformStandin.h"
+
+#include <future>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    TimePoint now() { return std::chrono::steady_clock::now(); }
+
+    template <typename Call> PlatformFailure failureOf(Call call)
+    {
+        try {
+            call();
+        } catch (const PlatformError& error) {
+            EXPECT_FALSE(error.step().empty());
+            EXPECT_FALSE(error.peer().empty());
+            return error.kind();
+        }
+        ADD_FAILURE() << "the call did not fail";
+        return PlatformFailure::BadAnswer;
+    }
+
+    // Sleeping is too coarse to reach each moment of a call's start.
+    void spinFor(Duration duration)
+    {
+        for (const TimePoint end = now() + duration; now() < end;) { }
+    }
+
+    // A platform whose answer to each read or watch is given by the test.
+    HttpService brokenPlatform(const httplib::Server::Handler& handler)
+    {
+        return HttpService({ .threads = 4 }, [&](httplib::Server& server) { server.Get("/v1/.*", handler); });
+    }
+
+    TEST(PlatformClientTest, ReadsAValueWithItsRevisionsAndTellsAnAbsentKey)
+    {
+        PlatformStandin platform({});
+        PlatformClient client({ .platform = platform.address() });
+        platform.publish("skylarkbay/manifest", "first");
+        platform.publish("skylarkbay/sections/a/1", "");
+        const ReadResult manifest = client.read("skylarkbay/manifest");
+        EXPECT_EQ(manifest.value, "first");
+        EXPECT_EQ(manifest.keyRevision, Revision(1));
+        EXPECT_EQ(manifest.storeRevision, Revision(2));
+        EXPECT_EQ(client.read("skylarkbay/sections/a/1").value, "");
+        const ReadResult absent = client.read("skylarkbay/none");
+        EXPECT_FALSE(absent.value);
+        EXPECT_EQ(absent.storeRevision, Revision(2));
+    }
+
+    TEST(PlatformClientTest, WatchListsKeysThenWaitsForAChange)
+    {
+        PlatformStandin platform({});
+        PlatformClient client({ .platform = platform.address() });
+        platform.publish("p/one", "1");
+        platform.publish("q/other", "1");
+        const WatchResult all = client.watch("p/", Revision(0), 5s);
+        EXPECT_EQ(all.changed, std::vector<ChangedKey>({ { "p/one", Revision(1) } }));
+        auto next = std::async(std::launch::async, [&] { return client.watch("p/", all.storeRevision, 5s); });
+        // A change under another prefix must not end the watch.
+        platform.publish("q/other", "2");
+        EXPECT_EQ(next.wait_for(100ms), std::future_status::timeout);
+        platform.publish("p/two", "2");
+        EXPECT_EQ(next.get().changed, std::vector<ChangedKey>({ { "p/two", Revision(4) } }));
+        EXPECT_TRUE(client.watch("p/", Revision(4), 20ms).changed.empty());
+    }
+
+    TEST(PlatformClientTest, CancelEndsAWaitingWatchAndLaterCalls)
+    {
+        PlatformStandin platform({});
+        platform.publish("k", "1");
+        PlatformClient client({ .platform = platform.address() });
+        auto watch
+            = std::async(std::launch::async, [&] { return failureOf([&] { client.watch("k", Revision(1), 30s); }); });
+        while (platform.stats()["waitingWatches"] == 0)
+            std::this_thread::sleep_for(1ms);
+        const TimePoint start = now();
+        client.cancel();
+        EXPECT_EQ(watch.get(), PlatformFailure::Cancelled);
+        EXPECT_LT(now() - start, 2s);
+        EXPECT_EQ(failureOf([&] { client.read("k"); }), PlatformFailure::Cancelled);
+        client.resume();
+        EXPECT_EQ(client.read("k").value, "1");
+    }
+
+    // A cancel() that comes while the call has no socket yet must not be lost.
+    TEST(PlatformClientTest, CancelAtAnyMomentEndsTheWatch)
+    {
+        PlatformStandin platform({});
+        platform.publish("k", "1");
+        for (int i = 0; i < 400; ++i) {
+            PlatformClient client({ .platform = platform.address() });
+            auto watch = std::async(
+                std::launch::async, [&] { return failureOf([&] { client.watch("k", Revision(1), 30s); }); });
+            spinFor(i % 100 * 1us);
+            client.cancel();
+            ASSERT_EQ(watch.wait_for(5s), std::future_status::ready);
+            EXPECT_EQ(watch.get(), PlatformFailure::Cancelled);
+        }
+    }
+
+    TEST(PlatformClientTest, TellsTheRateLimitFromOtherFailures)
+    {
+        PlatformStandin platform({ .callsPerSecond = 0 });
+        PlatformClient client({ .platform = platform.address() });
+        EXPECT_EQ(failureOf([&] { client.read("k"); }), PlatformFailure::RateLimited);
+        EXPECT_EQ(failureOf([&] { client.watch("k", Revision(0), 1s); }), PlatformFailure::RateLimited);
+    }
+
+    TEST(PlatformClientTest, EndsACallThatTakesTooLong)
+    {
+        const HttpService silent = brokenPlatform([](const auto&, auto&) { std::this_thread::sleep_for(600ms); });
+        // Sends a byte each 30 ms: each part arrives in time, the whole does not.
+        const HttpService trickling = brokenPlatform([](const auto&, httplib::Response& response) {
+            response.set_content_provider(40, "text/plain", [](size_t, size_t, httplib::DataSink& sink) {
+                std::this_thread::sleep_for(30ms);
+                return sink.write("x", 1);
+            });
+        });
+        for (const HttpService* service : { &silent, &trickling }) {
+            PlatformClient client({ .platform = service->address(), .timeout = 150ms });
+            const TimePoint start = now();
+            EXPECT_EQ(failureOf([&] { client.read("k"); }), PlatformFailure::TimedOut);
+            EXPECT_LT(now() - start, 500ms);
+        }
+    }
+
+    TEST(PlatformClientTest, RefusesAValueOverTheBound)
+    {
+        const HttpService service = brokenPlatform([](const auto&, httplib::Response& response) {
+            response.set_header("X-Revision", "1");
+            response.set_header("X-Store-Revision", "1");
+            response.set_content(std::string((1 << 20) + 1, 'x'), "text/plain");
+        });
+        PlatformClient client({ .platform = service.address() });
+        EXPECT_EQ(failureOf([&] { client.read("k"); }), PlatformFailure::TooLarge);
+        PlatformClient wider({ .platform = service.address(), .maxValueBytes = (1 << 20) + 1 });
+        EXPECT_EQ(wider.read("k").value->size(), (1u << 20) + 1);
+    }
+
+    TEST(PlatformClientTest, RefusesAnswersOutsideTheProtocol)
+    {
+        std::string body;
+        std::string revision;
+        int status = 200;
+        const HttpService service = brokenPlatform([&](const auto&, httplib::Response& response) {
+            response.status = status;
+            response.set_header("X-Revision", "1");
+            response.set_header("X-Store-Revision", revision);
+            response.set_content(body, "text/plain");
+        });
+        PlatformClient client({ .platform = service.address() });
+        for (const char* text : { "", "-1", "1x", "99999999999999999999" }) {
+            revision = text;
+            EXPECT_EQ(failureOf([&] { client.read("k"); }), PlatformFailure::BadAnswer) << text;
+        }
+        for (const char* text : { "", "{", "[]", R"({"revision":1})", R"({"revision":-1,"changed":[]})",
+                 R"({"revision":"1","changed":[]})", R"({"revision":1,"changed":[{"key":"k"}]})" }) {
+            body = text;
+            EXPECT_EQ(failureOf([&] { client.watch("k", Revision(0), 1s); }), PlatformFailure::BadAnswer) << text;
+        }
+        status = 500;
+        EXPECT_EQ(failureOf([&] { client.read("k"); }), PlatformFailure::BadAnswer);
+        EXPECT_EQ(failureOf([&] { client.watch("k", Revision(0), 1s); }), PlatformFailure::BadAnswer);
+    }
+
+    TEST(PlatformClientTest, TellsAnUnreachablePlatform)
+    {
+        Endpoint closed;
+        {
+            const HttpService service = brokenPlatform([](const auto&, auto&) {});
+            closed = service.address();
+        }
+        PlatformClient client({ .platform = closed });
+        EXPECT_EQ(failureOf([&] { client.read("k"); }), PlatformFailure::Unreachable);
+    }
+
+} // namespace
+} // namespace skylark
--- /dev/null
+++ b/src/testing/PlatformStore.cpp
@@ -0,0 +1,158 @@
+#include "testing/PlatformStore.h"
+
+#include "source/InstanceList.h"
+
+#include <set>
+
+namespace skylark {
+
+namespace {
+
+    // A held notice is given after this time although no second change came to cross it with.
+    constexpr Duration longestHold = std::chrono::seconds(1);
+
+} // namespace
+
+Revision PlatformStore::put(const std::string& key, std::string value, TimePoint now)
+{
+    if (value.size() > maxValueBytes)
+        throw Error({ .step = "publish", .message = key + " is larger than 1 MB" });
+    if (!m_state.keys.contains(key) && m_state.keys.size() >= maxKeys)
+        throw Error({ .step = "publish", .message = "the stand-in holds its most keys" });
+    m_state.revision = Revision(m_state.revision.value() + 1);
+    const Revision revision = m_state.revision;
+    m_state.keys[key] = { std::make_shared<const std::string>(std::move(value)), revision };
+    announce({ .key = key, .keyRevision = revision }, now);
+    return revision;
+}
+
+Revision PlatformStore::remove(const std::string& key, TimePoint now)
+{
+    if (m_state.keys.erase(key) > 0) {
+        m_state.revision = Revision(m_state.revision.value() + 1);
+        announce({ .key = key, .keyRevision = m_state.revision, .isDeleted = true }, now);
+    }
+    return m_state.revision;
+}
+
+void PlatformStore::announce(Notice notice, TimePoint now)
+{
+    if (m_areUpdatesCrossed && !m_heldNotice) {
+        m_heldNotice = std::make_shared<const Notice>(std::move(notice));
+        m_heldSince = now;
+        return;
+    }
+    const Revision at = notice.keyRevision;
+    addNotice(std::move(notice), at);
+    releaseHeldNotice();
+}
+
+void PlatformStore::addNotice(Notice notice, Revision at)
+{
+    const auto [position, isNew] = m_state.noticeOfKey.try_emplace(notice.key, at);
+    if (!isNew) {
+        m_state.notices.erase(position->second);
+        position->second = at;
+    }
+    m_state.notices[at] = std::move(notice);
+}
+
+void PlatformStore::releaseHeldNotice()
+{
+    if (!m_heldNotice)
+        return;
+    // Its own revision may lie behind what watchers have passed, so the store's revision rises for it.
+    m_state.revision = Revision(m_state.revision.value() + 1);
+    addNotice(*m_heldNotice, m_state.revision);
+    m_heldNotice = nullptr;
+}
+
+const PlatformStore::Entry* PlatformStore::find(const std::string& key) const
+{
+    const auto entry = visible().keys.find(key);
+    return entry == visible().keys.end() ? nullptr : &entry->second;
+}
+
+std::vector<ChangedKey> PlatformStore::changesAfter(const std::string& prefix, Revision after) const
+{
+    std::vector<ChangedKey> changed;
+    const State& state = visible();
+    if (after == Revision(0)) {
+        for (auto entry = state.keys.lower_bound(prefix); entry != state.keys.end() && entry->first.starts_with(prefix);
+             ++entry)
+            changed.push_back({ .key = entry->first, .revision = entry->second.revision });
+        return changed;
+    }
+    for (auto notice = state.notices.upper_bound(after); notice != state.notices.end(); ++notice) {
+        const Notice& item = notice->second;
+        if (item.key.starts_with(prefix))
+            changed.push_back({ .key = item.key, .revision = item.keyRevision, .isDeleted = item.isDeleted });
+    }
+    return changed;
+}
+
+void PlatformStore::setInstance(const InstanceRecord& record, TimePoint now)
+{
+    if (!m_registered.contains(record.id) && m_registered.size() >= maxInstances)
+        throw Error({ .step = "register-instance", .message = "the stand-in holds its most instances" });
+    m_registered[record.id] = record;
+    queueChange({ .record = record }, now);
+}
+
+bool PlatformStore::removeInstance(const InstanceId& id, TimePoint now)
+{
+    const auto instance = m_registered.find(id);
+    if (instance == m_registered.end())
+        return false;
+    queueChange({ .record = instance->second, .isRemoval = true }, now);
+    m_registered.erase(instance);
+    return true;
+}
+
+void PlatformStore::queueChange(InstanceChange change, TimePoint now)
+{
+    // Published in order: after a change to a shorter lag, this one waits for those before it.
+    change.due = now + m_listLag;
+    m_pendingChanges.push_back(std::move(change));
+}
+
+void PlatformStore::setStale(bool isStale)
+{
+    if (isStale && !m_staleState)
+        m_staleState = std::make_shared<const State>(m_state);
+    else if (!isStale)
+        m_staleState = nullptr;
+}
+
+void PlatformStore::setCrossUpdates(bool areCrossed, TimePoint now)
+{
+    advance(now);
+    m_areUpdatesCrossed = areCrossed;
+    if (!areCrossed)
+        releaseHeldNotice();
+}
+
+void PlatformStore::advance(TimePoint now)
+{
+    if (m_heldNotice && now - m_heldSince >= longestHold)
+        releaseHeldNotice();
+    std::set<ZoneName> changedZones;
+    while (!m_pendingChanges.empty() && m_pendingChanges.front().due <= now) {
+        const InstanceChange change = std::move(m_pendingChanges.front());
+        m_pendingChanges.pop_front();
+        auto& instances = m_listed[change.record.zone];
+        if (change.isRemoval)
+            instances.erase(change.record.id);
+        else
+            instances[change.record.id] = change.record;
+        changedZones.insert(change.record.zone);
+    }
+    for (const ZoneName& zone : changedZones) {
+        ZoneInstanceList list { .zone = zone };
+        for (const auto& [id, record] : m_listed[zone])
+            list.instances.push_back(record);
+        put(std::string(instancePrefix) + zone.value(), instanceListToJson(list), now);
+    }
+}
+
+} // namespace skylark
