Add the stand-in backend server

Cause: at-most-once and true refusals need a backend server that records what it ran. Conclusion: cancellation needs the connection's socket, which httplib keeps from handlers; it is found by its ports.

--- /dev/null
+++ b/src/testing/BackendStandin.h
@@ -0,0 +1,100 @@
+// A stand-in for a backend server: slots, a short queue, service times, a cold start and a drain.
+//
+//     any other path           work: waits for a slot, runs for the service time, answers with answerBody()
+//     GET /health, GET /load   state as of loadLag ago, or what /admin/mislead says
+//     GET /executions          what has been run, by request id and by idempotency key
+//     POST /admin/drain        {"graceMs"}: health turns red, new work gets 503 after the grace
+//     POST /admin/mislead      {"isHealthy", "inFlight"}: the pages claim this; {} ends it
+//
+// Work reads the headers X-Work-Us (mean service time), X-Answer-Bytes, Skylark-Deadline-Ms (remaining;
+// work stops there with 504), Skylark-Request-Id and Idempotency-Key. Work whose caller closed the
+// connection stops. With `next`, each request first calls that address with the propagated headers.
+#pragma once
+
+#include "base/Random.h"
+#include "testing/ExecutionRecord.h"
+#include "testing/HttpService.h"
+#include "testing/SlotPool.h"
+
+#include <atomic>
+#include <deque>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace skylark {
+
+enum class WorkDistribution { Fixed, Exponential };
+
+struct BackendStandinOptions {
+    Endpoint address { "127.0.0.1", 0 };
+    std::string name { "backend" };
+    std::string service { "service" };
+    int slots { 13 };
+    // Requests that wait for a slot; further ones are shed with 503.
+    int queue { 13 };
+    // Most kept connections; eight more serve the pages and operators.
+    size_t connections { 120 };
+    Duration work { std::chrono::milliseconds(2) };
+    WorkDistribution distribution { WorkDistribution::Exponential };
+    // Service times after the start are this much longer, falling to 1 over the warm-up.
+    double coldFactor { 4 };
+    Duration warmup {};
+    Duration loadLag {};
+    std::string recordFile;
+    // "host:port/path" to call before each answer, with this Host header; empty calls nothing.
+    std::string next;
+    std::string nextHost;
+    uint64_t seed { 1 };
+};
+
+class BackendStandin {
+public:
+    explicit BackendStandin(const BackendStandinOptions& options);
+    ~BackendStandin();
+
+    const Endpoint& address() const { return m_service->address(); }
+    nlohmann::json executions() const { return m_record.report(); }
+    void drain(Duration grace);
+
+private:
+    struct Sample {
+        TimePoint time;
+        SlotPool::Load load;
+        bool isDraining { false };
+    };
+
+    void registerHandlers(httplib::Server& server);
+    void registerAdminHandlers(httplib::Server& server);
+    void handleWork(const httplib::Request& request, httplib::Response& response);
+    void runWork(const httplib::Request& request, httplib::Response& response, TimePoint deadline);
+    // False when the next service did not answer with a status below 500.
+    bool callNext(const httplib::Request& request, TimePoint deadline);
+    Duration serviceTime(const httplib::Request& request);
+    bool refusesNewWork() const;
+    Sample pageState() const;
+    void runSampler();
+
+    BackendStandinOptions m_options;
+    const TimePoint m_started;
+    SlotPool m_slots;
+    ExecutionRecord m_record;
+    std::atomic<uint64_t> m_shed { 0 };
+    std::atomic<uint64_t> m_stopped { 0 };
+
+    mutable std::mutex m_mutex;
+    Random m_random;
+    std::optional<TimePoint> m_refusesAt;
+    std::deque<Sample> m_samples;
+    std::optional<bool> m_claimedHealth;
+    std::optional<int> m_claimedInFlight;
+    std::vector<std::unique_ptr<httplib::Client>> m_idleNextClients;
+
+    std::atomic<bool> m_isStopping { false };
+    std::thread m_sampler;
+    std::unique_ptr<HttpService> m_service;
+};
+
+} // namespace skylark
--- a/src/testing/HttpService.cpp
+++ b/src/testing/HttpService.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Error.h"
 
+#include <arpa/inet.h>
+#include <dirent.h>
 #include <sys/socket.h>
 
 namespace skylark {
@@ -11,8 +13,49 @@
     constexpr int listenBacklog = 1024;
     constexpr time_t keepAliveSeconds = 60;
 
+    bool isConnectedTo(int socket, const httplib::Request& request)
+    {
+        sockaddr_in peer {};
+        sockaddr_in own {};
+        socklen_t peerSize = sizeof(peer);
+        socklen_t ownSize = sizeof(own);
+        return getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &peerSize) == 0 && peer.sin_family == AF_INET
+            && ntohs(peer.sin_port) == request.remote_port
+            && getsockname(socket, reinterpret_cast<sockaddr*>(&own), &ownSize) == 0
+            && ntohs(own.sin_port) == request.local_port;
+    }
+
+    // The library does not give its socket to handlers, so it is looked up by its ports. A thread of the
+    // pool serves one connection after the other, so the last socket is tried first.
+    int socketOf(const httplib::Request& request)
+    {
+        thread_local int lastSocket = -1;
+        if (isConnectedTo(lastSocket, request))
+            return lastSocket;
+        lastSocket = -1;
+        DIR* descriptors = opendir("/proc/self/fd");
+        while (const dirent* entry = descriptors ? readdir(descriptors) : nullptr) {
+            const int descriptor = std::atoi(entry->d_name);
+            if (isConnectedTo(descriptor, request))
+                lastSocket = descriptor;
+        }
+        if (descriptors)
+            closedir(descriptors);
+        return lastSocket;
+    }
+
 } // namespace
 
+bool hasPeerClosed(const httplib::Request& request)
+{
+    const int socket = socketOf(request);
+    if (socket < 0)
+        return true;
+    char byte = 0;
+    const ssize_t received = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 HttpService::HttpService(
     const HttpServiceOptions& options, const std::function<void(httplib::Server&)>& registerHandlers)
     : m_address(options.address)
--- a/src/testing/HttpService.h
+++ b/src/testing/HttpService.h
@@ -38,4 +38,7 @@
     std::thread m_thread;
 };
 
+// True when the peer of the request that the calling handler serves has closed its connection.
+bool hasPeerClosed(const httplib::Request& request);
+
 } // namespace skylark
--- /dev/null
+++ b/src/testing/SlotPool.h
@@ -0,0 +1,73 @@
+// The slots of a stand-in backend server and the short queue before them.
+#pragma once
+
+#include "base/Types.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+
+namespace skylark {
+
+enum class SlotResult {
+    Granted,
+    // The queue is full.
+    Shed,
+    // The deadline passed or the caller left while the request waited.
+    Abandoned,
+};
+
+class SlotPool {
+public:
+    SlotPool(int slots, int queue)
+        : m_slots(slots)
+        , m_queue(queue)
+    {
+    }
+
+    // Waits for a slot; the caller of a Granted request calls release(). isAbandoned is asked every 10 ms.
+    SlotResult acquire(TimePoint deadline, const std::function<bool()>& isAbandoned)
+    {
+        std::unique_lock lock(m_mutex);
+        if (m_inFlight >= m_slots && m_queued >= m_queue)
+            return SlotResult::Shed;
+        ++m_queued;
+        SlotResult result = SlotResult::Granted;
+        while (m_inFlight >= m_slots && result == SlotResult::Granted) {
+            m_freed.wait_for(lock, std::chrono::milliseconds(10));
+            if (m_inFlight >= m_slots && (std::chrono::steady_clock::now() >= deadline || isAbandoned()))
+                result = SlotResult::Abandoned;
+        }
+        --m_queued;
+        if (result == SlotResult::Granted)
+            ++m_inFlight;
+        return result;
+    }
+
+    void release()
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_inFlight;
+        m_freed.notify_one();
+    }
+
+    struct Load {
+        int inFlight { 0 };
+        int queued { 0 };
+    };
+    Load load() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return { m_inFlight, m_queued };
+    }
+
+private:
+    const int m_slots;
+    const int m_queue;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_freed;
+    int m_inFlight { 0 };
+    int m_queued { 0 };
+};
+
+} // namespace skylark
