--- /dev/null
+++ b/src/testing/HttpService.cpp
@@ -0,0 +1,104 @@
+#include "testing/HttpService.h"
+
+#include "base/Error.h"
+
+#include <arpa/inet.h>
+#include <dirent.h>
+#include <sys/socket.h>
+
+namespace skylark {
+
+namespace {
+
+    constexpr int listenBacklog = 1024;
+    constexpr time_t keepAliveSeconds = 60;
+
+    bool isConnectedTo(int socket, const httplib::Request& request)
+    {
+        sockaddr_in peer {};
+        sockaddr_in own {};
+        socklen_t peerSize = sizeof(peer);
+        socklen_t ownSize = sizeof(own);
+        return getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &peerSize) == 0 && peer.sin_family == AF_INET
+            && ntohs(peer.sin_port) == request.remote_port
+            && getsockname(socket, reinterpret_cast<sockaddr*>(&own), &ownSize) == 0
+            && ntohs(own.sin_port) == request.local_port;
+    }
+
+    // The library does not give its socket to handlers, so it is looked up by its ports. A thread of the
+    // pool serves one connection after the other, so the last socket is tried first.
+    int socketOf(const httplib::Request& request)
+    {
+        thread_local int lastSocket = -1;
+        if (isConnectedTo(lastSocket, request))
+            return lastSocket;
+        lastSocket = -1;
+        DIR* descriptors = opendir("/proc/self/fd");
+        while (const dirent* entry = descriptors ? readdir(descriptors) : nullptr) {
+            const int descriptor = std::atoi(entry->d_name);
+            if (isConnectedTo(descriptor, request))
+                lastSocket = descriptor;
+        }
+        if (descriptors)
+            closedir(descriptors);
+        return lastSocket;
+    }
+
+} // namespace
+
+bool hasPeerClosed(const httplib::Request& request)
+{
+    const int socket = socketOf(request);
+    if (socket < 0)
+        return true;
+    char byte = 0;
+    const ssize_t received = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+HttpService::HttpService(
+    const HttpServiceOptions& options, const std::function<void(httplib::Server&)>& registerHandlers)
+    : m_address(options.address)
+{
+    int listener = -1;
+    m_server.new_task_queue = [threads = options.threads] { return new httplib::ThreadPool(threads); };
+    m_server.set_tcp_nodelay(true);
+    m_server.set_keep_alive_max_count(std::numeric_limits<size_t>::max());
+    m_server.set_keep_alive_timeout(keepAliveSeconds);
+    m_server.set_payload_max_length(options.maxBodyBytes);
+    // SO_REUSEADDR alone: with the library's default SO_REUSEPORT, two services could share a port unseen.
+    m_server.set_socket_options([&listener](int socket) {
+        const int isOn = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &isOn, sizeof(isOn));
+        listener = socket;
+    });
+    registerHandlers(m_server);
+
+    if (options.address.port == 0)
+        m_address.port = static_cast<uint16_t>(std::max(0, m_server.bind_to_any_port(options.address.host)));
+    const bool isBound
+        = options.address.port == 0 ? m_address.port != 0 : m_server.bind_to_port(options.address.host, m_address.port);
+    if (!isBound) {
+        throw Error({ .step = "listen",
+            .peer = options.address.toString(),
+            .message = "cannot listen on this address",
+            .advice = "choose a free port" });
+    }
+    // The library listens with a backlog of 5, and a second listen() raises it.
+    ::listen(listener, listenBacklog);
+    m_thread = std::thread([this] { m_server.listen_after_bind(); });
+    // stop() has no effect before the server runs.
+    while (!m_server.is_running())
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+}
+
+HttpService::~HttpService() { stop(); }
+
+void HttpService::stop()
+{
+    m_server.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+} // namespace skylark
