Add skylarkctl, the example documents and the document fuzzer

Cause: operators need to check, compare and publish documents and to see what nodes do with them; the parsers take bytes from other machines. Change: the commands check, diff, bundle, status, state and explain as a library with a thin main; example documents of both deployments; document_fuzz for sections and manifests.

--- /dev/null
+++ b/src/cli/Command.h
@@ -0,0 +1,41 @@
+// What the commands of skylarkctl share: their parsed arguments and where they write.
+#pragma once
+
+#include "base/Error.h"
+#include "cli/CommandLine.h"
+
+#include <cxxopts.hpp>
+
+namespace skylark {
+
+// Thrown when the command line itself is wrong; ends with ExitCode::UsedWrongly.
+class UsageError : public Error {
+public:
+    explicit UsageError(const std::string& message)
+        : Error({ .step = "read-arguments", .message = message, .advice = "see skylarkctl COMMAND --help" })
+    {
+    }
+};
+
+struct CommandContext {
+    const cxxopts::ParseResult& options;
+    // Positional arguments after the command's name.
+    const std::vector<std::string>& arguments;
+    bool isJson { false };
+    std::ostream& out;
+};
+
+struct Command {
+    const char* name;
+    const char* arguments;
+    const char* summary;
+    size_t leastArguments;
+    size_t mostArguments;
+    // Adds the command's own options.
+    void (*addOptions)(cxxopts::Options&);
+    ExitCode (*run)(const CommandContext&);
+};
+
+inline void addNoOptions(cxxopts::Options&) { }
+
+} // namespace skylark
--- /dev/null
+++ b/src/cli/CommandLine.cpp
@@ -0,0 +1,118 @@
+#include "cli/CommandLine.h"
+
+#include "cli/Command.h"
+#include "cli/DocumentCommands.h"
+#include "cli/NodeCommands.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace skylark {
+
+namespace {
+
+    constexpr size_t anyNumber = std::numeric_limits<size_t>::max();
+
+    constexpr Command commands[] = {
+        { "check", "PATH...", "check section files or directories, together one document", 1, anyNumber, addNoOptions,
+            runCheck },
+        { "diff", "OLD NEW", "show what changes between two documents", 2, 2, addNoOptions, runDiff },
+        { "bundle", "--version N --out DIR PATH...", "check a document and write what is to be published", 1, anyNumber,
+            addBundleOptions, runBundle },
+        { "status", "NODE...", "show the versions that nodes apply and reject", 1, anyNumber, addStatusOptions,
+            runStatus },
+        { "state", "NODE", "show all that a node knows, as JSON", 1, 1, addNoOptions, runState },
+        { "explain", "NODE METHOD PATH", "show how a node would route a request, and why", 3, 3, addExplainOptions,
+            runExplain },
+    };
+
+    void printHelp(std::ostream& out)
+    {
+        out << "Checks and publishes the configuration document, and shows what nodes do with it.\n\n"
+               "Usage:\n  skylarkctl COMMAND [OPTION...] ARGUMENT...\n\nCommands:\n";
+        for (const Command& command : commands)
+            out << "  " << command.name << std::string(9 - std::string_view(command.name).size(), ' ')
+                << command.summary << '\n';
+        out << "\nNODE is the host:port of a node's admin page. PATH is a file NAME.json with the section NAME, or a\n"
+               "directory of such files or of a bundle. Each command has --json and --help.\n"
+               "Exit codes: 0 success, 1 fault found, 2 used wrongly.\n";
+    }
+
+    // One text of the arguments that cxxopts reads; the first is the program's name.
+    cxxopts::ParseResult parseOptions(cxxopts::Options& options, const std::vector<std::string>& arguments)
+    {
+        std::vector<const char*> values { "skylarkctl" };
+        for (auto argument = arguments.begin() + 1; argument != arguments.end(); ++argument)
+            values.push_back(argument->c_str());
+        return options.parse(static_cast<int>(values.size()), values.data());
+    }
+
+    ExitCode runCommand(const Command& command, const std::vector<std::string>& arguments, std::ostream& out)
+    {
+        cxxopts::Options options("skylarkctl " + std::string(command.name), command.summary);
+        options.custom_help("[OPTION...]").positional_help(command.arguments);
+        options.add_options()("json", "write JSON")("help", "show this help");
+        options.add_options("hidden")("positional", "", cxxopts::value<std::vector<std::string>>());
+        command.addOptions(options);
+        options.parse_positional("positional");
+        const cxxopts::ParseResult parsed = parseOptions(options, arguments);
+        if (parsed.count("help")) {
+            out << options.help({ "" });
+            return ExitCode::Success;
+        }
+        std::vector<std::string> positional;
+        if (parsed.count("positional"))
+            positional = parsed["positional"].as<std::vector<std::string>>();
+        if (positional.size() < command.leastArguments || positional.size() > command.mostArguments)
+            throw UsageError("skylarkctl " + std::string(command.name) + " takes " + command.arguments + ", not "
+                + std::to_string(positional.size()) + " arguments");
+        return command.run({ parsed, positional, parsed.count("json") > 0, out });
+    }
+
+    ExitCode dispatch(const std::vector<std::string>& arguments, std::ostream& out)
+    {
+        if (arguments.empty())
+            throw UsageError("no command is given");
+        const std::string& name = arguments.front();
+        if (name == "--version") {
+            out << "skylarkctl " SKYLARK_VERSION "\n";
+            return ExitCode::Success;
+        }
+        if (name == "--help" || name == "help") {
+            printHelp(out);
+            return ExitCode::Success;
+        }
+        const auto command = std::find_if(
+            std::begin(commands), std::end(commands), [&](const Command& candidate) { return candidate.name == name; });
+        if (command == std::end(commands))
+            throw UsageError("unknown command \"" + name + "\"");
+        return runCommand(*command, arguments, out);
+    }
+
+    ExitCode fail(ExitCode code, const std::string& text, bool isJson, std::ostream& out, std::ostream& err)
+    {
+        if (isJson)
+            out << nlohmann::json({ { "error", text } }).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace)
+                << '\n';
+        else
+            err << "skylarkctl: " << text << '\n';
+        return code;
+    }
+
+} // namespace
+
+ExitCode runCommandLine(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& err)
+{
+    const bool isJson = std::find(arguments.begin(), arguments.end(), "--json") != arguments.end();
+    try {
+        return dispatch(arguments, out);
+    } catch (const UsageError& error) {
+        return fail(ExitCode::UsedWrongly, error.what(), isJson, out, err);
+    } catch (const cxxopts::exceptions::exception& error) {
+        return fail(ExitCode::UsedWrongly, error.what(), isJson, out, err);
+    } catch (const std::exception& error) {
+        return fail(ExitCode::FaultFound, error.what(), isJson, out, err);
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/cli/DocumentCommands.h
@@ -0,0 +1,13 @@
+// The commands that work on files: check, diff and bundle.
+#pragma once
+
+#include "cli/Command.h"
+
+namespace skylark {
+
+ExitCode runCheck(const CommandContext& context);
+ExitCode runDiff(const CommandContext& context);
+void addBundleOptions(cxxopts::Options& options);
+ExitCode runBundle(const CommandContext& context);
+
+} // namespace skylark
--- /dev/null
+++ b/src/cli/NodeCommands.cpp
@@ -0,0 +1,171 @@
+#include "cli/NodeCommands.h"
+
+#include "cli/NodeClient.h"
+#include "cli/Table.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    Endpoint nodeOf(const std::string& argument)
+    {
+        try {
+            return Endpoint::fromString(argument);
+        } catch (const Error& error) {
+            throw UsageError("NODE: " + error.message());
+        }
+    }
+
+    void printJson(std::ostream& out, const Json& value)
+    {
+        out << value.dump(-1, ' ', true, Json::error_handler_t::replace) << '\n';
+    }
+
+    // A field as a table shows it: texts without quotes, absent fields as "-".
+    std::string cell(const Json& object, const char* key)
+    {
+        const auto field = object.is_object() ? object.find(key) : object.end();
+        if (!object.is_object() || field == object.end() || field->is_null())
+            return "-";
+        return field->is_string() ? field->get<std::string>()
+                                  : field->dump(-1, ' ', true, Json::error_handler_t::replace);
+    }
+
+    // The elements of an array field; empty where it is absent or of another type.
+    Json::array_t elements(const Json& object, const char* key)
+    {
+        const auto field = object.find(key);
+        return field != object.end() && field->is_array() ? field->get<Json::array_t>() : Json::array_t();
+    }
+
+    uint64_t versionOf(const Json& object, const Endpoint& node)
+    {
+        const auto field = object.find("version");
+        if (field == object.end() || !field->is_number_unsigned())
+            throw Error({ .step = "read-status", .peer = node.toString(), .message = "the answer has no version" });
+        return field->get<uint64_t>();
+    }
+
+    // Versions that the node rejected before its present one have been superseded.
+    Json::array_t currentRejections(const Json& status, const Endpoint& node)
+    {
+        const uint64_t applied = versionOf(status, node);
+        Json::array_t rejections = elements(status, "rejected");
+        std::erase_if(rejections,
+            [&](const Json& rejection) { return !rejection.is_object() || versionOf(rejection, node) < applied; });
+        return rejections;
+    }
+
+    void printVersionCounts(const Json::array_t& nodes, std::ostream& out)
+    {
+        std::map<std::string, size_t> counts;
+        for (const Json& node : nodes)
+            ++counts["version " + cell(node, "version") + " with digest " + cell(node, "digest")];
+        for (const auto& [version, count] : counts)
+            out << "  " << count << (count == 1 ? " node reports " : " nodes report ") << printable(version) << '\n';
+    }
+
+    void printStatus(const Endpoint& node, const Json& status, bool showsAll, std::ostream& out)
+    {
+        out << node.toString() << ": instance " << printable(cell(status, "instance")) << " applies version "
+            << printable(cell(status, "version")) << " with manifest digest "
+            << printable(cell(status, "manifestDigest")) << '\n';
+        const Json::array_t nodes = elements(status, "nodes");
+        printVersionCounts(nodes, out);
+        Table table({ "instance", "zone", "version", "digest", "age ms" });
+        for (const Json& other : nodes)
+            if (showsAll || cell(other, "digest") != cell(status, "manifestDigest"))
+                table.add({ cell(other, "instance"), cell(other, "zone"), cell(other, "version"), cell(other, "digest"),
+                    cell(other, "ageMs") });
+        if (!table.isEmpty())
+            table.print(out);
+        for (const Json& rejection : elements(status, "rejected"))
+            out << "  rejected version " << printable(cell(rejection, "version")) << " with manifest digest "
+                << printable(cell(rejection, "digest")) << ": " << printable(cell(rejection, "reason")) << '\n';
+    }
+
+    void printExplanation(const Json& answer, std::ostream& out)
+    {
+        for (const char* key : { "route", "section", "service", "rank", "deadline", "reason" })
+            out << key << ":" << std::string(10 - std::string_view(key).size(), ' ') << printable(cell(answer, key))
+                << '\n';
+        Table table({ "instance", "zone", "condition", "score" });
+        for (const Json& instance : elements(answer, "instances"))
+            table.add({ cell(instance, "instance"), cell(instance, "zone"), cell(instance, "condition"),
+                cell(instance, "score") });
+        table.print(out);
+    }
+
+} // namespace
+
+void addStatusOptions(cxxopts::Options& options)
+{
+    options.add_options()("all", "list all nodes, not only those at another version");
+}
+
+ExitCode runStatus(const CommandContext& context)
+{
+    std::vector<Endpoint> nodes;
+    for (const std::string& argument : context.arguments)
+        nodes.push_back(nodeOf(argument));
+    ExitCode code = ExitCode::Success;
+    Json answers = Json::array();
+    for (const Endpoint& node : nodes) {
+        // One node out of reach must not hide the others.
+        try {
+            const Json status = readNodePage(node, "/status");
+            if (!currentRejections(status, node).empty())
+                code = ExitCode::FaultFound;
+            if (context.isJson)
+                answers.push_back({ { "node", node.toString() }, { "status", status } });
+            else
+                printStatus(node, status, context.options.count("all") > 0, context.out);
+        } catch (const Error& error) {
+            code = ExitCode::FaultFound;
+            if (context.isJson)
+                answers.push_back({ { "node", node.toString() }, { "error", error.what() } });
+            else
+                context.out << printable(error.what()) << '\n';
+        }
+    }
+    if (context.isJson)
+        printJson(context.out, answers);
+    return code;
+}
+
+ExitCode runState(const CommandContext& context)
+{
+    const Json state = readNodePage(nodeOf(context.arguments[0]), "/state");
+    if (context.isJson)
+        printJson(context.out, state);
+    else
+        context.out << state.dump(2, ' ', true, Json::error_handler_t::replace) << '\n';
+    return ExitCode::Success;
+}
+
+void addExplainOptions(cxxopts::Options& options)
+{
+    options.add_options()("host", "host of the request", cxxopts::value<std::string>()->default_value(""));
+}
+
+ExitCode runExplain(const CommandContext& context)
+{
+    const std::string& path = context.arguments[2];
+    if (!path.starts_with('/'))
+        throw UsageError("PATH starts with '/'");
+    const Json answer = readNodePage(nodeOf(context.arguments[0]), "/explain",
+        { { "method", context.arguments[1] }, { "path", path },
+            { "host", context.options["host"].as<std::string>() } });
+    const std::string route = cell(answer, "route");
+    if (context.isJson)
+        printJson(context.out, answer);
+    else
+        printExplanation(answer, context.out);
+    return route == "-" || route.empty() ? ExitCode::FaultFound : ExitCode::Success;
+}
+
+} // namespace skylark
--- a/src/document/tests/RouteTableTest.cpp
+++ b/src/document/tests/RouteTableTest.cpp
@@ -117,6 +117,7 @@
             count += disagreements({ all[first] });
             for (size_t second = 0; second < first; ++second) {
                 count += disagreements({ all[first], all[second] });
+                count += disagreements({ all[second], all[first] });
                 for (size_t third = 0; third < second; ++third)
                     count += disagreements({ all[first], all[second], all[third] });
             }
