Declare the membership and distribution interfaces

Cause: the daemon is written in parallel against these headers. Measured: each header compiles on its own with -Wall -Wextra; no tests yet. Conclusion: the names and signatures can be used; the implementation follows.

--- /dev/null
+++ b/src/distribution/PushTracker.h
@@ -0,0 +1,74 @@
+// Follows the pushes of one version until each child has acknowledged it.
+//
+// A child that stays silent for 300 ms or cannot be reached is bypassed: its own children in the tree are
+// adopted and pushed to. In another zone, where this node is no member of the tree, the next node in the
+// order is tried instead. A new version replaces the pushes of the earlier one. At most maxOutstanding
+// children are followed; those beyond that are left to the repair by summaries.
+#pragma once
+
+#include "base/Digest.h"
+#include "distribution/SpreadTree.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <memory>
+
+namespace skylark {
+
+struct PushOptions {
+    Duration acknowledgement { std::chrono::milliseconds(300) };
+    size_t maxOutstanding { 256 };
+    // Nodes of another zone that are tried one after the other.
+    size_t maxTriesPerZone { 3 };
+    // Of the receiver; bounds a loop when views differ.
+    uint32_t maxDepth { 16 };
+};
+
+struct PushTarget {
+    InstanceId id;
+    Endpoint endpoint;
+    uint32_t depth { 0 };
+};
+
+class PushTracker {
+public:
+    PushTracker(PushOptions options, InstanceId self, ZoneName zone);
+
+    // The children of this node in its zone's tree. A reader that read the version from the source is the
+    // origin and gets the first two of its zone's order and the first of each other zone as well.
+    std::vector<PushTarget> begin(std::shared_ptr<const MembershipView> view, uint64_t seed, const Digest& digest,
+        uint32_t ownDepth, bool isOrigin, TimePoint now);
+    void acknowledged(const InstanceId& child, const Digest& digest);
+    // The targets that replace an unreachable child.
+    std::vector<PushTarget> failed(const InstanceId& child, TimePoint now);
+    // The targets that replace the children which have been silent for too long.
+    std::vector<PushTarget> expire(TimePoint now);
+
+    const Digest& digest() const { return m_digest; }
+    size_t outstanding() const { return m_outstanding.size(); }
+
+private:
+    struct Outstanding {
+        TimePoint deadline;
+        uint32_t depth { 0 };
+        // Set for a root of another zone; the number of nodes tried there so far.
+        std::optional<ZoneName> otherZone;
+        size_t tries { 1 };
+    };
+    void add(const InstanceState& state, const Outstanding& outstanding, std::vector<PushTarget>& targets);
+    void addChildrenOf(const InstanceId& id, uint32_t depth, TimePoint now, std::vector<PushTarget>& targets);
+    void replace(const InstanceId& child, const Outstanding& lost, TimePoint now, std::vector<PushTarget>& targets);
+
+    PushOptions m_options;
+    InstanceId m_self;
+    ZoneName m_zone;
+    std::shared_ptr<const MembershipView> m_view;
+    std::optional<SpreadTree> m_tree;
+    uint64_t m_seed { 0 };
+    Digest m_digest;
+    absl::btree_map<InstanceId, Outstanding> m_outstanding;
+    // Everyone who was pushed this version, so that no child is adopted twice.
+    absl::flat_hash_set<InstanceId> m_pushed;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/membership/InstanceListJson.h
@@ -0,0 +1,19 @@
+// Reads the instance list of a zone as the platform publishes it under "skylarkbay/instances/<zone>".
+//
+// {"instances": [{"id", "incarnation", "peer": "host:port", "service", "zone", "region", "leaving": bool}]},
+// with an optional "revision", which must not exceed the one that the platform gave with the value.
+// Duplicate ids, unknown keys, a zone other than the key's and values of a wrong type are refused: the whole
+// list is then ignored, and the earlier one stays.
+#pragma once
+
+#include "membership/MembershipView.h"
+
+#include <string_view>
+
+namespace skylark {
+
+// Throws Error that names the place and what is allowed there.
+ZoneInstanceList instanceListFromJson(const ZoneName& zone, Revision revision, std::string_view text);
+std::string instanceListToJson(const ZoneInstanceList& list);
+
+} // namespace skylark
