Add the membership table and the instance list parser

Cause: every module chooses among instances by one merged view. Change: MembershipTable with the precedence rules, list deltas with a bounded history, own statements as bounded hearsay, the rule against acting on suspicion of most of a zone, clock gaps, and a view that is rebuilt only after a change; InstanceListJson refuses a list whole at the first fault. Conclusion: the table can be used by the distributor and the daemon.

--- a/src/base/Types.h
+++ b/src/base/Types.h
@@ -24,7 +24,8 @@
     }
 
     const T& value() const { return m_value; }
-    auto operator<=>(const Strong&) const = default;
+    // clang-tidy 14 takes the literal 0 of a rewritten comparison for a null pointer.
+    auto operator<=>(const Strong&) const = default; // NOLINT(modernize-use-nullptr)
     bool operator==(const Strong&) const = default;
 
     template <typename H> friend H AbslHashValue(H state, const Strong& strong)
--- /dev/null
+++ b/src/membership/InstanceListJson.cpp
@@ -0,0 +1,101 @@
+#include "membership/InstanceListJson.h"
+
+#include "base/Error.h"
+#include "base/Settings.h"
+
+#include <absl/container/btree_set.h>
+#include <nlohmann/json.hpp>
+
+namespace skylark {
+
+namespace {
+
+    constexpr const char* step = "read-instance-list";
+    // The platform's values are at most 1 MB; an entry takes at least 60 bytes of it.
+    constexpr size_t maxInstancesPerZone = 16384;
+    constexpr size_t maxListBytes = 1 << 20;
+    constexpr int64_t mostInteger = std::numeric_limits<int64_t>::max();
+
+    [[noreturn]] void refuse(const ZoneName& zone, const std::string& message)
+    {
+        throw Error({ .step = step,
+            .message = "instance list of zone \"" + zone.value() + "\": " + message,
+            .advice = "the earlier list stays in use; check what the platform publishes" });
+    }
+
+    nlohmann::json parse(const ZoneName& zone, std::string_view text)
+    {
+        if (text.size() > maxListBytes)
+            refuse(zone, "has " + std::to_string(text.size()) + " bytes; at most 1 MiB is allowed");
+        std::vector<absl::btree_set<std::string>> keys;
+        const auto refuseDuplicates = [&](int, nlohmann::json::parse_event_t event, nlohmann::json& value) {
+            if (event == nlohmann::json::parse_event_t::object_start)
+                keys.emplace_back();
+            else if (event == nlohmann::json::parse_event_t::object_end)
+                keys.pop_back();
+            else if (event == nlohmann::json::parse_event_t::key
+                && !keys.back().insert(value.get<std::string>()).second)
+                refuse(zone, "has the key \"" + value.get<std::string>() + "\" twice in one object");
+            return true;
+        };
+        try {
+            return nlohmann::json::parse(text, refuseDuplicates);
+        } catch (const nlohmann::json::exception& exception) {
+            refuse(zone, exception.what());
+        }
+    }
+
+    InstanceRecord readRecord(const ZoneName& zone, const nlohmann::json& value, const std::string& pointer)
+    {
+        SettingsReader reader(value, pointer);
+        InstanceRecord record;
+        record.id = InstanceId(reader.text("id"));
+        record.incarnation
+            = Incarnation(static_cast<uint64_t>(reader.integer("incarnation", std::nullopt, 0, mostInteger)));
+        record.peer = reader.endpoint("peer");
+        record.service = ServiceName(reader.text("service"));
+        record.zone = ZoneName(reader.text("zone"));
+        record.region = RegionName(reader.text("region"));
+        record.isLeaving = reader.boolean("leaving", false);
+        reader.finish();
+        if (record.id.value().empty())
+            reader.refuse("id", "a name that is not empty");
+        if (record.zone != zone)
+            reader.refuse("zone", "the zone of the list, \"" + zone.value() + "\"");
+        return record;
+    }
+
+} // namespace
+
+ZoneInstanceList instanceListFromJson(const ZoneName& zone, Revision revision, std::string_view text)
+{
+    const nlohmann::json json = parse(zone, text);
+    SettingsReader reader(json, "");
+    const auto mostRevision = static_cast<int64_t>(std::min<uint64_t>(revision.value(), mostInteger));
+    reader.integer("revision", 0, 0, mostRevision);
+    const nlohmann::json& instances = reader.value("instances");
+    reader.finish();
+    if (!instances.is_array() || instances.size() > maxInstancesPerZone)
+        reader.refuse("instances", "an array of at most " + std::to_string(maxInstancesPerZone) + " instances");
+    ZoneInstanceList list { .zone = zone, .revision = revision };
+    list.instances.reserve(instances.size());
+    absl::btree_set<std::string> ids;
+    for (size_t index = 0; index < instances.size(); ++index) {
+        list.instances.push_back(readRecord(zone, instances[index], "/instances/" + std::to_string(index)));
+        if (!ids.insert(list.instances.back().id.value()).second)
+            refuse(zone, "names the instance \"" + list.instances.back().id.value() + "\" twice");
+    }
+    return list;
+}
+
+std::string instanceListToJson(const ZoneInstanceList& list)
+{
+    nlohmann::json instances = nlohmann::json::array();
+    for (const InstanceRecord& record : list.instances)
+        instances.push_back({ { "id", record.id.value() }, { "incarnation", record.incarnation.value() },
+            { "peer", record.peer.toString() }, { "service", record.service.value() }, { "zone", record.zone.value() },
+            { "region", record.region.value() }, { "leaving", record.isLeaving } });
+    return nlohmann::json { { "revision", list.revision.value() }, { "instances", instances } }.dump();
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/membership/MembershipTable.cpp
@@ -0,0 +1,386 @@
+#include "membership/MembershipTable.h"
+
+#include "base/Invariant.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    // A receiver that is further behind gets the whole list, which is then no larger than the delta.
+    constexpr size_t maxHistorySteps = 64;
+    constexpr size_t maxHistoryIds = 2048;
+    constexpr size_t maxStatements = 64;
+
+    Condition conditionOf(bool isLeaving, bool isSuspect)
+    {
+        if (isLeaving)
+            return Condition::Leaving;
+        return isSuspect ? Condition::Suspect : Condition::Live;
+    }
+
+} // namespace
+
+MembershipTable::MembershipTable(MembershipOptions options)
+    : m_options(options)
+    , m_view(std::make_shared<const MembershipView>(std::vector<InstanceState> {}))
+{
+}
+
+bool MembershipTable::fits(const ZoneName& zone, size_t newSize) const
+{
+    size_t total = newSize;
+    for (const auto& [name, state] : m_zones)
+        total += name == zone ? 0 : state.listed.size();
+    return total <= m_options.maxInstances && (m_zones.contains(zone) || m_zones.size() < m_options.maxZones);
+}
+
+bool MembershipTable::isAcceptable(const ZoneName& zone, const std::vector<InstanceRecord>& records) const
+{
+    absl::btree_set<std::string_view> ids;
+    return std::all_of(records.begin(), records.end(), [&](const InstanceRecord& record) {
+        return record.zone == zone && !record.id.value().empty() && ids.insert(record.id.value()).second;
+    });
+}
+
+ListOutcome MembershipTable::applyList(const ZoneInstanceList& list, TimePoint now)
+{
+    const Revision held = listRevision(list.zone);
+    if (list.revision == held && held != Revision())
+        return ListOutcome::Unchanged;
+    if (list.revision < held)
+        return ListOutcome::WentBackward;
+    if (list.revision == Revision() || !isAcceptable(list.zone, list.instances)
+        || !fits(list.zone, list.instances.size()))
+        return ListOutcome::Refused;
+
+    ZoneState& zone = m_zones[list.zone];
+    absl::btree_map<InstanceId, InstanceRecord> before;
+    before.swap(zone.listed);
+    std::vector<InstanceId> changed;
+    for (const InstanceRecord& record : list.instances) {
+        zone.listed.emplace(record.id, record);
+        const auto old = before.find(record.id);
+        if (old == before.end() || old->second != record)
+            changed.push_back(record.id);
+        upsert(record, now);
+    }
+    for (const auto& [id, record] : before) {
+        if (zone.listed.contains(id))
+            continue;
+        changed.push_back(id);
+        remove(id, list.zone);
+    }
+    recordStep(zone, list.revision, std::move(changed));
+    return ListOutcome::Applied;
+}
+
+ListOutcome MembershipTable::applyDelta(const ZoneListDelta& delta, TimePoint now)
+{
+    const Revision held = listRevision(delta.zone);
+    if (delta.toRevision == held && held != Revision())
+        return ListOutcome::Unchanged;
+    if (delta.toRevision < held)
+        return ListOutcome::WentBackward;
+    if (held == Revision() || delta.fromRevision != held)
+        return ListOutcome::BaseMismatch;
+    ZoneState& zone = m_zones[delta.zone];
+    if (!isAcceptable(delta.zone, delta.upserts) || !fits(delta.zone, zone.listed.size() + delta.upserts.size()))
+        return ListOutcome::Refused;
+
+    std::vector<InstanceId> changed;
+    for (const InstanceRecord& record : delta.upserts) {
+        zone.listed.insert_or_assign(record.id, record);
+        changed.push_back(record.id);
+        upsert(record, now);
+    }
+    for (const InstanceId& id : delta.removals) {
+        if (zone.listed.erase(id) == 0)
+            continue;
+        changed.push_back(id);
+        remove(id, delta.zone);
+    }
+    recordStep(zone, delta.toRevision, std::move(changed));
+    return ListOutcome::Applied;
+}
+
+void MembershipTable::recordStep(ZoneState& zone, Revision to, std::vector<InstanceId> changed)
+{
+    invariant(zone.revision < to, { .rule = "a list's revision never goes back", .step = "apply-list" });
+    if (zone.revision == Revision() || changed.size() > maxHistoryIds)
+        zone.history.clear();
+    else
+        zone.history.push_back({ .from = zone.revision, .to = to, .changed = std::move(changed) });
+    zone.revision = to;
+    size_t ids = 0;
+    for (const HistoryStep& step : zone.history)
+        ids += step.changed.size();
+    while (zone.history.size() > maxHistorySteps || ids > maxHistoryIds) {
+        ids -= zone.history.front().changed.size();
+        zone.history.pop_front();
+    }
+}
+
+void MembershipTable::restart(Entry& entry, TimePoint now)
+{
+    entry = Entry { .record = std::move(entry.record), .firstSeen = now, .since = now };
+    m_isChanged = true;
+}
+
+void MembershipTable::upsert(const InstanceRecord& record, TimePoint now)
+{
+    Entry& entry = m_entries[record.id];
+    const bool isNew = entry.record.id.value().empty();
+    // The list lags: a newer process was observed directly, and the list will follow.
+    if (!isNew && entry.record.incarnation > record.incarnation)
+        return;
+    const bool isRestarted = isNew || entry.record.incarnation < record.incarnation;
+    if (entry.record == record)
+        return;
+    entry.record = record;
+    if (isRestarted)
+        restart(entry, now);
+    refresh(entry, now);
+    m_isChanged = true;
+}
+
+void MembershipTable::remove(const InstanceId& id, const ZoneName& zone)
+{
+    const auto found = m_entries.find(id);
+    // The instance may have moved to a zone whose list arrived first.
+    if (found == m_entries.end() || found->second.record.zone != zone)
+        return;
+    m_entries.erase(found);
+    m_unsettled.erase(id);
+    m_isChanged = true;
+}
+
+MembershipTable::Entry* MembershipTable::observed(const InstanceId& id, Incarnation incarnation, TimePoint now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || incarnation < found->second.record.incarnation)
+        return nullptr;
+    Entry& entry = found->second;
+    if (incarnation > entry.record.incarnation) {
+        entry.record.incarnation = incarnation;
+        entry.record.isLeaving = false;
+        restart(entry, now);
+    }
+    return &entry;
+}
+
+bool MembershipTable::hasRecentDirect(const Entry& entry, TimePoint now) const
+{
+    return entry.lastDirect && now - *entry.lastDirect < m_options.directPrecedence;
+}
+
+void MembershipTable::refresh(Entry& entry, TimePoint now)
+{
+    const bool isLeaving = entry.leavingNotice || entry.record.isLeaving || entry.leavingHearsay;
+    const Condition condition = conditionOf(isLeaving, entry.suspicion.has_value());
+    if (entry.suspicion || entry.leavingHearsay || entry.leavingNotice)
+        m_unsettled.insert(entry.record.id);
+    if (condition == entry.shown)
+        return;
+    entry.shown = condition;
+    entry.since = now;
+    m_isChanged = true;
+}
+
+void MembershipTable::observeSuccess(const InstanceId& id, Incarnation incarnation, TimePoint now)
+{
+    Entry* entry = observed(id, incarnation, now);
+    if (!entry)
+        return;
+    entry->lastDirect = now;
+    if (!entry->suspicion)
+        return;
+    entry->suspicion.reset();
+    refresh(*entry, now);
+}
+
+void MembershipTable::observeFailure(const InstanceId& id, Incarnation incarnation, TimePoint now)
+{
+    Entry* entry = observed(id, incarnation, now);
+    if (!entry)
+        return;
+    entry->lastDirect = now;
+    entry->suspicion = Evidence { .at = now, .isDirect = true };
+    refresh(*entry, now);
+}
+
+void MembershipTable::observeLeaving(const InstanceId& id, Incarnation incarnation, TimePoint now)
+{
+    Entry* entry = observed(id, incarnation, now);
+    if (!entry)
+        return;
+    entry->lastDirect = now;
+    if (!entry->leavingNotice)
+        entry->leavingNotice = now;
+    refresh(*entry, now);
+}
+
+void MembershipTable::applyHearsay(const Hearsay& statement, TimePoint now)
+{
+    const auto found = m_entries.find(statement.subject);
+    if (found == m_entries.end() || found->second.record.incarnation != statement.incarnation)
+        return;
+    Entry& entry = found->second;
+    const TimePoint at = now - std::clamp(statement.age, Duration::zero(), m_options.suspicionLifetime);
+    const bool isOlderThanDirect = entry.lastDirect && *entry.lastDirect >= at;
+    if (isOlderThanDirect || hasRecentDirect(entry, now) || now - at >= m_options.suspicionLifetime)
+        return;
+    const Evidence evidence { .at = at, .isDirect = false };
+    if (statement.condition == Condition::Suspect && (!entry.suspicion || entry.suspicion->at < at))
+        entry.suspicion = evidence;
+    if (statement.condition == Condition::Leaving && (!entry.leavingHearsay || entry.leavingHearsay->at < at))
+        entry.leavingHearsay = evidence;
+    refresh(entry, now);
+}
+
+void MembershipTable::advance(TimePoint now)
+{
+    const auto hasLapsed = [&](const std::optional<Evidence>& evidence) {
+        return evidence && now - evidence->at >= m_options.suspicionLifetime;
+    };
+    for (auto next = m_unsettled.begin(); next != m_unsettled.end();) {
+        Entry& entry = m_entries.at(*next);
+        if (hasLapsed(entry.suspicion))
+            entry.suspicion.reset();
+        if (hasLapsed(entry.leavingHearsay))
+            entry.leavingHearsay.reset();
+        refresh(entry, now);
+        const bool isNoticePassedOn = !entry.leavingNotice || now - *entry.leavingNotice >= m_options.directPrecedence;
+        const bool isSettled = !entry.suspicion && !entry.leavingHearsay && isNoticePassedOn;
+        next = isSettled ? m_unsettled.erase(next) : std::next(next);
+    }
+}
+
+void MembershipTable::noteClockGap(TimePoint now)
+{
+    // A leaving notice stays: an incarnation that is leaving does not come back.
+    for (auto& [id, entry] : m_entries) {
+        entry.lastDirect.reset();
+        if (!entry.suspicion || !entry.suspicion->isDirect)
+            continue;
+        entry.suspicion.reset();
+        refresh(entry, now);
+    }
+}
+
+bool MembershipTable::publishIfChanged()
+{
+    if (!m_isChanged)
+        return false;
+    m_isChanged = false;
+    struct Count {
+        size_t members { 0 };
+        size_t suspects { 0 };
+    };
+    absl::btree_map<ZoneName, Count> counts;
+    for (const auto& [id, entry] : m_entries) {
+        Count& count = counts[entry.record.zone];
+        ++count.members;
+        count.suspects += entry.shown == Condition::Suspect ? 1 : 0;
+    }
+    std::vector<InstanceState> states;
+    states.reserve(m_entries.size());
+    for (const auto& [id, entry] : m_entries) {
+        const Count& count = counts[entry.record.zone];
+        const bool isObserverDoubtful = count.suspects * 2 > count.members;
+        const bool isIgnored = entry.shown == Condition::Suspect && isObserverDoubtful;
+        states.push_back({ .record = entry.record,
+            .condition = isIgnored ? Condition::Live : entry.shown,
+            .since = entry.since,
+            .firstSeen = entry.firstSeen });
+    }
+    invariant(states.size() <= m_options.maxInstances,
+        { .rule = "the table holds at most its bound of instances", .step = "publish-view" });
+    m_view = std::make_shared<const MembershipView>(std::move(states));
+    return true;
+}
+
+std::vector<Hearsay> MembershipTable::statements(TimePoint now) const
+{
+    std::vector<Hearsay> result;
+    const auto add = [&](const Entry& entry, Condition condition, TimePoint at) {
+        if (now - at < m_options.directPrecedence)
+            result.push_back({ .subject = entry.record.id,
+                .incarnation = entry.record.incarnation,
+                .condition = condition,
+                .age = now - at });
+    };
+    for (const InstanceId& id : m_unsettled) {
+        const Entry& entry = m_entries.at(id);
+        if (entry.suspicion && entry.suspicion->isDirect)
+            add(entry, Condition::Suspect, entry.suspicion->at);
+        if (entry.leavingNotice)
+            add(entry, Condition::Leaving, *entry.leavingNotice);
+    }
+    std::stable_sort(
+        result.begin(), result.end(), [](const Hearsay& left, const Hearsay& right) { return left.age < right.age; });
+    if (result.size() > maxStatements)
+        result.resize(maxStatements);
+    return result;
+}
+
+Revision MembershipTable::listRevision(const ZoneName& zone) const
+{
+    const auto found = m_zones.find(zone);
+    return found == m_zones.end() ? Revision() : found->second.revision;
+}
+
+std::vector<std::pair<ZoneName, Revision>> MembershipTable::listRevisions() const
+{
+    std::vector<std::pair<ZoneName, Revision>> result;
+    for (const auto& [name, zone] : m_zones)
+        result.emplace_back(name, zone.revision);
+    return result;
+}
+
+Digest MembershipTable::listsDigest() const
+{
+    std::string text;
+    for (const auto& [name, zone] : m_zones)
+        text += name.value() + '\0' + std::to_string(zone.revision.value()) + '\0';
+    return digestOf(text);
+}
+
+std::optional<ZoneListDelta> MembershipTable::deltaSince(const ZoneName& name, Revision from) const
+{
+    const auto found = m_zones.find(name);
+    if (found == m_zones.end())
+        return std::nullopt;
+    const ZoneState& zone = found->second;
+    auto step = std::find_if(
+        zone.history.begin(), zone.history.end(), [&](const HistoryStep& each) { return each.from == from; });
+    if (step == zone.history.end())
+        return std::nullopt;
+    absl::btree_set<InstanceId> changed;
+    for (; step != zone.history.end(); ++step)
+        changed.insert(step->changed.begin(), step->changed.end());
+    ZoneListDelta delta { .zone = name, .fromRevision = from, .toRevision = zone.revision };
+    for (const InstanceId& id : changed) {
+        const auto record = zone.listed.find(id);
+        if (record == zone.listed.end())
+            delta.removals.push_back(id);
+        else
+            delta.upserts.push_back(record->second);
+    }
+    return delta;
+}
+
+std::optional<ZoneInstanceList> MembershipTable::wholeList(const ZoneName& name) const
+{
+    const auto found = m_zones.find(name);
+    if (found == m_zones.end())
+        return std::nullopt;
+    ZoneInstanceList list { .zone = name, .revision = found->second.revision };
+    list.instances.reserve(found->second.listed.size());
+    for (const auto& [id, record] : found->second.listed)
+        list.instances.push_back(record);
+    return list;
+}
+
+} // namespace skylark
--- a/src/membership/MembershipTable.h
+++ b/src/membership/MembershipTable.h
@@ -15,7 +15,7 @@
 #include "membership/MembershipView.h"
 
 #include <absl/container/btree_map.h>
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/btree_set.h>
 #include <deque>
 #include <optional>
 
@@ -87,8 +87,8 @@
         InstanceRecord record;
         TimePoint firstSeen;
         TimePoint since;
-        // The own leaving notice of this incarnation arrived.
-        bool hasLeavingNotice { false };
+        // When the own leaving notice of this incarnation arrived.
+        std::optional<TimePoint> leavingNotice;
         std::optional<Evidence> suspicion;
         // A peer's statement that the instance is leaving; lapses like suspicion unless the list confirms it.
         std::optional<Evidence> leavingHearsay;
@@ -107,12 +107,14 @@
         std::deque<HistoryStep> history;
     };
 
-    bool isAcceptable(const ZoneName& zone, const std::vector<InstanceRecord>& records, size_t removed) const;
+    bool isAcceptable(const ZoneName& zone, const std::vector<InstanceRecord>& records) const;
+    bool fits(const ZoneName& zone, size_t newSize) const;
     void upsert(const InstanceRecord& record, TimePoint now);
     void remove(const InstanceId& id, const ZoneName& zone);
-    void recordStep(ZoneState& zone, Revision to, std::vector<InstanceId> changed);
+    static void recordStep(ZoneState& zone, Revision to, std::vector<InstanceId> changed);
     // The entry that an observation is about; null if unknown or of an older incarnation.
     Entry* observed(const InstanceId& id, Incarnation incarnation, TimePoint now);
+    void restart(Entry& entry, TimePoint now);
     void refresh(Entry& entry, TimePoint now);
     bool hasRecentDirect(const Entry& entry, TimePoint now) const;
 
@@ -121,8 +123,8 @@
     absl::btree_map<ZoneName, ZoneState> m_zones;
     std::shared_ptr<const MembershipView> m_view;
     bool m_isChanged { false };
-    // Instances with suspicion or hearsay, so that advance() and statements() do not walk the table.
-    absl::btree_map<InstanceId, TimePoint> m_unsettled;
+    // Instances with suspicion, hearsay or a notice, so that advance() and statements() do not walk the table.
+    absl::btree_set<InstanceId> m_unsettled;
 };
 
 } // namespace skylark
--- /dev/null
+++ b/src/membership/tests/InstanceListJsonTest.cpp
@@ -0,0 +1,58 @@
+#include "membership/InstanceListJson.h"
+
+#include "base/Error.h"
+
+#include <gtest/gtest.h>
+
+namespace skylark {
+namespace {
+
+    const ZoneName zone("zone-a");
+    const std::string entry = R"({"id": "n1", "incarnation": 3, "peer": "127.0.0.1:7001", "service": "pitch",
+        "zone": "zone-a", "region": "region-1", "leaving": true})";
+
+    TEST(InstanceListJsonTest, ReadsWhatItWrites)
+    {
+        const ZoneInstanceList list
+            = instanceListFromJson(zone, Revision(9), R"({"revision": 7, "instances": [)" + entry + "]}");
+        ASSERT_EQ(list.instances.size(), 1U);
+        EXPECT_EQ(list.revision, Revision(9));
+        EXPECT_EQ(list.instances[0].incarnation, Incarnation(3));
+        EXPECT_TRUE(list.instances[0].isLeaving);
+        EXPECT_EQ(instanceListFromJson(zone, Revision(9), instanceListToJson(list)), list);
+    }
+
+    // Guards against half-read lists: each fault refuses the list and names its place.
+    TEST(InstanceListJsonTest, RefusesFaultsAndNamesThem)
+    {
+        const auto edited = [&](const std::string& from, const std::string& to) {
+            std::string text = entry;
+            text.replace(text.find(from), from.size(), to);
+            return R"({"instances": [)" + text + "]}";
+        };
+        const std::vector<std::pair<std::string, std::string>> cases {
+            { R"({"instances": [)" + entry + "," + entry + "]}", "twice" },
+            { edited("\"leaving\"", "\"leaves\""), "leaves" },
+            { edited("127.0.0.1:7001", "127.0.0.1"), "/instances/0/peer" },
+            { edited("zone-a", "zone-b"), "/instances/0/zone" },
+            { edited("\"n1\"", "\"\""), "/instances/0/id" },
+            { edited("3", "-3"), "/instances/0/incarnation" },
+            { edited("\"service\": \"pitch\"", "\"service\": 1"), "/instances/0/service" },
+            { edited("\"service\": \"pitch\"", "\"id\": \"n2\""), "twice in one object" },
+            { R"({"revision": 10, "instances": []})", "/revision" },
+            { R"({"instances": {}})", "/instances" },
+            { R"({"instances": [)" + entry, "parse error" },
+            { "[]", "not a JSON object" },
+        };
+        for (const auto& [text, expected] : cases) {
+            try {
+                instanceListFromJson(zone, Revision(9), text);
+                ADD_FAILURE() << "accepted " << text;
+            } catch (const Error& error) {
+                EXPECT_NE(std::string(error.what()).find(expected), std::string::npos) << error.what();
+            }
+        }
+    }
+
+} // namespace
+} // namespace skylark
--- /dev/null
+++ b/src/membership/tests/MembershipTableTest.cpp
@@ -0,0 +1,252 @@
+#include "membership/MembershipTable.h"
+
+#include "base/Random.h"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace skylark {
+namespace {
+
+    using std::chrono::seconds;
+
+    const ZoneName zoneA("zone-a");
+    const TimePoint start { std::chrono::hours(1) };
+
+    InstanceRecord record(const std::string& id, uint64_t incarnation = 1, bool isLeaving = false)
+    {
+        return { .id = InstanceId(id),
+            .incarnation = Incarnation(incarnation),
+            .peer = { .host = "127.0.0.1", .port = 7000 },
+            .service = ServiceName("pitch"),
+            .zone = zoneA,
+            .region = RegionName("region-1"),
+            .isLeaving = isLeaving };
+    }
+
+    ZoneInstanceList listOf(uint64_t revision, std::vector<InstanceRecord> records)
+    {
+        return { .zone = zoneA, .revision = Revision(revision), .instances = std::move(records) };
+    }
+
+    Hearsay hearsay(const std::string& id, Condition condition, Duration age = {}, uint64_t incarnation = 1)
+    {
+        return {
+            .subject = InstanceId(id), .incarnation = Incarnation(incarnation), .condition = condition, .age = age
+        };
+    }
+
+    class MembershipTableTest : public testing::Test {
+    protected:
+        // Gone where the view does not hold the instance.
+        Condition conditionOf(const std::string& id)
+        {
+            table.publishIfChanged();
+            const InstanceState* state = table.view()->find(InstanceId(id));
+            return state ? state->condition : Condition::Gone;
+        }
+        void fail(const std::string& id, TimePoint at) { table.observeFailure(InstanceId(id), Incarnation(1), at); }
+        void succeed(const std::string& id, TimePoint at) { table.observeSuccess(InstanceId(id), Incarnation(1), at); }
+
+        MembershipTable table { MembershipOptions {} };
+        std::vector<InstanceRecord> five { record("a"), record("b"), record("c"), record("d"), record("e") };
+    };
+
+    TEST_F(MembershipTableTest, ListRevisionNeverGoesBack)
+    {
+        EXPECT_EQ(table.applyList(listOf(5, five), start), ListOutcome::Applied);
+        EXPECT_EQ(table.applyList(listOf(4, {}), start), ListOutcome::WentBackward);
+        EXPECT_EQ(table.applyList(listOf(5, {}), start), ListOutcome::Unchanged);
+        EXPECT_EQ(conditionOf("a"), Condition::Live);
+        EXPECT_EQ(table.applyList(listOf(6, { record("b") }), start), ListOutcome::Applied);
+        EXPECT_EQ(conditionOf("a"), Condition::Gone);
+    }
+
+    TEST_F(MembershipTableTest, UnusableListIsRefusedWhole)
+    {
+        EXPECT_EQ(table.applyList(listOf(1, { record("a"), record("a") }), start), ListOutcome::Refused);
+        InstanceRecord stranger = record("b");
+        stranger.zone = ZoneName("zone-b");
+        EXPECT_EQ(table.applyList(listOf(1, { record("a"), stranger }), start), ListOutcome::Refused);
+        MembershipTable small({ .maxInstances = 4 });
+        EXPECT_EQ(small.applyList(listOf(1, five), start), ListOutcome::Refused);
+        EXPECT_EQ(table.listRevision(zoneA), Revision());
+    }
+
+    TEST_F(MembershipTableTest, SuspicionEndsWithSuccessOrAfterThirtySeconds)
+    {
+        table.applyList(listOf(1, five), start);
+        fail("a", start);
+        fail("b", start);
+        EXPECT_EQ(conditionOf("a"), Condition::Suspect);
+        succeed("a", start + seconds(1));
+        EXPECT_EQ(conditionOf("a"), Condition::Live);
+        table.advance(start + seconds(29));
+        EXPECT_EQ(conditionOf("b"), Condition::Suspect);
+        table.advance(start + seconds(30));
+        EXPECT_EQ(conditionOf("b"), Condition::Live);
+    }
+
+    TEST_F(MembershipTableTest, DirectObservationOverridesHearsayForTenSeconds)
+    {
+        table.applyList(listOf(1, five), start);
+        succeed("a", start);
+        table.applyHearsay(hearsay("a", Condition::Suspect), start + seconds(9));
+        EXPECT_EQ(conditionOf("a"), Condition::Live);
+        // Evidence that is older than the own observation says nothing new.
+        table.applyHearsay(hearsay("a", Condition::Suspect, seconds(12)), start + seconds(11));
+        EXPECT_EQ(conditionOf("a"), Condition::Live);
+        table.applyHearsay(hearsay("a", Condition::Suspect), start + seconds(11));
+        EXPECT_EQ(conditionOf("a"), Condition::Suspect);
+    }
+
+    TEST_F(MembershipTableTest, HearsayNeitherRestoresNorRevives)
+    {
+        table.applyList(listOf(1, five), start);
+        table.applyList(listOf(2, { record("b") }), start);
+        table.applyHearsay(hearsay("a", Condition::Live), start);
+        EXPECT_EQ(conditionOf("a"), Condition::Gone);
+        table.applyList(listOf(3, { record("b"), record("c", 1, true) }), start);
+        table.applyHearsay(hearsay("c", Condition::Live), start);
+        EXPECT_EQ(conditionOf("c"), Condition::Leaving);
+    }
+
+    TEST_F(MembershipTableTest, HigherIncarnationOverridesReportsOfTheLowerOne)
+    {
+        table.applyList(listOf(1, five), start);
+        fail("a", start);
+        table.observeLeaving(InstanceId("b"), Incarnation(1), start);
+        table.observeSuccess(InstanceId("a"), Incarnation(2), start + seconds(1));
+        table.observeSuccess(InstanceId("b"), Incarnation(2), start + seconds(1));
+        EXPECT_EQ(conditionOf("a"), Condition::Live);
+        EXPECT_EQ(conditionOf("b"), Condition::Live);
+        fail("a", start + seconds(2));
+        table.applyHearsay(hearsay("b", Condition::Leaving), start + seconds(20));
+        EXPECT_EQ(conditionOf("a"), Condition::Live);
+        EXPECT_EQ(conditionOf("b"), Condition::Live);
+        // A list that lags does not bring the lower incarnation back.
+        table.applyList(listOf(2, { record("a", 1, true), record("b") }), start + seconds(21));
+        EXPECT_EQ(conditionOf("a"), Condition::Live);
+        EXPECT_EQ(table.view()->find(InstanceId("a"))->record.incarnation, Incarnation(2));
+    }
+
+    TEST_F(MembershipTableTest, LeavingNoticeOverridesTheListAndSuccesses)
+    {
+        table.applyList(listOf(1, five), start);
+        table.observeLeaving(InstanceId("a"), Incarnation(1), start);
+        table.applyList(listOf(2, five), start);
+        succeed("a", start + seconds(1));
+        table.noteClockGap(start + seconds(40));
+        table.advance(start + seconds(50));
+        EXPECT_EQ(conditionOf("a"), Condition::Leaving);
+    }
+
+    TEST_F(MembershipTableTest, SuspicionOfMostOfAZoneIsNotActedOn)
+    {
+        table.applyList(listOf(1, five), start);
+        fail("a", start);
+        fail("b", start);
+        EXPECT_EQ(conditionOf("a"), Condition::Suspect);
+        fail("c", start);
+        EXPECT_EQ(conditionOf("a"), Condition::Live);
+        succeed("c", start);
+        EXPECT_EQ(conditionOf("a"), Condition::Suspect);
+    }
+
+    TEST_F(MembershipTableTest, ClockGapDropsDirectObservations)
+    {
+        table.applyList(listOf(1, five), start);
+        fail("a", start);
+        table.applyHearsay(hearsay("b", Condition::Suspect), start);
+        succeed("c", start);
+        table.noteClockGap(start + seconds(5));
+        EXPECT_EQ(conditionOf("a"), Condition::Live);
+        EXPECT_EQ(conditionOf("b"), Condition::Suspect);
+        // The success before the gap does not protect from hearsay any more.
+        table.applyHearsay(hearsay("c", Condition::Suspect), start + seconds(5));
+        EXPECT_EQ(conditionOf("c"), Condition::Suspect);
+    }
+
+    TEST_F(MembershipTableTest, StatementsAreDirectRecentAndBounded)
+    {
+        std::vector<InstanceRecord> many;
+        for (int index = 0; index < 200; ++index)
+            many.push_back(record("n" + std::to_string(index)));
+        table.applyList(listOf(1, many), start);
+        table.applyHearsay(hearsay("n199", Condition::Suspect), start);
+        fail("n198", start);
+        EXPECT_EQ(table.statements(start + seconds(9)).size(), 1U);
+        EXPECT_TRUE(table.statements(start + seconds(10)).empty());
+        for (int index = 0; index < 90; ++index)
+            fail("n" + std::to_string(index), start + std::chrono::milliseconds(index));
+        const std::vector<Hearsay> statements = table.statements(start + seconds(1));
+        ASSERT_EQ(statements.size(), 64U);
+        EXPECT_EQ(statements.front().subject, InstanceId("n89"));
+    }
+
+    TEST_F(MembershipTableTest, ViewIsRebuiltOnlyAfterAChange)
+    {
+        table.applyList(listOf(1, five), start);
+        EXPECT_TRUE(table.publishIfChanged());
+        const auto before = table.view();
+        succeed("a", start);
+        table.applyList(listOf(2, five), start);
+        EXPECT_FALSE(table.publishIfChanged());
+        EXPECT_EQ(table.view(), before);
+    }
+
+    TEST_F(MembershipTableTest, DeltaNeedsItsBase)
+    {
+        const ZoneListDelta delta {
+            .zone = zoneA, .fromRevision = Revision(3), .toRevision = Revision(5), .upserts = { record("z") }
+        };
+        EXPECT_EQ(table.applyDelta(delta, start), ListOutcome::BaseMismatch);
+        table.applyList(listOf(2, five), start);
+        EXPECT_EQ(table.applyDelta(delta, start), ListOutcome::BaseMismatch);
+        EXPECT_EQ(conditionOf("z"), Condition::Gone);
+        table.applyList(listOf(3, five), start);
+        EXPECT_EQ(table.applyDelta(delta, start), ListOutcome::Applied);
+        EXPECT_EQ(table.applyDelta(delta, start), ListOutcome::Unchanged);
+        EXPECT_EQ(conditionOf("z"), Condition::Live);
+    }
+
+    // Guards against deltas that lose or revive entries: a follower that is fed deltas from random held
+    // revisions must hold the same list as a plain map that is edited directly.
+    TEST(DeltaMergeTest, EqualsAPlainMap)
+    {
+        Random random(20260401);
+        for (int round = 0; round < 30; ++round) {
+            MembershipTable leader { MembershipOptions {} };
+            MembershipTable follower { MembershipOptions {} };
+            std::map<InstanceId, InstanceRecord> reference;
+            size_t deltas = 0;
+            for (uint64_t revision = 1; revision <= 120; ++revision) {
+                for (uint64_t edits = random.below(6); edits > 0; --edits) {
+                    const std::string id = "n" + std::to_string(random.below(40));
+                    if (random.below(3) == 0)
+                        reference.erase(InstanceId(id));
+                    else
+                        reference.insert_or_assign(
+                            InstanceId(id), record(id, 1 + random.below(3), random.below(4) == 0));
+                }
+                std::vector<InstanceRecord> records;
+                for (const auto& [id, each] : reference)
+                    records.push_back(each);
+                ASSERT_EQ(leader.applyList(listOf(revision, records), start), ListOutcome::Applied);
+                if (random.below(8) != 0)
+                    continue;
+                if (const auto delta = leader.deltaSince(zoneA, follower.listRevision(zoneA))) {
+                    ASSERT_EQ(follower.applyDelta(*delta, start), ListOutcome::Applied);
+                    ++deltas;
+                } else {
+                    ASSERT_EQ(follower.applyList(*leader.wholeList(zoneA), start), ListOutcome::Applied);
+                }
+                ASSERT_EQ(follower.wholeList(zoneA)->instances, records);
+                ASSERT_EQ(follower.listsDigest(), leader.listsDigest());
+            }
+            EXPECT_GT(deltas, 0U);
+        }
+    }
+
+} // namespace
+} // namespace skylark
