--- a/src/distribution/Distributor.h
+++ b/src/distribution/Distributor.h
@@ -20,6 +20,8 @@
 #include "distribution/VersionStore.h"
 #include "membership/MembershipTable.h"
 
+#include <absl/container/btree_set.h>
+
 namespace skylark {
 
 // The peer that a message came from, as it stated in its Hello.
@@ -50,6 +52,13 @@
     // The longest time between ticks that does not count as a pause of the process.
     Duration clockGap { std::chrono::seconds(2) };
     Duration startupHold { std::chrono::seconds(3) };
+    // When a starting node that got no list from its peers reads its zone's list from the source: after the
+    // delay and a random part of the spread. The spread keeps a fleet that starts at once within what the
+    // source serves, since the first nodes that read pass the list on.
+    Duration bootstrapDelay { std::chrono::seconds(2) };
+    Duration bootstrapSpread { std::chrono::seconds(10) };
+    // The spread of a node that has no peers to ask; it does not wait for the delay.
+    Duration loneBootstrapSpread { std::chrono::milliseconds(500) };
     uint64_t seed { 1 };
 };
 
@@ -87,9 +96,81 @@
         InstanceId reader;
         Revision revision;
         TimePoint attempt;
-        TimePoint success;
+        std::optional<TimePoint> success;
+    };
+    // The time before this node serves, at the start and after a pause.
+    struct Hold {
+        TimePoint since;
+        // Peers that answered; at most 3 are counted.
+        absl::btree_set<InstanceId> answered;
+    };
+    struct Peer {
+        InstanceId id;
+        Endpoint endpoint;
+        VersionOrder holds;
     };
-    struct HandleMessage;
+
+    // Distributor.cpp: time, peers and summaries.
+    void enter(TimePoint now);
+    Actions leave();
+    void resume(TimePoint now);
+    void beginHold(TimePoint now);
+    void updateHold(TimePoint now);
+    void publishView(TimePoint now);
+    void gossip(TimePoint now);
+    void sendSummary(const InstanceId& to, const Endpoint& endpoint, bool isReply, TimePoint now);
+    std::optional<Peer> randomPeer();
+    std::optional<Peer> randomMember(bool isOwnZone);
+    bool hasFreshMark(TimePoint now) const;
+    void send(const InstanceId& to, const Endpoint& endpoint, Message message);
+    void report(LogLevel level, const std::string& event, LogFields fields);
+    // For events that a peer or the source can cause at will.
+    void reportSeldom(const std::string& event, LogFields fields, TimePoint now);
+
+    // DistributorMessages.cpp: what peers send.
+    void on(const Summary& summary, const PeerInfo& from, TimePoint now);
+    void on(const PushVersion& push, const PeerInfo& from, TimePoint now);
+    void on(const PushAck& acknowledgement, const PeerInfo& from, TimePoint now);
+    void on(const FetchRequest& request, const PeerInfo& from, TimePoint now);
+    void on(const SnapshotPart& part, const PeerInfo& from, TimePoint now);
+    void on(const SectionBatch& batch, const PeerInfo& from, TimePoint now);
+    void on(const ListUpdate& update, const PeerInfo& from, TimePoint now);
+    void on(const HearsayBatch& batch, const PeerInfo& from, TimePoint now);
+    void on(const Leaving& leaving, const PeerInfo& from, TimePoint now);
+    template <typename Other> void on(const Other&, const PeerInfo&, TimePoint) { }
+    void noteMark(const FreshnessMark& mark, TimePoint now);
+    void noteRejectedByPeer(const RejectedVersion& rejected, const InstanceId& peer);
+    std::vector<SectionText> unpack(
+        const std::vector<CompressedSection>& sections, const PeerInfo& from, TimePoint now);
+    void answerLists(const FetchRequest& request, const PeerInfo& from, TimePoint now);
+
+    // DistributorRepair.cpp: pushes, and requests for what is missing.
+    void concludeOffer(OfferOutcome outcome, uint32_t depth, TimePoint now);
+    void push(const std::vector<PushTarget>& targets);
+    PushVersion pushMessage(VersionNumber baseVersion, const Digest& baseDigest) const;
+    std::vector<CompressedSection> pack(const std::vector<SectionDigest>& sections) const;
+    void spreadList(const ListUpdate& update, bool isOrigin);
+    ListUpdate listUpdate(const ZoneName& zone, Revision from) const;
+    void requestVersion(const Peer& from, bool wantsLists, TimePoint now);
+    void requestSnapshot(const Peer& from, bool wantsLists, TimePoint now);
+    void requestLists(const InstanceId& to, const Endpoint& endpoint, TimePoint now);
+    void requestSections(const InstanceId& to, const Endpoint& endpoint, TimePoint now);
+    void repairPending(TimePoint now);
+    // A peer that was heard to hold this version or a newer one; any peer where there is none.
+    std::optional<Peer> randomHolder(VersionOrder wanted);
+    void continueSnapshots(TimePoint now);
+    std::vector<std::pair<ZoneName, Revision>> heldLists() const;
+
+    // DistributorSource.cpp: what the source gives.
+    void driveSource(TimePoint now);
+    bool isKeyNeeded(const std::string& key, Revision revision, const absl::btree_set<std::string>& sections) const;
+    absl::btree_set<std::string> missingKeys() const;
+    Revision watchStart() const;
+    void wantChanged(const ChangedKey& changed, TimePoint now);
+    void concludeWatchFailure(const std::string& reason, TimePoint now);
+    void onManifest(const ReadAnswer& answer, TimePoint now);
+    void onInstances(const ZoneName& zone, const ReadAnswer& answer, TimePoint now);
+    void reportBackward(const std::string& what, Revision found, Revision held, TimePoint now);
 
     DistributorOptions m_options;
     Random m_random;
@@ -101,8 +182,39 @@
     SnapshotServer m_snapshots;
     SnapshotReceiver m_snapshot;
     Actions m_actions;
+
+    TimePoint m_lastEntry;
+    TimePoint m_nextSummary;
+    TimePoint m_nextPublish;
+    std::optional<Hold> m_hold;
     bool m_isServing { false };
+    // Other zones than the own one; at most as many as the table holds zones.
+    absl::btree_map<ZoneName, ZoneMark> m_zoneMarks;
     std::deque<RejectedVersion> m_rejectedByPeers;
+    // Peers that were heard of last, newest last; at most 8. They stand in where the list is of no use.
+    std::deque<Peer> m_acquaintances;
+    TimePoint m_lastHeard;
+    uint64_t m_round { 0 };
+    // By event; the events are a fixed set.
+    absl::btree_map<std::string, TimePoint> m_lastReports;
+
+    // The push of the current version, compressed once for all children.
+    std::optional<PushVersion> m_push;
+    // The manifest that this node read from the source itself.
+    Digest m_originDigest;
+    TimePoint m_versionAsked;
+    VersionOrder m_versionAskedFor;
+    TimePoint m_listsAsked;
+    TimePoint m_sectionsAsked;
+    TimePoint m_snapshotRetry;
+
+    // The list of the own zone was asked of the source at the start, and an answer came.
+    bool m_isListRead { false };
+    bool m_isReader { false };
+    TimePoint m_bootstrapDue;
+    // Where the next watch starts; empty until this node has watched since it became a reader.
+    std::optional<Revision> m_watchAfter;
+    Revision m_sourceRevision;
 };
 
 } // namespace skylark
--- /dev/null
+++ b/src/distribution/DistributorMessages.cpp
@@ -0,0 +1,233 @@
+#include "base/Error.h"
+#include "base/Invariant.h"
+#include "distribution/Compression.h"
+#include "distribution/Distributor.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    constexpr size_t maxAcquaintances = 8;
+    constexpr size_t maxRejectedByPeers = 64;
+    constexpr size_t peersToAsk = 3;
+    constexpr Duration never = std::chrono::hours(24);
+
+} // namespace
+
+void Distributor::noteMark(const FreshnessMark& mark, TimePoint now)
+{
+    m_selector.noteMark(mark, now);
+    const bool isKnown = m_zoneMarks.contains(mark.zone);
+    if (mark.zone == m_options.self.zone || (!isKnown && m_zoneMarks.size() >= m_options.membership.maxZones))
+        return;
+    ZoneMark& held = m_zoneMarks[mark.zone];
+    const TimePoint attempt = now - std::clamp(mark.sinceAttempt, Duration(), never);
+    if (attempt >= held.attempt) {
+        held.reader = mark.reader;
+        held.attempt = attempt;
+    }
+    held.revision = std::max(held.revision, mark.sourceRevision);
+    if (mark.sinceSuccess >= never)
+        return;
+    const TimePoint success = now - std::max(mark.sinceSuccess, Duration());
+    held.success = std::max(held.success.value_or(success), success);
+}
+
+void Distributor::noteRejectedByPeer(const RejectedVersion& rejected, const InstanceId& peer)
+{
+    const bool isKnown = std::any_of(m_rejectedByPeers.begin(), m_rejectedByPeers.end(),
+        [&](const RejectedVersion& each) { return each.digest == rejected.digest; });
+    if (isKnown)
+        return;
+    m_rejectedByPeers.push_back(rejected);
+    if (m_rejectedByPeers.size() > maxRejectedByPeers)
+        m_rejectedByPeers.pop_front();
+    reportSeldom("version-rejected-by-peer",
+        { { "version", std::to_string(rejected.version.value()) }, { "peer", peer.value() },
+            { "reason", rejected.reason } },
+        m_lastEntry);
+}
+
+void Distributor::on(const Summary& summary, const PeerInfo& from, TimePoint now)
+{
+    const VersionOrder theirs { .version = summary.version, .revision = summary.manifestRevision };
+    const VersionOrder mine = m_store.currentOrder();
+    const Peer peer { .id = from.id, .endpoint = from.endpoint, .holds = theirs };
+    std::erase_if(m_acquaintances, [&](const Peer& each) { return each.endpoint == from.endpoint; });
+    m_acquaintances.push_back(peer);
+    if (m_acquaintances.size() > maxAcquaintances)
+        m_acquaintances.pop_front();
+    if (m_hold && m_hold->answered.size() < peersToAsk)
+        m_hold->answered.insert(from.id);
+    for (const FreshnessMark& mark : summary.marks)
+        noteMark(mark, now);
+    for (const RejectedVersion& rejected : summary.rejected)
+        noteRejectedByPeer(rejected, from.id);
+
+    const bool isRejected = m_store.isRejected(summary.manifestDigest);
+    if (theirs.version != VersionNumber() && !isRejected)
+        m_store.noteSeen(theirs, now);
+    if (!summary.isReply)
+        sendSummary(from.id, from.endpoint, true, now);
+    const bool isListDifferent = summary.listsDigest != m_table.listsDigest();
+    if (theirs > mine && !isRejected)
+        requestVersion(peer, isListDifferent, now);
+    else if (isListDifferent)
+        requestLists(from.id, from.endpoint, now);
+}
+
+std::vector<SectionText> Distributor::unpack(
+    const std::vector<CompressedSection>& sections, const PeerInfo& from, TimePoint now)
+{
+    std::vector<SectionText> texts;
+    for (const CompressedSection& section : sections) {
+        std::optional<std::string> text = decompress(section.data, m_options.versions.maxSectionBytes);
+        if (text && digestOf(*text) == section.digest)
+            texts.push_back({ .name = section.name, .text = std::move(*text) });
+        else
+            reportSeldom("section-damaged", { { "section", section.name.value() }, { "peer", from.id.value() } }, now);
+    }
+    return texts;
+}
+
+void Distributor::on(const PushVersion& push, const PeerInfo& from, TimePoint now)
+{
+    const VersionOrder theirs { .version = push.manifest.version, .revision = push.manifest.revision };
+    const OfferOutcome outcome = theirs > m_store.currentOrder()
+        ? m_store.offerDelta(push.manifest, unpack(push.sections, from, now), now)
+        : OfferOutcome::Outdated;
+    const bool isApplied = m_store.currentOrder() >= theirs;
+    send(from.id, from.endpoint,
+        PushAck { .version = push.manifest.version, .digest = push.manifest.digest, .isApplied = isApplied });
+    concludeOffer(outcome, push.depth, now);
+    if (outcome == OfferOutcome::Pending && !m_store.missingSections().empty())
+        requestSections(from.id, from.endpoint, now);
+    else if (outcome == OfferOutcome::UnknownBase)
+        requestVersion({ .id = from.id, .endpoint = from.endpoint, .holds = theirs }, false, now);
+    else if (outcome == OfferOutcome::Outdated && m_store.currentOrder() > theirs)
+        sendSummary(from.id, from.endpoint, true, now);
+    else if (outcome == OfferOutcome::Invalid)
+        reportSeldom("push-invalid", { { "peer", from.id.value() } }, now);
+}
+
+void Distributor::on(const PushAck& acknowledgement, const PeerInfo& from, TimePoint)
+{
+    m_pushes.acknowledged(from.id, acknowledgement.digest);
+}
+
+void Distributor::answerLists(const FetchRequest& request, const PeerInfo& from, TimePoint now)
+{
+    absl::btree_map<ZoneName, Revision> theirs(request.listRevisions.begin(), request.listRevisions.end());
+    bool isBehind = false;
+    for (const auto& [zone, revision] : m_table.listRevisions()) {
+        const Revision held = theirs[zone];
+        if (held < revision)
+            send(from.id, from.endpoint, listUpdate(zone, held));
+    }
+    for (const auto& [zone, revision] : theirs)
+        isBehind = isBehind || m_table.listRevision(zone) < revision;
+    if (isBehind)
+        requestLists(from.id, from.endpoint, now);
+}
+
+void Distributor::on(const FetchRequest& request, const PeerInfo& from, TimePoint now)
+{
+    if (!request.listRevisions.empty())
+        answerLists(request, from, now);
+    if (!request.sections.empty()) {
+        SectionBatch batch { .sections = pack(request.sections) };
+        if (!batch.sections.empty())
+            send(from.id, from.endpoint, std::move(batch));
+        return;
+    }
+    if (request.holdsVersion > m_store.currentOrder().version)
+        return;
+    if (request.holdsVersion != VersionNumber()) {
+        PushVersion push = pushMessage(request.holdsVersion, request.holdsDigest);
+        push.depth = 1;
+        send(from.id, from.endpoint, std::move(push));
+        return;
+    }
+    // Without a version, the empty part says that the peer must ask elsewhere.
+    std::optional<SnapshotPart> part { std::in_place };
+    if (m_store.current())
+        part = m_snapshots.request(
+            from.id, from.endpoint, { request.snapshotDigest, request.snapshotOffset }, m_store, now);
+    if (part)
+        send(from.id, from.endpoint, std::move(*part));
+}
+
+void Distributor::on(const SnapshotPart& part, const PeerInfo& from, TimePoint now)
+{
+    switch (m_snapshot.accept(part, from.id, now)) {
+    case SnapshotReceiver::Progress::Ignored:
+        return;
+    case SnapshotReceiver::Progress::More:
+        requestSnapshot({ .id = from.id, .endpoint = from.endpoint }, false, now);
+        return;
+    case SnapshotReceiver::Progress::Busy:
+        m_snapshotRetry = now + m_random.upTo(std::chrono::milliseconds(400));
+        return;
+    case SnapshotReceiver::Progress::Complete:
+        break;
+    }
+    try {
+        DecodedSnapshot snapshot = decodeSnapshot(m_snapshot.take());
+        if (snapshot.manifest.digest() != part.manifestDigest)
+            throw Error({ .step = "decode-snapshot", .message = "the content does not have the stated digest" });
+        concludeOffer(m_store.offer(snapshot.manifest, std::move(snapshot.texts), now), 0, now);
+        const auto base = m_store.base();
+        // The version was held back: it serves as the base of a delta to the newer one.
+        if (m_store.currentOrder() < m_store.highestSeen() && base.first != VersionNumber())
+            requestVersion({ .id = from.id, .endpoint = from.endpoint, .holds = m_store.highestSeen() }, false, now);
+    } catch (const InvariantViolation&) {
+        throw;
+    } catch (const Error& error) {
+        reportSeldom("snapshot-unusable", { { "peer", from.id.value() }, { "error", error.what() } }, now);
+    }
+}
+
+void Distributor::on(const SectionBatch& batch, const PeerInfo& from, TimePoint now)
+{
+    const size_t missing = m_store.missingSections().size();
+    if (missing == 0)
+        return;
+    concludeOffer(m_store.offerTexts(unpack(batch.sections, from, now), now), 0, now);
+    const size_t left = m_store.missingSections().size();
+    if (left > 0 && left < missing)
+        requestSections(from.id, from.endpoint, now);
+}
+
+void Distributor::on(const ListUpdate& update, const PeerInfo& from, TimePoint now)
+{
+    const ZoneListDelta& delta = update.delta;
+    const ListOutcome outcome = update.isWhole
+        ? m_table.applyList({ .zone = delta.zone, .revision = delta.toRevision, .instances = delta.upserts }, now)
+        : m_table.applyDelta(delta, now);
+    if (outcome == ListOutcome::Applied)
+        spreadList(update, false);
+    else if (outcome == ListOutcome::BaseMismatch)
+        requestLists(from.id, from.endpoint, now);
+    else if (outcome == ListOutcome::Refused)
+        reportSeldom("list-refused", { { "zone", delta.zone.value() }, { "peer", from.id.value() } }, now);
+}
+
+void Distributor::on(const HearsayBatch& batch, const PeerInfo&, TimePoint now)
+{
+    constexpr size_t maxStatements = 64;
+    const size_t count = std::min(batch.statements.size(), maxStatements);
+    for (size_t index = 0; index < count; ++index)
+        if (batch.statements[index].subject != m_options.self.id)
+            m_table.applyHearsay(batch.statements[index], now);
+}
+
+void Distributor::on(const Leaving& leaving, const PeerInfo& from, TimePoint now)
+{
+    // Only the instance itself may say so; statements about others are hearsay.
+    if (leaving.instance == from.id)
+        m_table.observeLeaving(leaving.instance, leaving.incarnation, now);
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/distribution/DistributorRepair.cpp
@@ -0,0 +1,195 @@
+#include "distribution/Compression.h"
+#include "distribution/Distributor.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    // Of compressed texts in one message; a frame is at most 1 MiB.
+    constexpr size_t maxPackedBytes = 512 << 10;
+    // A single text beyond this does not fit a frame; it travels in snapshots and from the source only.
+    constexpr size_t maxPackedText = 1000 << 10;
+    constexpr size_t maxSectionsAsked = 1024;
+    // Time within which an answer is expected before another peer is asked.
+    constexpr Duration versionPatience = std::chrono::milliseconds(400);
+    constexpr Duration listsPatience = std::chrono::milliseconds(400);
+    constexpr Duration sectionsPatience = std::chrono::milliseconds(500);
+    // In a FetchRequest: no version is newer, so only lists or sections are asked for.
+    const VersionNumber noVersionWanted(std::numeric_limits<uint64_t>::max());
+
+} // namespace
+
+void Distributor::concludeOffer(OfferOutcome outcome, uint32_t depth, TimePoint now)
+{
+    if (outcome == OfferOutcome::Rejected) {
+        const RejectedVersion& rejected = m_store.rejected().back();
+        reportSeldom("version-rejected",
+            { { "version", std::to_string(rejected.version.value()) }, { "digest", rejected.digest.hex() },
+                { "reason", rejected.reason },
+                { "advice", "the last good version stays in force; accept a corrected one" } },
+            now);
+    }
+    if (outcome != OfferOutcome::Applied)
+        return;
+    const std::shared_ptr<const Configuration> current = m_store.current();
+    m_actions.emplace_back(PublishConfiguration { .configuration = current });
+    report(LogLevel::Info, "version-applied",
+        { { "version", std::to_string(current->manifest().version.value()) },
+            { "revision", std::to_string(current->manifest().revision.value()) },
+            { "digest", m_store.currentDigest().hex() } });
+    m_snapshot.abandon();
+    const auto [baseVersion, baseDigest] = m_store.previous();
+    m_push = pushMessage(baseVersion, baseDigest);
+    const bool isOrigin = m_originDigest == m_store.currentDigest();
+    push(m_pushes.begin(
+        m_table.view(), current->manifest().version.value(), m_store.currentDigest(), depth, isOrigin, now));
+}
+
+void Distributor::push(const std::vector<PushTarget>& targets)
+{
+    for (const PushTarget& target : targets) {
+        PushVersion message = *m_push;
+        message.depth = target.depth;
+        send(target.id, target.endpoint, std::move(message));
+    }
+}
+
+PushVersion Distributor::pushMessage(VersionNumber baseVersion, const Digest& baseDigest) const
+{
+    PushVersion message { .manifest = m_store.deltaFrom(baseVersion, baseDigest) };
+    // A whole manifest goes without texts: the receiver may hold most of them, and asks for the others.
+    if (message.manifest.baseVersion != VersionNumber())
+        message.sections = pack(message.manifest.changed);
+    return message;
+}
+
+std::vector<CompressedSection> Distributor::pack(const std::vector<SectionDigest>& sections) const
+{
+    std::vector<CompressedSection> packed;
+    size_t bytes = 0;
+    for (const SectionDigest& section : sections) {
+        const std::shared_ptr<const std::string> text = m_store.text(section.digest);
+        if (!text)
+            continue;
+        std::string data = compress(*text);
+        const bool isAlone = packed.empty() && data.size() <= maxPackedText;
+        if (!isAlone && bytes + data.size() > maxPackedBytes)
+            break;
+        bytes += data.size();
+        packed.push_back({ .name = section.name, .digest = section.digest, .data = std::move(data) });
+    }
+    return packed;
+}
+
+ListUpdate Distributor::listUpdate(const ZoneName& zone, Revision from) const
+{
+    if (std::optional<ZoneListDelta> delta = m_table.deltaSince(zone, from))
+        return { .delta = std::move(*delta) };
+    std::optional<ZoneInstanceList> whole = m_table.wholeList(zone);
+    if (!whole)
+        return { .delta = { .zone = zone }, .isWhole = true };
+    return { .delta = { .zone = zone, .toRevision = whole->revision, .upserts = std::move(whole->instances) },
+        .isWhole = true };
+}
+
+void Distributor::spreadList(const ListUpdate& update, bool isOrigin)
+{
+    const uint32_t depth = isOrigin ? 1 : update.depth + 1;
+    if (depth > m_options.push.maxDepth)
+        return;
+    const auto targets = spreadTargets(
+        *m_table.view(), m_options.self.id, m_options.self.zone, update.delta.toRevision.value(), isOrigin);
+    ListUpdate message = update;
+    message.depth = depth;
+    for (const InstanceState* target : targets)
+        send(target->record.id, target->record.peer, message);
+}
+
+std::vector<std::pair<ZoneName, Revision>> Distributor::heldLists() const
+{
+    auto held = m_table.listRevisions();
+    // An empty list would say that no lists are wanted.
+    if (held.empty())
+        held.emplace_back(m_options.self.zone, Revision());
+    return held;
+}
+
+void Distributor::requestVersion(const Peer& from, bool wantsLists, TimePoint now)
+{
+    const auto [baseVersion, baseDigest] = m_store.base();
+    if (baseVersion == VersionNumber()) {
+        if (!m_snapshot.isActive())
+            requestSnapshot(from, wantsLists, now);
+        return;
+    }
+    // One request for a version at a time, but a newer one need not wait for an older one's answer.
+    if (now - m_versionAsked < versionPatience && from.holds <= m_versionAskedFor)
+        return;
+    m_versionAsked = now;
+    m_versionAskedFor = from.holds;
+    FetchRequest request { .holdsVersion = baseVersion, .holdsDigest = baseDigest };
+    if (wantsLists)
+        request.listRevisions = heldLists();
+    send(from.id, from.endpoint, std::move(request));
+}
+
+void Distributor::requestSnapshot(const Peer& from, bool wantsLists, TimePoint now)
+{
+    m_snapshot.beginWith(from.id, from.endpoint, now);
+    const auto [digest, offset] = m_snapshot.position();
+    FetchRequest request { .snapshotDigest = digest, .snapshotOffset = offset };
+    if (wantsLists)
+        request.listRevisions = heldLists();
+    send(from.id, from.endpoint, std::move(request));
+}
+
+void Distributor::requestLists(const InstanceId& to, const Endpoint& endpoint, TimePoint now)
+{
+    if (now - m_listsAsked < listsPatience)
+        return;
+    m_listsAsked = now;
+    send(to, endpoint, FetchRequest { .holdsVersion = noVersionWanted, .listRevisions = heldLists() });
+}
+
+void Distributor::requestSections(const InstanceId& to, const Endpoint& endpoint, TimePoint now)
+{
+    std::vector<SectionDigest> missing = m_store.missingSections();
+    if (missing.empty())
+        return;
+    missing.resize(std::min(missing.size(), maxSectionsAsked));
+    m_sectionsAsked = now;
+    send(to, endpoint, FetchRequest { .holdsVersion = noVersionWanted, .sections = std::move(missing) });
+}
+
+void Distributor::repairPending(TimePoint now)
+{
+    if (now - m_sectionsAsked < sectionsPatience || m_store.missingSections().empty())
+        return;
+    const std::optional<Manifest> pending = m_store.pending();
+    if (const auto peer = randomHolder({ .version = pending->version, .revision = pending->revision }))
+        requestSections(peer->id, peer->endpoint, now);
+}
+
+std::optional<Distributor::Peer> Distributor::randomHolder(VersionOrder wanted)
+{
+    std::vector<Peer> holders;
+    std::copy_if(m_acquaintances.begin(), m_acquaintances.end(), std::back_inserter(holders),
+        [&](const Peer& peer) { return peer.holds >= wanted; });
+    return holders.empty() ? randomPeer() : holders[m_random.below(holders.size())];
+}
+
+void Distributor::continueSnapshots(TimePoint now)
+{
+    for (auto& [peer, part] : m_snapshots.due(now))
+        send(peer.first, peer.second, std::move(part));
+    const bool isRetryDue = m_snapshotRetry != TimePoint() && now >= m_snapshotRetry;
+    if (!m_snapshot.isActive() || !(isRetryDue || m_snapshot.isStalled(now)))
+        return;
+    m_snapshotRetry = {};
+    if (const std::optional<Peer> peer = randomHolder({ .version = VersionNumber(1) }))
+        requestSnapshot(*peer, false, now);
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/distribution/DistributorSource.cpp
@@ -0,0 +1,245 @@
+#include "base/Error.h"
+#include "base/Invariant.h"
+#include "distribution/Distributor.h"
+#include "membership/InstanceListJson.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    // A reader of rank r waits this much longer before it reads a changed key, in which time the value
+    // usually arrives from the reader of rank 0.
+    constexpr Duration readStagger = std::chrono::milliseconds(150);
+    // The list of another zone is read only if that zone's readers do not send it: the zone may be dead.
+    constexpr Duration otherZonePatience = std::chrono::seconds(3);
+    constexpr Duration unknownZonePatience = std::chrono::milliseconds(500);
+    // Peers that sent the manifest are asked for its texts first.
+    constexpr Duration sectionStagger = std::chrono::milliseconds(600);
+
+    std::string textOf(Revision revision) { return std::to_string(revision.value()); }
+
+} // namespace
+
+Revision Distributor::watchStart() const
+{
+    if (m_watchAfter)
+        return *m_watchAfter;
+    const Revision list = m_table.listRevision(m_options.self.zone);
+    if (!m_store.current() || list == Revision())
+        return {};
+    // Everything up to the older of the two is held; the watch lists the keys that changed since.
+    return std::min(list, m_store.currentOrder().revision);
+}
+
+absl::btree_set<std::string> Distributor::missingKeys() const
+{
+    absl::btree_set<std::string> keys;
+    for (const SectionDigest& section : m_store.missingSections())
+        keys.insert(sectionKey(section.name, section.digest));
+    return keys;
+}
+
+bool Distributor::isKeyNeeded(
+    const std::string& key, Revision revision, const absl::btree_set<std::string>& sections) const
+{
+    const std::optional<ZoneName> zone = zoneOfKey(key);
+    const bool isBootstrap = zone == m_options.self.zone && m_table.listRevision(*zone) == Revision();
+    if (isBootstrap)
+        return true;
+    if (!m_isReader)
+        return false;
+    if (zone)
+        return m_table.listRevision(*zone) < revision;
+    if (key != manifestKey)
+        return sections.contains(key);
+    const std::optional<Manifest> pending = m_store.pending();
+    const Revision held = std::max(m_store.currentOrder().revision, pending ? pending->revision : Revision());
+    return revision == Revision() || held < revision;
+}
+
+void Distributor::driveSource(TimePoint now)
+{
+    const SourceReader::Lost lost = m_source.lost(now);
+    if (lost.watch && m_source.endWatch(*lost.watch))
+        concludeWatchFailure("no answer", now);
+    for (const uint64_t number : lost.reads)
+        m_source.failRead(number, now, m_random);
+
+    const ZoneName& own = m_options.self.zone;
+    const bool hasList = m_table.listRevision(own) != Revision();
+    if (!hasList && !m_isListRead && now >= m_bootstrapDue)
+        m_source.want(instancesKey(own), Revision(), now);
+    m_isReader = (hasList || m_isListRead) && m_selector.shouldWatch(now);
+    if (!m_isReader)
+        m_watchAfter.reset();
+    else
+        m_selector.noteOwnAttempt(now);
+    const bool isWatchDue = m_isReader && !m_source.isWatching() && now >= m_selector.nextAttempt();
+    if (isWatchDue && m_selector.tryRead(now))
+        m_actions.emplace_back(m_source.beginWatch(watchStart(), now));
+
+    const absl::btree_set<std::string> sections = missingKeys();
+    if (m_isReader)
+        for (const std::string& key : sections)
+            m_source.want(key, Revision(), now + sectionStagger);
+    const auto isNeeded
+        = [&](const std::string& key, Revision revision) { return isKeyNeeded(key, revision, sections); };
+    for (ReadKey& read : m_source.dueReads(now, isNeeded, [&] { return m_selector.tryRead(now); }))
+        m_actions.emplace_back(std::move(read));
+}
+
+void Distributor::reportBackward(const std::string& what, Revision found, Revision held, TimePoint now)
+{
+    reportSeldom("source-went-backward",
+        { { "what", what }, { "found", textOf(found) }, { "held", textOf(held) },
+            { "advice", "a stale replica answered or the source was restored; nothing older is applied" } },
+        now);
+}
+
+void Distributor::concludeWatchFailure(const std::string& reason, TimePoint now)
+{
+    m_selector.noteOwnFailure(now, m_random);
+    reportSeldom("watch-failed", { { "reason", reason } }, now);
+}
+
+Actions Distributor::watchFailed(uint64_t number, const std::string& reason, TimePoint now)
+{
+    enter(now);
+    if (m_source.endWatch(number))
+        concludeWatchFailure(reason, now);
+    return leave();
+}
+
+void Distributor::wantChanged(const ChangedKey& changed, TimePoint now)
+{
+    if (changed.isDeleted)
+        return;
+    const Duration stagger = readStagger * static_cast<int64_t>(m_selector.rank());
+    if (changed.key == manifestKey) {
+        m_source.want(changed.key, changed.revision, now + stagger);
+        return;
+    }
+    const std::optional<ZoneName> zone = zoneOfKey(changed.key);
+    if (zone == m_options.self.zone) {
+        m_source.want(changed.key, changed.revision, now + stagger);
+    } else if (zone && m_selector.rank() == 0) {
+        const bool isUnknown = m_table.listRevision(*zone) == Revision();
+        m_source.want(changed.key, changed.revision, now + (isUnknown ? unknownZonePatience : otherZonePatience));
+    }
+}
+
+Actions Distributor::watchAnswered(uint64_t number, const WatchAnswer& answer, TimePoint now)
+{
+    enter(now);
+    if (!m_source.endWatch(number))
+        return leave();
+    const std::optional<FreshnessMark> mark = m_selector.mark(now);
+    const Revision known = std::max({ m_sourceRevision, mark ? mark->sourceRevision : Revision(),
+        m_store.currentOrder().revision, m_watchAfter.value_or(Revision()) });
+    if (answer.revision < known) {
+        reportBackward("watch", answer.revision, known, now);
+        m_selector.noteOwnFailure(now, m_random);
+        // A restored source may hold a version of a higher number under a lower revision.
+        m_source.want(manifestKey, Revision(), now);
+    } else {
+        m_selector.noteOwnSuccess(answer.revision, now);
+        m_sourceRevision = answer.revision;
+        m_watchAfter = answer.revision;
+    }
+    for (const ChangedKey& changed : answer.changed)
+        wantChanged(changed, now);
+    driveSource(now);
+    updateHold(now);
+    return leave();
+}
+
+Actions Distributor::readFailed(uint64_t number, const std::string& reason, TimePoint now)
+{
+    enter(now);
+    if (const std::optional<std::string> key = m_source.failRead(number, now, m_random))
+        reportSeldom("read-failed", { { "key", *key }, { "reason", reason } }, now);
+    return leave();
+}
+
+Actions Distributor::readAnswered(uint64_t number, const ReadAnswer& answer, TimePoint now)
+{
+    enter(now);
+    const std::optional<std::string> key = m_source.endRead(number, answer.revision, now, m_random);
+    if (!key)
+        return leave();
+    const std::optional<ZoneName> zone = zoneOfKey(*key);
+    if (zone == m_options.self.zone)
+        m_isListRead = true;
+    if (!answer.isFound)
+        reportSeldom("key-not-found", { { "key", *key } }, now);
+    else if (*key == manifestKey)
+        onManifest(answer, now);
+    else if (zone)
+        onInstances(*zone, answer, now);
+    else
+        concludeOffer(m_store.offerTexts({ { .text = answer.value } }, now), 0, now);
+    driveSource(now);
+    updateHold(now);
+    return leave();
+}
+
+void Distributor::onManifest(const ReadAnswer& answer, TimePoint now)
+{
+    Manifest manifest;
+    try {
+        manifest = m_options.parseManifest(answer.value);
+    } catch (const InvariantViolation&) {
+        throw;
+    } catch (const Error& error) {
+        reportSeldom("manifest-unusable",
+            { { "revision", textOf(answer.revision) }, { "error", error.what() },
+                { "advice", "the last good version stays in force; accept a corrected manifest" } },
+            now);
+        return;
+    }
+    manifest.revision = answer.revision;
+    const VersionOrder found { .version = manifest.version, .revision = manifest.revision };
+    const VersionOrder held = m_store.currentOrder();
+    if (found < held) {
+        reportBackward("manifest", found.revision, held.revision, now);
+        return;
+    }
+    const OfferOutcome outcome = m_store.offer(manifest, {}, now);
+    if (outcome == OfferOutcome::Pending || outcome == OfferOutcome::Applied)
+        m_originDigest = manifest.digest();
+    concludeOffer(outcome, 0, now);
+    if (outcome != OfferOutcome::Pending)
+        return;
+    for (const std::string& key : missingKeys())
+        m_source.want(key, Revision(), now);
+}
+
+void Distributor::onInstances(const ZoneName& zone, const ReadAnswer& answer, TimePoint now)
+{
+    const Revision before = m_table.listRevision(zone);
+    ZoneInstanceList list;
+    try {
+        list = instanceListFromJson(zone, answer.revision, answer.value);
+    } catch (const Error& error) {
+        reportSeldom("list-unusable", { { "zone", zone.value() }, { "error", error.what() } }, now);
+        return;
+    }
+    switch (m_table.applyList(list, now)) {
+    case ListOutcome::Applied:
+        spreadList(listUpdate(zone, before), true);
+        break;
+    case ListOutcome::WentBackward:
+        reportBackward("instances/" + zone.value(), answer.revision, before, now);
+        break;
+    case ListOutcome::Refused:
+        reportSeldom("list-refused", { { "zone", zone.value() } }, now);
+        break;
+    case ListOutcome::Unchanged:
+    case ListOutcome::BaseMismatch:
+        break;
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/distribution/ReaderSelector.cpp
@@ -0,0 +1,159 @@
+#include "distribution/ReaderSelector.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    // Readers of one zone that are remembered; more than 8 read only for the moment of a handover.
+    constexpr size_t maxHeard = 16;
+    // Those that hear of marks directly: enough that gossip has reached the ranks beyond before their
+    // longer silence ends.
+    constexpr size_t maxStandbys = 24;
+    // Stands for "never" in a mark, whose ages are not optional.
+    constexpr Duration never = std::chrono::hours(24);
+
+} // namespace
+
+uint64_t readerPriority(const InstanceId& id, const ZoneName& zone)
+{
+    constexpr uint64_t readerSeed = 0x7265616465727321;
+    return seededHash(id.value(), seededHash(zone.value(), readerSeed));
+}
+
+ReaderSelector::ReaderSelector(ReaderOptions options, InstanceId self, ZoneName zone, TimePoint now)
+    : m_options(options)
+    , m_self(std::move(self))
+    , m_zone(std::move(zone))
+    , m_started(now)
+    , m_nextAttempt(now)
+    , m_backoff(options.backoff)
+    , m_reads(options.reads, now)
+{
+}
+
+void ReaderSelector::setView(const MembershipView& view)
+{
+    std::vector<std::pair<uint64_t, const InstanceId*>> others;
+    const uint64_t own = readerPriority(m_self, m_zone);
+    m_rank = 0;
+    for (const InstanceState* member : view.ofZone(m_zone)) {
+        if (member->condition != Condition::Live || member->record.id == m_self)
+            continue;
+        const uint64_t priority = readerPriority(member->record.id, m_zone);
+        others.emplace_back(priority, &member->record.id);
+        m_rank += priority < own ? 1 : 0;
+    }
+    const size_t kept = std::min(maxStandbys, others.size());
+    std::partial_sort(others.begin(), others.begin() + static_cast<ptrdiff_t>(kept), others.end());
+    m_standbys.clear();
+    for (size_t index = 0; index < kept; ++index)
+        m_standbys.push_back(*others[index].second);
+}
+
+void ReaderSelector::note(const InstanceId& reader, const Heard& news)
+{
+    Heard& heard = m_heard[reader];
+    heard.revision = std::max(heard.revision, news.revision);
+    heard.attempt = std::max(heard.attempt, news.attempt);
+    if (news.success)
+        heard.success = std::max(heard.success.value_or(*news.success), *news.success);
+    if (m_heard.size() <= maxHeard)
+        return;
+    const auto oldest = std::min_element(m_heard.begin(), m_heard.end(),
+        [](const auto& left, const auto& right) { return left.second.attempt < right.second.attempt; });
+    m_heard.erase(oldest);
+}
+
+void ReaderSelector::noteMark(const FreshnessMark& mark, TimePoint now)
+{
+    if (mark.zone != m_zone || mark.reader == m_self)
+        return;
+    Heard news { .revision = mark.sourceRevision, .attempt = now - std::clamp(mark.sinceAttempt, Duration(), never) };
+    if (mark.sinceSuccess < never)
+        news.success = now - std::max(mark.sinceSuccess, Duration());
+    note(mark.reader, news);
+}
+
+void ReaderSelector::noteOwnAttempt(TimePoint now) { note(m_self, { .attempt = now }); }
+
+void ReaderSelector::noteOwnSuccess(Revision revision, TimePoint now)
+{
+    note(m_self, { .revision = revision, .attempt = now, .success = now });
+    m_backoff.reset();
+    m_nextAttempt = now;
+}
+
+void ReaderSelector::noteOwnFailure(TimePoint now, Random& random)
+{
+    note(m_self, { .attempt = now });
+    m_nextAttempt = now + m_backoff.next(random);
+}
+
+std::optional<TimePoint> ReaderSelector::lastSuccess() const
+{
+    std::optional<TimePoint> last;
+    for (const auto& [reader, heard] : m_heard)
+        last = std::max(last, heard.success);
+    return last;
+}
+
+TimePoint ReaderSelector::lastAttempt(bool isLowerRankedOnly) const
+{
+    const uint64_t own = readerPriority(m_self, m_zone);
+    TimePoint last = m_started;
+    for (const auto& [reader, heard] : m_heard)
+        if (reader != m_self && (!isLowerRankedOnly || readerPriority(reader, m_zone) < own))
+            last = std::max(last, heard.attempt);
+    return last;
+}
+
+size_t ReaderSelector::wantedReaders(TimePoint now) const
+{
+    const Duration failing = now - std::max(lastSuccess().value_or(m_started), m_started);
+    if (failing < m_options.failureStep)
+        return m_options.wantedReaders;
+    const auto steps = static_cast<size_t>((failing - m_options.failureStep) / m_options.failureStep);
+    return std::min(m_options.wantedReaders + steps, m_options.maxReaders);
+}
+
+bool ReaderSelector::shouldWatch(TimePoint now)
+{
+    if (m_rank < wantedReaders(now)) {
+        m_isReading = true;
+    } else if (m_isReading) {
+        m_isReading = now - lastAttempt(true) >= m_options.silence;
+    } else {
+        const Duration silence = m_options.silence + m_options.silencePerRank * static_cast<int64_t>(m_rank);
+        m_isReading = now - lastAttempt(false) >= silence;
+    }
+    return m_isReading;
+}
+
+std::optional<FreshnessMark> ReaderSelector::mark(TimePoint now) const
+{
+    const auto latest = std::max_element(m_heard.begin(), m_heard.end(),
+        [](const auto& left, const auto& right) { return left.second.attempt < right.second.attempt; });
+    if (latest == m_heard.end())
+        return std::nullopt;
+    Revision revision;
+    for (const auto& [reader, heard] : m_heard)
+        revision = std::max(revision, heard.revision);
+    const std::optional<TimePoint> success = lastSuccess();
+    return FreshnessMark { .zone = m_zone,
+        .reader = latest->first,
+        .sourceRevision = revision,
+        .sinceAttempt = now - latest->second.attempt,
+        .sinceSuccess = success ? now - *success : never };
+}
+
+void ReaderSelector::noteClockGap(TimePoint now)
+{
+    m_heard.clear();
+    m_started = now;
+    m_nextAttempt = now;
+    m_isReading = false;
+}
+
+} // namespace skylark
--- a/src/distribution/ReaderSelector.h
+++ b/src/distribution/ReaderSelector.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "base/Backoff.h"
+#include "base/Digest.h"
 #include "base/TokenBucket.h"
 #include "membership/MembershipView.h"
 #include "wire/Messages.h"
@@ -41,6 +42,8 @@
 
     // A peer's statement on its zone's readers; marks of other zones are ignored.
     void noteMark(const FreshnessMark& mark, TimePoint now);
+    // This node is on duty: it waits for an answer or for the end of a backoff. Backing off counts as trying,
+    // so that an outage of the source does not make the ranks beyond start one after the other.
     void noteOwnAttempt(TimePoint now);
     // An answer came; the revision is the source's newest.
     void noteOwnSuccess(Revision revision, TimePoint now);
@@ -48,7 +51,7 @@
 
     size_t wantedReaders(TimePoint now) const;
     // Whether this node is a reader now.
-    bool shouldWatch(TimePoint now) const;
+    bool shouldWatch(TimePoint now);
     // When a reader may make its next attempt.
     TimePoint nextAttempt() const { return m_nextAttempt; }
     // Takes a token for one read; false when the node has used its share.
@@ -65,14 +68,16 @@
         TimePoint attempt;
         std::optional<TimePoint> success;
     };
-    TimePoint lastAttempt() const;
+    void note(const InstanceId& reader, const Heard& news);
+    // By readers other than this node.
+    TimePoint lastAttempt(bool isLowerRankedOnly) const;
     std::optional<TimePoint> lastSuccess() const;
-    bool isLowerRanked(const InstanceId& id) const;
 
     ReaderOptions m_options;
     InstanceId m_self;
     ZoneName m_zone;
     size_t m_rank { 0 };
+    bool m_isReading { false };
     std::vector<InstanceId> m_standbys;
     // By reader; bounded by maxHeard, where the one with the oldest attempt gives way.
     absl::btree_map<InstanceId, Heard> m_heard;
--- a/src/distribution/Snapshot.h
+++ b/src/distribution/Snapshot.h
@@ -31,10 +31,10 @@
 
     // The part, or a part with totalBytes 0 when two others are being served. Empty when the part has to
     // wait for the pacing; due() gives it later.
-    std::optional<SnapshotPart> request(
-        const InstanceId& peer, const Digest& digest, uint64_t offset, const VersionStore& store, TimePoint now);
+    std::optional<SnapshotPart> request(const InstanceId& peer, const Endpoint& endpoint,
+        std::pair<Digest, uint64_t> position, const VersionStore& store, TimePoint now);
     // Parts that waited for the pacing.
-    std::vector<std::pair<InstanceId, SnapshotPart>> due(TimePoint now);
+    std::vector<std::pair<std::pair<InstanceId, Endpoint>, SnapshotPart>> due(TimePoint now);
     size_t sessions() const { return m_sessions.size(); }
 
 private:
@@ -44,6 +44,7 @@
     };
     struct Session {
         InstanceId peer;
+        Endpoint endpoint;
         std::shared_ptr<const Blob> blob;
         TimePoint lastUsed;
         std::optional<uint64_t> waitingOffset;
--- a/src/distribution/SourceReader.h
+++ b/src/distribution/SourceReader.h
@@ -37,13 +37,13 @@
 
     // Wants the value of a key as of a revision or later; an earlier due time replaces a later one.
     void want(const std::string& key, Revision revision, TimePoint due);
-    void forget(const std::string& key);
     // Drops the wanted keys for which this says that they are no longer needed, and gives the reads that are
     // due, as long as tryRead() lets them.
     std::vector<ReadKey> dueReads(TimePoint now, const std::function<bool(const std::string&, Revision)>& isNeeded,
         const std::function<bool()>& tryRead);
-    // The key of a finished read; empty where the number is unknown. It is no longer wanted.
-    std::optional<std::string> endRead(uint64_t number);
+    // The key of a finished read; empty where the number is unknown. It is no longer wanted, unless the answer
+    // is older than the revision that a watch named: a lagging replica gave it, and it is read again later.
+    std::optional<std::string> endRead(uint64_t number, Revision answered, TimePoint now, Random& random);
     // As endRead(), but the key is wanted again later.
     std::optional<std::string> failRead(uint64_t number, TimePoint now, Random& random);
     // The numbers of actions that got no answer in time; the first is the watch if isWatch.
@@ -57,6 +57,8 @@
     void reset();
 
 private:
+    std::optional<std::string> takeRead(uint64_t number);
+
     struct Wanted {
         Revision revision;
         TimePoint due;
@@ -68,6 +70,8 @@
         std::string key;
         TimePoint sent;
     };
+    static void postpone(Wanted& wanted, TimePoint now, Random& random);
+
     uint64_t m_lastNumber { 0 };
     std::optional<Request> m_watch;
     std::vector<Request> m_reads;
--- a/src/distribution/SpreadTree.h
+++ b/src/distribution/SpreadTree.h
@@ -35,4 +35,9 @@
 std::vector<const InstanceState*> firstInOrder(
     const MembershipView& view, const ZoneName& zone, uint64_t seed, size_t count);
 
+// Whom a node sends a change of its own zone's tree to: its children, and for the origin of the change also the
+// first two nodes of its zone and of each other zone.
+std::vector<const InstanceState*> spreadTargets(
+    const MembershipView& view, const InstanceId& self, const ZoneName& zone, uint64_t seed, bool isOrigin);
+
 } // namespace skylark
--- a/src/distribution/VersionStore.h
+++ b/src/distribution/VersionStore.h
@@ -41,9 +41,10 @@
 enum class OfferOutcome : uint8_t {
     // The version is in force now.
     Applied,
-    // Texts are missing; see missingSections().
+    // Texts are missing, see missingSections(), or the version is whole but held back since a peer was said to
+    // hold a newer one; it then serves as the base for that one.
     Pending,
-    // Not newer than what is in force, was seen or is pending.
+    // Not newer than what is in force or is pending.
     Outdated,
     // Rejected now or earlier.
     Rejected,
@@ -66,8 +67,10 @@
     // Texts that come with the manifest are used for it and kept only if it is applied or pending.
     OfferOutcome offer(const Manifest& manifest, std::vector<SectionText> texts, TimePoint now);
     OfferOutcome offerDelta(const ManifestDelta& delta, std::vector<SectionText> texts, TimePoint now);
-    // A text for the pending version.
-    OfferOutcome offerSection(const SectionDigest& section, std::string text, TimePoint now);
+    // Texts for the pending version; those that it does not name are ignored.
+    OfferOutcome offerTexts(std::vector<SectionText> texts, TimePoint now);
+    // Applies a whole version that was held back, once the newer one that a peer was said to hold is forgotten.
+    OfferOutcome advance(TimePoint now);
     // Notes a version that a peer holds: older ones are not applied for seenLifetime.
     void noteSeen(VersionOrder seen, TimePoint now);
 
@@ -91,7 +94,9 @@
     // The current manifest as the difference from a held earlier one; from the empty manifest when the base
     // is not in the history. Must not be called before a version is applied.
     ManifestDelta deltaFrom(VersionNumber baseVersion, const Digest& baseDigest) const;
-    // The base of the version before the current one, for a push.
+    // The newest version that is held whole, whether in force or held back; what a delta can start from.
+    std::pair<VersionNumber, Digest> base() const;
+    // The version before the current one, from which a push starts.
     std::pair<VersionNumber, Digest> previous() const { return m_previous; }
 
 private:
@@ -101,7 +106,6 @@
         Manifest manifest;
         Digest digest;
         TimePoint progressed;
-        size_t bytes { 0 };
         Texts texts;
     };
     struct HistoryStep {
@@ -111,14 +115,19 @@
         std::vector<SectionName> changed;
     };
 
-    OfferOutcome consider(const Manifest& manifest, TimePoint now) const;
+    // Pending where a version with this order and digest is of use.
+    OfferOutcome consider(VersionOrder order, const Digest& digest) const;
+    bool isHeldBack(VersionOrder order, TimePoint now) const;
     std::optional<Manifest> manifestFrom(const ManifestDelta& delta) const;
+    // Those of the given and held texts that the manifest names.
     Texts collect(const Manifest& manifest, std::vector<SectionText> texts) const;
     OfferOutcome assemble(Pending candidate, TimePoint now);
     OfferOutcome apply(Pending candidate);
     OfferOutcome reject(const Pending& candidate, const std::string& reason);
-    void publish(std::shared_ptr<const Configuration> configuration, Pending candidate);
+    std::variant<std::shared_ptr<const Configuration>, FaultLines> buildOnce(const Pending& candidate) const;
+    void putInForce(std::shared_ptr<const Configuration> configuration, Pending candidate);
     void recordStep(const Manifest& next);
+    static std::vector<SectionDigest> missingOf(const Pending& candidate);
 
     VersionStoreOptions m_options;
     std::shared_ptr<const Configuration> m_current;
--- /dev/null
+++ b/src/distribution/tests/RandomizedFleetTest.cpp
@@ -0,0 +1,174 @@
+// Long random runs of a small fleet. SKYLARK_SEED sets the first seed and SKYLARK_MINUTES how long to go on;
+// without them a fixed number of runs from a fixed seed is made.
+#include "Fleet.h"
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+
+namespace skylark {
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    constexpr Duration convergenceLimit = seconds(3);
+
+    uint64_t environmentNumber(const char* name, uint64_t fallback)
+    {
+        const char* value = std::getenv(name);
+        return value ? std::strtoull(value, nullptr, 10) : fallback;
+    }
+
+    class Scenario {
+    public:
+        explicit Scenario(uint64_t seed)
+            : m_random(seed)
+            , m_fleet(2 + m_random.below(2), 2 + m_random.below(9), seed, m_random.below(3) != 0)
+        {
+        }
+
+        void run()
+        {
+            m_fleet.accept();
+            for (size_t node = 0; node < m_fleet.nodes.size(); ++node)
+                m_fleet.start(node);
+            m_fleet.publishLists();
+            check("start", seconds(14));
+            for (int round = 0; round < 6 && !testing::Test::HasFailure(); ++round)
+                runRound();
+        }
+
+        Duration worst() const { return m_worst; }
+
+    private:
+        void runRound()
+        {
+            m_limitToFirst = seconds(3);
+            std::string faults;
+            for (uint64_t count = 1 + m_random.below(3); count > 0; --count)
+                faults += " " + addFault();
+            const uint64_t changes = 1 + m_random.below(5);
+            for (uint64_t change = 0; change < changes; ++change) {
+                m_fleet.run(m_random.upTo(seconds(4)));
+                if (m_random.below(4) == 0)
+                    m_fleet.publishLists();
+                m_fleet.accept(m_random.below(5) == 0);
+            }
+            m_fleet.run(m_random.upTo(seconds(8)));
+            heal();
+            check(faults, m_limitToFirst);
+        }
+
+        std::string addFault()
+        {
+            const size_t nodes = m_fleet.nodes.size();
+            switch (m_random.below(8)) {
+            case 0:
+                m_fleet.loss = 0.3;
+                return "loss";
+            case 1:
+                m_fleet.duplicates = 0.5;
+                m_fleet.maxDelay = milliseconds(800);
+                return "reordering";
+            case 2:
+                for (uint64_t count = 1 + m_random.below(nodes); count > 0; --count)
+                    m_fleet.pause(m_random.below(nodes));
+                return "pauses";
+            case 3:
+                for (uint64_t count = 1 + m_random.below(3); count > 0; --count)
+                    m_fleet.kill(m_random.below(nodes));
+                return "restarts";
+            case 4:
+                return killHerd();
+            case 5:
+                for (Fleet::Node& node : m_fleet.nodes)
+                    node.group = static_cast<int>(m_random.below(2));
+                // The side without the source may have held all readers.
+                m_limitToFirst = seconds(14);
+                return "partition";
+            case 6:
+                m_fleet.setSourceFault(m_random.below(2) ? Fleet::SourceFault::Silent : Fleet::SourceFault::Refusing);
+                m_limitToFirst = seconds(14);
+                return "outage";
+            default:
+                m_fleet.setSourceFault(Fleet::SourceFault::Stale);
+                m_limitToFirst = seconds(14);
+                return "stale";
+            }
+        }
+
+        std::string killHerd()
+        {
+            const bool isZone = m_random.below(2) == 0;
+            for (size_t node = 0; node < m_fleet.nodes.size(); ++node)
+                if (isZone ? m_fleet.nodes[node].record.zone == ZoneName("zone-0") : m_random.below(4) != 0)
+                    m_fleet.kill(node);
+            // When nobody is left who holds a list, the first start reads it after up to 12 s.
+            m_limitToFirst = seconds(14);
+            return isZone ? "zone-death" : "herd-death";
+        }
+
+        void heal()
+        {
+            m_fleet.loss = 0;
+            m_fleet.duplicates = 0;
+            m_fleet.maxDelay = milliseconds(5);
+            m_fleet.setSourceFault(Fleet::SourceFault::None);
+            for (size_t node = 0; node < m_fleet.nodes.size(); ++node) {
+                m_fleet.nodes[node].group = 0;
+                if (!m_fleet.isAlive(node))
+                    m_fleet.start(node);
+                else if (m_fleet.nodes[node].isPaused)
+                    m_fleet.resume(node);
+            }
+            m_fleet.publishLists();
+        }
+
+        // The first node must hold the newest version within the limit, and all others 3 s later.
+        void check(const std::string& faults, Duration limitToFirst)
+        {
+            const auto first = m_fleet.runUntil([&] { return m_fleet.isAnyNewest(); }, limitToFirst);
+            ASSERT_TRUE(first) << "no node reached version " << m_fleet.newestGood << " after:" << faults;
+            const auto all = m_fleet.runUntil([&] { return m_fleet.isConverged(); }, convergenceLimit);
+            ASSERT_TRUE(all) << "not all nodes reached version " << m_fleet.newestGood << " after:" << faults;
+            m_worst = std::max(m_worst, *all);
+            const auto lists = m_fleet.runUntil([&] { return m_fleet.haveEqualLists(); }, seconds(16));
+            ASSERT_TRUE(lists) << "the lists differ after:" << faults;
+            const auto isServing = [&] {
+                return std::all_of(m_fleet.nodes.begin(), m_fleet.nodes.end(),
+                    [](const Fleet::Node& node) { return node.distributor->isServing(); });
+            };
+            ASSERT_TRUE(m_fleet.runUntil(isServing, seconds(4))) << "a node does not serve after:" << faults;
+        }
+
+        Random m_random;
+        Fleet m_fleet;
+        Duration m_limitToFirst {};
+        Duration m_worst {};
+    };
+
+    // Guards against versions that go back, torn versions and nodes that stay behind, under losses,
+    // duplicates, reordering, pauses, restarts, herd deaths, partitions, outages and a stale source.
+    TEST(RandomizedFleetTest, ConvergesAfterFaults)
+    {
+        constexpr uint64_t runsInCi = 40;
+        const uint64_t firstSeed = environmentNumber("SKYLARK_SEED", 1000);
+        const auto soak = std::chrono::minutes(environmentNumber("SKYLARK_MINUTES", 0));
+        const auto begin = std::chrono::steady_clock::now();
+        Duration worst {};
+        for (uint64_t run = 0;; ++run) {
+            const bool isOver = soak.count() > 0 ? std::chrono::steady_clock::now() - begin >= soak : run >= runsInCi;
+            if (isOver || HasFailure()) {
+                std::printf("%llu runs, slowest convergence %lld ms\n", static_cast<unsigned long long>(run),
+                    static_cast<long long>(std::chrono::duration_cast<milliseconds>(worst).count()));
+                return;
+            }
+            SCOPED_TRACE("SKYLARK_SEED=" + std::to_string(firstSeed + run));
+            Scenario scenario(firstSeed + run);
+            scenario.run();
+            worst = std::max(worst, scenario.worst());
+        }
+    }
+
+} // namespace
+} // namespace skylark
