--- /dev/null
+++ b/src/admission/AdmissionController.h
@@ -0,0 +1,183 @@
+// Decides at the gate which calls run now, wait, or are refused.
+//
+// offer() each call, start what comes back as Admitted, and release() it exactly once when it has ended;
+// release() and advance() name the waiting calls to start and those that are refused. Call advance() every
+// 10 to 100 ms. Whatever is refused was never started: "not run" is true of it.
+//
+// Order: urgent ranks (low numbers) first, except that a rank whose share of slot time over the last 5 s is
+// below its floor goes ahead, on at most ceil(floor x limit) slots, so that a rank that was idle cannot claim
+// a whole window's slot time at once. Within a rank the earliest deadline goes first. A rank above its floor
+// leaves slots free for more urgent ranks when the next slot is not expected to become free within a tenth of
+// their target: then it leaves as many as the more urgent rank's recent arrivals occupy on average, and one.
+// Where slots turn over faster than that, an urgent arrival waits little and no slot needs to stay idle.
+//
+// Early refusal: a call whose estimated wait and service time exceed its deadline is refused at once. The
+// queues hold maxQueue calls at most. Beyond that the latest deadline of the lowest rank is dropped, among
+// ranks that hold more than floor x maxQueue places: without this, a flood of urgent calls would empty the
+// other ranks' queues and with them the floors.
+//
+// Slot time is the measured time between start and release. The object takes no lock and reads no clock;
+// share it as Guarded<AdmissionController> (base/Guarded.h). Each operation costs O(ranks + log maxQueue).
+#pragma once
+
+#include "admission/ConcurrencyLimit.h"
+#include "admission/SlotTime.h"
+#include "base/Types.h"
+#include "document/Configuration.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace skylark {
+
+using TicketId = Strong<struct TicketIdTag, uint64_t>;
+
+struct Ticket {
+    // Unique among the calls that wait or run.
+    TicketId id;
+    // Place in the list of ranks; a number past the end counts as the lowest rank.
+    int rank { 0 };
+    TimePoint deadline;
+    // Among equal deadlines of one rank, the higher worth goes first.
+    double worth { 1 };
+    // Expected service time; zero when unknown. Used until the rank's service time has been measured.
+    Duration costHint {};
+};
+
+enum class RefusalReason : uint8_t {
+    // The queues are full and this call was the least urgent.
+    QueueFull,
+    // It cannot finish before its deadline.
+    TooLate,
+    Draining,
+};
+
+const char* refusalReasonName(RefusalReason reason);
+
+struct RefusedTicket {
+    Ticket ticket;
+    RefusalReason reason { RefusalReason::TooLate };
+};
+
+enum class Admission : uint8_t {
+    Admitted,
+    Queued,
+    Refused,
+};
+
+struct AdmitResult {
+    Admission admission { Admission::Refused };
+    // Valid when refused.
+    RefusalReason reason { RefusalReason::TooLate };
+    // Calls that waited and were dropped to make room for this one.
+    std::vector<RefusedTicket> displaced;
+};
+
+// Calls that waited, and what becomes of them now.
+struct Dispatch {
+    std::vector<Ticket> started;
+    std::vector<RefusedTicket> refused;
+};
+
+enum class ServiceResult : uint8_t {
+    Answered,
+    // The backend server refused the call for lack of capacity.
+    Shed,
+    // No answer: says nothing about latency.
+    Failed,
+};
+
+// The rules that the head of this file describes.
+struct RankedAdmission { };
+// Baseline for measurements: one queue in order of arrival, no floors, no early refusal.
+struct FifoAdmission { };
+using AdmissionPolicy = std::variant<RankedAdmission, FifoAdmission>;
+
+struct AdmissionOptions {
+    std::vector<RankPolicy> ranks;
+    int slots { 1 };
+    int maxQueue { 256 };
+    AdmissionPolicy policy { RankedAdmission {} };
+};
+
+class AdmissionController {
+public:
+    AdmissionController(AdmissionOptions options, TimePoint now);
+
+    AdmitResult offer(const Ticket& ticket, TimePoint now);
+    Dispatch release(TicketId id, ServiceResult result, Duration serviceTime, TimePoint now);
+    Dispatch advance(TimePoint now);
+    // True when the call still waited: it will not run. False when it runs or is not known; a running call
+    // keeps its slot until release().
+    bool cancel(TicketId id);
+
+    // Refuses all new calls from now on; calls that wait or run are served.
+    void drain() { m_isDraining = true; }
+    bool isDraining() const { return m_isDraining; }
+    bool isIdle() const { return m_running.empty() && m_waiting.empty(); }
+
+    // Applies a new configuration version. Calls that wait keep their place; the limit is kept within bounds.
+    void reconfigure(AdmissionOptions options, TimePoint now);
+
+    int limit() const { return m_limit.value(); }
+    int inFlight() const { return static_cast<int>(m_running.size()); }
+    int queued() const { return static_cast<int>(m_waiting.size()); }
+    int queuedOf(int rank) const;
+    // Share of the capacity (limit x time) that the rank used over the last 5 s.
+    double shareOf(int rank, TimePoint now);
+    // Estimated time that a call of this rank would wait if it came now.
+    Duration estimatedWait(int rank, TimePoint now);
+
+private:
+    struct Waiting {
+        Ticket ticket;
+        uint64_t sequence { 0 };
+    };
+    struct Order {
+        bool operator()(const Waiting& left, const Waiting& right) const;
+    };
+    using Queue = std::set<Waiting, Order>;
+    struct Running {
+        int rank { 0 };
+        TimePoint since;
+    };
+    struct Rank {
+        RankPolicy policy;
+        Queue queue;
+        int inFlight { 0 };
+        ServiceTimeEstimate serviceTime;
+        // Offered work, in slots; see noteArrival().
+        RateEstimate arrivals;
+    };
+
+    bool isRanked() const { return std::holds_alternative<RankedAdmission>(m_options.policy); }
+    int clampRank(int rank) const;
+    Duration serviceTimeOf(int rank, Duration costHint) const;
+    bool isBelowFloor(int rank, TimePoint now);
+    // Whether a call of the rank may take a free slot although more urgent calls may come.
+    bool maySpareSlot(int rank, TimePoint now) const;
+    int reservedFor(int rank, int lesserRank, TimePoint now) const;
+    int nextRank(TimePoint now);
+    bool canFinish(const Ticket& ticket, TimePoint now);
+    void start(const Ticket& ticket, TimePoint now);
+    void enqueue(const Ticket& ticket);
+    void remove(int rank, Queue::const_iterator place);
+    // Makes a place for the ticket; false when the ticket itself is the one to drop.
+    bool makeRoom(const Ticket& ticket, std::vector<RefusedTicket>& displaced);
+    void refuseExpired(TimePoint now, std::vector<RefusedTicket>& refused);
+    void dispatch(TimePoint now, Dispatch& result);
+
+    AdmissionOptions m_options;
+    ConcurrencyLimit m_limit;
+    SlotTime m_slotTime;
+    std::vector<Rank> m_ranks;
+    // At most limit() entries at each start, and options.maxQueue entries.
+    absl::flat_hash_map<TicketId, Running> m_running;
+    absl::flat_hash_map<TicketId, Queue::const_iterator> m_waiting;
+    uint64_t m_sequence { 0 };
+    bool m_isDraining { false };
+};
+
+} // namespace skylark
