--- a/src/membership/MembershipView.cpp
+++ b/src/membership/MembershipView.cpp
@@ -23,8 +23,9 @@
     : m_instances(std::move(instances))
 {
     std::erase_if(m_instances, [](const InstanceState& state) { return state.condition == Condition::Gone; });
-    std::sort(m_instances.begin(), m_instances.end(),
-        [](const InstanceState& left, const InstanceState& right) { return left.record.id < right.record.id; });
+    std::sort(m_instances.begin(), m_instances.end(), [](const InstanceState& left, const InstanceState& right) {
+        return left.record.id.value() < right.record.id.value();
+    });
     for (const InstanceState& state : m_instances) {
         m_byId[state.record.id] = &state;
         m_byService[state.record.service].push_back(&state);
@@ -33,7 +34,8 @@
             m_zones.push_back(state.record.zone);
         zone.push_back(&state);
     }
-    std::sort(m_zones.begin(), m_zones.end());
+    std::sort(m_zones.begin(), m_zones.end(),
+        [](const ZoneName& left, const ZoneName& right) { return left.value() < right.value(); });
 }
 
 const InstanceState* MembershipView::find(const InstanceId& id) const
