--- /dev/null
+++ b/src/retry/ExecutionRecord.cpp
@@ -0,0 +1,171 @@
+#include "retry/ExecutionRecord.h"
+
+#include "base/Invariant.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    constexpr const char* step = "execution record";
+
+    Digest attemptDigest(const RequestId& requestId, uint32_t attempt)
+    {
+        return digestOf(requestId.value() + '\n' + std::to_string(attempt));
+    }
+
+    Digest keyDigest(const std::string& key) { return key.empty() ? Digest {} : digestOf(key); }
+
+} // namespace
+
+const char* claimRefusalName(ClaimRefusal reason)
+{
+    switch (reason) {
+    case ClaimRefusal::RefusedBefore:
+        return "this attempt was refused before";
+    case ClaimRefusal::RecordFull:
+        return "the execution record is full";
+    case ClaimRefusal::BeforePause:
+        return "the request was received before a pause of the process";
+    case ClaimRefusal::OtherIncarnation:
+        return "the request is meant for an earlier process of this instance";
+    }
+    return "unknown";
+}
+
+ExecutionRecord::ExecutionRecord(ExecutionRecordOptions options, TimePoint startedAt)
+    : m_options(options)
+    , m_refused(options.retention, startedAt)
+    , m_coveredSince(startedAt)
+    , m_lastAdvance(startedAt)
+    , m_acceptFrom(startedAt)
+{
+    m_entries.reserve(options.capacity);
+}
+
+Claim ExecutionRecord::claim(const ClaimRequest& request, TimePoint now)
+{
+    noticePause(now);
+    forgetEnded(now);
+    const Digest id = digestOf(request.requestId.value());
+    const Digest key = keyDigest(request.idempotencyKey);
+    if (const Entry* entry = find(id, key)) {
+        if (entry->isDone)
+            return ClaimDone { entry->outcome };
+        return ClaimRunning {};
+    }
+    // Before any refusal, since "not run" would be about more than this copy.
+    if (request.isResend && !isCovered(request, now))
+        return ClaimNotCovered {};
+    const Digest attempt = attemptDigest(request.requestId, request.attempt);
+    if (m_refused.contains(attempt))
+        return ClaimRefused { ClaimRefusal::RefusedBefore };
+    if (request.gate != m_options.gate)
+        return refuseClaim(request, ClaimRefusal::OtherIncarnation, now);
+    if (request.receivedAt < m_acceptFrom)
+        return refuseClaim(request, ClaimRefusal::BeforePause, now);
+    if (isFull())
+        return refuseClaim(request, ClaimRefusal::RecordFull, now);
+
+    const bool isNew = m_entries.emplace(id, Entry { .key = key, .attempt = attempt }).second;
+    const bool isNewKey = key == Digest {} || m_idOfKey.emplace(key, id).second;
+    invariant(isNew && isNewKey, { .rule = "a request is new only once", .step = step });
+    invariant(m_entries.size() <= m_options.capacity, { .rule = "the record keeps to its capacity", .step = step });
+    return ClaimNew {};
+}
+
+void ExecutionRecord::finish(const RequestId& requestId, CallOutcome outcome, TimePoint now)
+{
+    const Digest id = digestOf(requestId.value());
+    const auto found = m_entries.find(id);
+    invariant(found != m_entries.end() && !found->second.isDone,
+        { .rule = "a claimed request finishes once", .step = step, .peer = requestId.value() });
+    invariant(outcome != CallOutcome::NotRun,
+        { .rule = "a request handed to the backend server is not 'not run'", .step = step });
+    found->second.isDone = true;
+    found->second.outcome = outcome;
+    m_ended.push_back({ id, now });
+}
+
+void ExecutionRecord::refuse(const RequestId& requestId, uint32_t attempt, TimePoint now)
+{
+    const Digest id = digestOf(requestId.value());
+    const Digest digest = attemptDigest(requestId, attempt);
+    if (const auto found = m_entries.find(id); found != m_entries.end()) {
+        invariant(!found->second.isDone && found->second.attempt == digest,
+            { .rule = "only the claimed attempt is refused, and before it ends", .step = step });
+        erase(id);
+    }
+    m_refused.add(digest, now);
+}
+
+bool ExecutionRecord::wasRefused(const RequestId& requestId, uint32_t attempt) const
+{
+    return m_refused.contains(attemptDigest(requestId, attempt));
+}
+
+void ExecutionRecord::advance(TimePoint now)
+{
+    noticePause(now);
+    m_lastAdvance = now;
+    m_refused.advance(now);
+    forgetEnded(now);
+}
+
+void ExecutionRecord::noteOwnersChanged(TimePoint now) { m_coveredSince = std::max(m_coveredSince, now); }
+
+const ExecutionRecord::Entry* ExecutionRecord::find(const Digest& id, const Digest& key) const
+{
+    if (const auto found = m_entries.find(id); found != m_entries.end())
+        return &found->second;
+    if (key == Digest {})
+        return nullptr;
+    const auto owner = m_idOfKey.find(key);
+    if (owner == m_idOfKey.end())
+        return nullptr;
+    const auto found = m_entries.find(owner->second);
+    invariant(found != m_entries.end(), { .rule = "a key names a recorded request", .step = step });
+    return &found->second;
+}
+
+bool ExecutionRecord::isCovered(const ClaimRequest& request, TimePoint now) const
+{
+    // Without a key the copies may have gone to any gate.
+    return !request.idempotencyKey.empty() && now - m_coveredSince >= m_options.retention;
+}
+
+void ExecutionRecord::noticePause(TimePoint now)
+{
+    if (now - m_lastAdvance <= m_options.pauseGap)
+        return;
+    m_lastAdvance = now;
+    m_acceptFrom = now + m_options.settle;
+    // The instance may have been off the list meanwhile, and its keys with another gate.
+    noteOwnersChanged(now);
+}
+
+void ExecutionRecord::forgetEnded(TimePoint now)
+{
+    while (!m_ended.empty() && now - m_ended.front().at >= m_options.retention) {
+        erase(m_ended.front().id);
+        m_ended.pop_front();
+    }
+}
+
+void ExecutionRecord::erase(const Digest& id)
+{
+    const auto found = m_entries.find(id);
+    invariant(found != m_entries.end(), { .rule = "only recorded requests are dropped", .step = step });
+    if (found->second.key != Digest {})
+        m_idOfKey.erase(found->second.key);
+    m_entries.erase(found);
+}
+
+Claim ExecutionRecord::refuseClaim(const ClaimRequest& request, ClaimRefusal reason, TimePoint now)
+{
+    m_refused.add(attemptDigest(request.requestId, request.attempt), now);
+    return ClaimRefused { reason };
+}
+
+} // namespace skylark
--- a/src/retry/ExecutionRecord.h
+++ b/src/retry/ExecutionRecord.h
@@ -10,9 +10,9 @@
 // id, which the caller's node may send since the first is proved not run, may. All else is kept per id.
 //
 // Bounds: `capacity` requests run or ended within `retention`. At the bound new requests are refused (and
-// are "not run"); no entry is dropped early. Ids and keys are kept as 128-bit digests, which makes about
-// 10 MB at most. Refusals are kept in two Bloom filters of 1 MiB that alternate every `retention`: a flood of
-// refusals costs no memory, and a false match only refuses a request, which is always safe.
+// are "not run"); no entry is dropped early. Ids and keys are kept as 128-bit digests, which makes 15.5 MB when
+// full, filters included. Refusals are kept in two Bloom filters of 1 MiB that alternate every `retention`: a
+// flood of refusals costs no memory, and a false match only refuses a request, which is always safe.
 //
 // The object takes no lock; share it as Guarded<ExecutionRecord>. Call advance() every 100 ms: a gap of more
 // than pauseGap between calls means that the process was paused, and requests that were received before the
@@ -99,6 +99,8 @@
     struct Entry {
         // Zero digest when the request has no key.
         Digest key;
+        // Covers the id and the number of the attempt that was claimed.
+        Digest attempt;
         bool isDone { false };
         CallOutcome outcome { CallOutcome::Unknown };
     };
