Use one instance list parser and distinct names across the libraries

Cause: the list parser stood twice, and PeerInfo, ChangedKey and ExecutionRecord named different types in two libraries, which the linker would mix up. Change: the membership library's parser serves the stand-in platform as well; the distribution library says PeerIdentity and SourceChange, the stand-in backend server ExecutionLog.

--- a/src/distribution/Action.h
+++ b/src/distribution/Action.h
@@ -52,7 +52,7 @@
 using Action = std::variant<Send, Watch, ReadKey, PublishConfiguration, PublishMembership, ReportEvent>;
 
 // A key that a watch named.
-struct ChangedKey {
+struct SourceChange {
     std::string key;
     Revision revision;
     bool isDeleted { false };
@@ -61,7 +61,7 @@
 struct WatchAnswer {
     // The newest revision of the source.
     Revision revision;
-    std::vector<ChangedKey> changed;
+    std::vector<SourceChange> changed;
 };
 
 struct ReadAnswer {
--- a/src/distribution/Distributor.cpp
+++ b/src/distribution/Distributor.cpp
@@ -153,7 +153,7 @@
     return leave();
 }
 
-Actions Distributor::handle(const Message& message, const PeerInfo& from, TimePoint now)
+Actions Distributor::handle(const Message& message, const PeerIdentity& from, TimePoint now)
 {
     enter(now);
     m_lastHeard = now;
--- a/src/distribution/Distributor.h
+++ b/src/distribution/Distributor.h
@@ -25,7 +25,7 @@
 namespace skylark {
 
 // The peer that a message came from, as it stated in its Hello.
-struct PeerInfo {
+struct PeerIdentity {
     InstanceId id;
     Incarnation incarnation;
     // Where it listens, not the source port of the connection.
@@ -70,7 +70,7 @@
 
     Actions start(TimePoint now);
     Actions tick(TimePoint now);
-    Actions handle(const Message& message, const PeerInfo& from, TimePoint now);
+    Actions handle(const Message& message, const PeerIdentity& from, TimePoint now);
     // A peer could not be reached; the id may be empty.
     Actions sendFailed(const InstanceId& peer, const Endpoint& endpoint, TimePoint now);
 
@@ -128,21 +128,21 @@
     void reportSeldom(const std::string& event, LogFields fields, TimePoint now);
 
     // DistributorMessages.cpp: what peers send.
-    void on(const Summary& summary, const PeerInfo& from, TimePoint now);
-    void on(const PushVersion& push, const PeerInfo& from, TimePoint now);
-    void on(const PushAck& acknowledgement, const PeerInfo& from, TimePoint now);
-    void on(const FetchRequest& request, const PeerInfo& from, TimePoint now);
-    void on(const SnapshotPart& part, const PeerInfo& from, TimePoint now);
-    void on(const SectionBatch& batch, const PeerInfo& from, TimePoint now);
-    void on(const ListUpdate& update, const PeerInfo& from, TimePoint now);
-    void on(const HearsayBatch& batch, const PeerInfo& from, TimePoint now);
-    void on(const Leaving& leaving, const PeerInfo& from, TimePoint now);
-    template <typename Other> void on(const Other&, const PeerInfo&, TimePoint) { }
+    void on(const Summary& summary, const PeerIdentity& from, TimePoint now);
+    void on(const PushVersion& push, const PeerIdentity& from, TimePoint now);
+    void on(const PushAck& acknowledgement, const PeerIdentity& from, TimePoint now);
+    void on(const FetchRequest& request, const PeerIdentity& from, TimePoint now);
+    void on(const SnapshotPart& part, const PeerIdentity& from, TimePoint now);
+    void on(const SectionBatch& batch, const PeerIdentity& from, TimePoint now);
+    void on(const ListUpdate& update, const PeerIdentity& from, TimePoint now);
+    void on(const HearsayBatch& batch, const PeerIdentity& from, TimePoint now);
+    void on(const Leaving& leaving, const PeerIdentity& from, TimePoint now);
+    template <typename Other> void on(const Other&, const PeerIdentity&, TimePoint) { }
     void noteMark(const FreshnessMark& mark, TimePoint now);
     void noteRejectedByPeer(const RejectedVersion& rejected, const InstanceId& peer);
     std::vector<SectionText> unpack(
-        const std::vector<CompressedSection>& sections, const PeerInfo& from, TimePoint now);
-    void answerLists(const FetchRequest& request, const PeerInfo& from, TimePoint now);
+        const std::vector<CompressedSection>& sections, const PeerIdentity& from, TimePoint now);
+    void answerLists(const FetchRequest& request, const PeerIdentity& from, TimePoint now);
 
     // DistributorRepair.cpp: pushes, and requests for what is missing.
     void concludeOffer(OfferOutcome outcome, uint32_t depth, TimePoint now);
@@ -166,7 +166,7 @@
     bool isKeyNeeded(const std::string& key, Revision revision, const absl::btree_set<std::string>& sections) const;
     absl::btree_set<std::string> missingKeys() const;
     Revision watchStart() const;
-    void wantChanged(const ChangedKey& changed, TimePoint now);
+    void wantChanged(const SourceChange& changed, TimePoint now);
     void concludeWatchFailure(const std::string& reason, TimePoint now);
     void onManifest(const ReadAnswer& answer, TimePoint now);
     void onInstances(const ZoneName& zone, const ReadAnswer& answer, TimePoint now);
--- a/src/distribution/DistributorMessages.cpp
+++ b/src/distribution/DistributorMessages.cpp
@@ -50,7 +50,7 @@
         m_lastEntry);
 }
 
-void Distributor::on(const Summary& summary, const PeerInfo& from, TimePoint now)
+void Distributor::on(const Summary& summary, const PeerIdentity& from, TimePoint now)
 {
     const VersionOrder theirs { .version = summary.version, .revision = summary.manifestRevision };
     const VersionOrder mine = m_store.currentOrder();
@@ -79,7 +79,7 @@
 }
 
 std::vector<SectionText> Distributor::unpack(
-    const std::vector<CompressedSection>& sections, const PeerInfo& from, TimePoint now)
+    const std::vector<CompressedSection>& sections, const PeerIdentity& from, TimePoint now)
 {
     std::vector<SectionText> texts;
     for (const CompressedSection& section : sections) {
@@ -92,7 +92,7 @@
     return texts;
 }
 
-void Distributor::on(const PushVersion& push, const PeerInfo& from, TimePoint now)
+void Distributor::on(const PushVersion& push, const PeerIdentity& from, TimePoint now)
 {
     const VersionOrder theirs { .version = push.manifest.version, .revision = push.manifest.revision };
     const OfferOutcome outcome = theirs > m_store.currentOrder()
@@ -112,12 +112,12 @@
         reportSeldom("push-invalid", { { "peer", from.id.value() } }, now);
 }
 
-void Distributor::on(const PushAck& acknowledgement, const PeerInfo& from, TimePoint)
+void Distributor::on(const PushAck& acknowledgement, const PeerIdentity& from, TimePoint)
 {
     m_pushes.acknowledged(from.id, acknowledgement.digest);
 }
 
-void Distributor::answerLists(const FetchRequest& request, const PeerInfo& from, TimePoint now)
+void Distributor::answerLists(const FetchRequest& request, const PeerIdentity& from, TimePoint now)
 {
     absl::btree_map<ZoneName, Revision> theirs(request.listRevisions.begin(), request.listRevisions.end());
     bool isBehind = false;
@@ -132,7 +132,7 @@
         requestLists(from.id, from.endpoint, now);
 }
 
-void Distributor::on(const FetchRequest& request, const PeerInfo& from, TimePoint now)
+void Distributor::on(const FetchRequest& request, const PeerIdentity& from, TimePoint now)
 {
     if (!request.listRevisions.empty())
         answerLists(request, from, now);
@@ -159,7 +159,7 @@
         send(from.id, from.endpoint, std::move(*part));
 }
 
-void Distributor::on(const SnapshotPart& part, const PeerInfo& from, TimePoint now)
+void Distributor::on(const SnapshotPart& part, const PeerIdentity& from, TimePoint now)
 {
     switch (m_snapshot.accept(part, from.id, now)) {
     case SnapshotReceiver::Progress::Ignored:
@@ -189,7 +189,7 @@
     }
 }
 
-void Distributor::on(const SectionBatch& batch, const PeerInfo& from, TimePoint now)
+void Distributor::on(const SectionBatch& batch, const PeerIdentity& from, TimePoint now)
 {
     const size_t missing = m_store.missingSections().size();
     if (missing == 0)
@@ -200,7 +200,7 @@
         requestSections(from.id, from.endpoint, now);
 }
 
-void Distributor::on(const ListUpdate& update, const PeerInfo& from, TimePoint now)
+void Distributor::on(const ListUpdate& update, const PeerIdentity& from, TimePoint now)
 {
     const ZoneListDelta& delta = update.delta;
     const ListOutcome outcome = update.isWhole
@@ -214,7 +214,7 @@
         reportSeldom("list-refused", { { "zone", delta.zone.value() }, { "peer", from.id.value() } }, now);
 }
 
-void Distributor::on(const HearsayBatch& batch, const PeerInfo&, TimePoint now)
+void Distributor::on(const HearsayBatch& batch, const PeerIdentity&, TimePoint now)
 {
     constexpr size_t maxStatements = 64;
     const size_t count = std::min(batch.statements.size(), maxStatements);
@@ -223,7 +223,7 @@
             m_table.applyHearsay(batch.statements[index], now);
 }
 
-void Distributor::on(const Leaving& leaving, const PeerInfo& from, TimePoint now)
+void Distributor::on(const Leaving& leaving, const PeerIdentity& from, TimePoint now)
 {
     // Only the instance itself may say so; statements about others are hearsay.
     if (leaving.instance == from.id)
--- a/src/distribution/DistributorSource.cpp
+++ b/src/distribution/DistributorSource.cpp
@@ -112,7 +112,7 @@
     return leave();
 }
 
-void Distributor::wantChanged(const ChangedKey& changed, TimePoint now)
+void Distributor::wantChanged(const SourceChange& changed, TimePoint now)
 {
     if (changed.isDeleted)
         return;
@@ -148,7 +148,7 @@
         m_sourceRevision = answer.revision;
         m_watchAfter = answer.revision;
     }
-    for (const ChangedKey& changed : answer.changed)
+    for (const SourceChange& changed : answer.changed)
         wantChanged(changed, now);
     driveSource(now);
     updateHold(now);
--- a/src/distribution/tests/Fleet.cpp
+++ b/src/distribution/tests/Fleet.cpp
@@ -165,8 +165,8 @@
 
 void Fleet::executeSend(size_t index, const Send& send)
 {
-    const auto target = std::find_if(
-        nodes.begin(), nodes.end(), [&](const Node& node) { return node.record.peer == send.endpoint; });
+    const auto target
+        = std::find_if(nodes.begin(), nodes.end(), [&](const Node& node) { return node.record.peer == send.endpoint; });
     ASSERT_NE(target, nodes.end());
     const auto to = static_cast<size_t>(target - nodes.begin());
     ++sentByType[send.message.index()];
@@ -182,7 +182,7 @@
         return;
     }
     const InstanceRecord& self = nodes[index].record;
-    const PeerInfo from { self.id, self.incarnation, self.peer, self.zone, self.region };
+    const PeerIdentity from { self.id, self.incarnation, self.peer, self.zone, self.region };
     for (int copies = random.unit() < duplicates ? 2 : 1; copies > 0; --copies)
         if (random.unit() >= loss)
             schedule(random.upTo(maxDelay), [=, this, targetLife = target->life] {
@@ -217,7 +217,8 @@
         const auto [index, life, watch, deadline] = waiter;
         const WatchAnswer answer = changesAfter(watch.after);
         const bool isReachable = isSourceReachable(index);
-        const bool isFailed = !isReachable && (m_fault == SourceFault::Refusing || now >= deadline + milliseconds(2000));
+        const bool isFailed
+            = !isReachable && (m_fault == SourceFault::Refusing || now >= deadline + milliseconds(2000));
         if (isFailed)
             deliver(index, life, [=, this](Distributor& it) { return it.watchFailed(watch.number, "timeout", now); });
         else if (isReachable && (!answer.changed.empty() || now >= deadline))
--- a/src/membership/InstanceListJson.cpp
+++ b/src/membership/InstanceListJson.cpp
@@ -45,7 +45,7 @@
         }
     }
 
-    InstanceRecord readRecord(const ZoneName& zone, const nlohmann::json& value, const std::string& pointer)
+    InstanceRecord readRecord(const nlohmann::json& value, const std::string& pointer)
     {
         SettingsReader reader(value, pointer);
         InstanceRecord record;
@@ -60,13 +60,20 @@
         reader.finish();
         if (record.id.value().empty())
             reader.refuse("id", "a name that is not empty");
-        if (record.zone != zone)
-            reader.refuse("zone", "the zone of the list, \"" + zone.value() + "\"");
         return record;
     }
 
 } // namespace
 
+InstanceRecord instanceRecordFromJson(const nlohmann::json& record) { return readRecord(record, ""); }
+
+nlohmann::json instanceRecordToJson(const InstanceRecord& record)
+{
+    return { { "id", record.id.value() }, { "incarnation", record.incarnation.value() },
+        { "peer", record.peer.toString() }, { "service", record.service.value() }, { "zone", record.zone.value() },
+        { "region", record.region.value() }, { "leaving", record.isLeaving } };
+}
+
 ZoneInstanceList instanceListFromJson(const ZoneName& zone, Revision revision, std::string_view text)
 {
     const nlohmann::json json = parse(zone, text);
@@ -81,7 +88,10 @@
     list.instances.reserve(instances.size());
     absl::btree_set<std::string> ids;
     for (size_t index = 0; index < instances.size(); ++index) {
-        list.instances.push_back(readRecord(zone, instances[index], "/instances/" + std::to_string(index)));
+        const std::string pointer = "/instances/" + std::to_string(index);
+        list.instances.push_back(readRecord(instances[index], pointer));
+        if (list.instances.back().zone != zone)
+            SettingsReader(instances[index], pointer).refuse("zone", "the zone of the list, \"" + zone.value() + "\"");
         if (!ids.insert(list.instances.back().id.value()).second)
             refuse(zone, "names the instance \"" + list.instances.back().id.value() + "\" twice");
     }
@@ -92,9 +102,7 @@
 {
     nlohmann::json instances = nlohmann::json::array();
     for (const InstanceRecord& record : list.instances)
-        instances.push_back({ { "id", record.id.value() }, { "incarnation", record.incarnation.value() },
-            { "peer", record.peer.toString() }, { "service", record.service.value() }, { "zone", record.zone.value() },
-            { "region", record.region.value() }, { "leaving", record.isLeaving } });
+        instances.push_back(instanceRecordToJson(record));
     return nlohmann::json { { "revision", list.revision.value() }, { "instances", instances } }.dump();
 }
 
--- a/src/membership/InstanceListJson.h
+++ b/src/membership/InstanceListJson.h
@@ -8,10 +8,15 @@
 
 #include "membership/MembershipView.h"
 
+#include <nlohmann/json_fwd.hpp>
 #include <string_view>
 
 namespace skylark {
 
+// One entry of a list. Throws Error that names the place and what is allowed there.
+InstanceRecord instanceRecordFromJson(const nlohmann::json& record);
+nlohmann::json instanceRecordToJson(const InstanceRecord& record);
+
 // Throws Error that names the place and what is allowed there.
 ZoneInstanceList instanceListFromJson(const ZoneName& zone, Revision revision, std::string_view text);
 std::string instanceListToJson(const ZoneInstanceList& list);
--- a/src/testing/BackendStandin.h
+++ b/src/testing/BackendStandin.h
@@ -12,7 +12,7 @@
 #pragma once
 
 #include "base/Random.h"
-#include "testing/ExecutionRecord.h"
+#include "testing/ExecutionLog.h"
 #include "testing/HttpService.h"
 #include "testing/SlotPool.h"
 
@@ -80,7 +80,7 @@
     BackendStandinOptions m_options;
     const TimePoint m_started;
     SlotPool m_slots;
-    ExecutionRecord m_record;
+    ExecutionLog m_record;
     std::atomic<uint64_t> m_shed { 0 };
     std::atomic<uint64_t> m_stopped { 0 };
 
--- a/src/testing/ExecutionRecord.cpp
+++ b/src/testing/ExecutionLog.cpp
@@ -1,4 +1,4 @@
-#include "testing/ExecutionRecord.h"
+#include "testing/ExecutionLog.h"
 
 #include "base/Error.h"
 
@@ -8,7 +8,7 @@
 
 namespace skylark {
 
-ExecutionRecord::ExecutionRecord(std::string service, const std::string& path)
+ExecutionLog::ExecutionLog(std::string service, const std::string& path)
     : m_service(std::move(service))
 {
     if (path.empty())
@@ -18,13 +18,13 @@
         throw Error({ .step = "open-record", .message = "cannot open " + path });
 }
 
-ExecutionRecord::~ExecutionRecord()
+ExecutionLog::~ExecutionLog()
 {
     if (m_file >= 0)
         close(m_file);
 }
 
-void ExecutionRecord::note(const std::string& requestId, const std::string& idempotencyKey)
+void ExecutionLog::note(const std::string& requestId, const std::string& idempotencyKey)
 {
     if (m_file >= 0) {
         const std::string line = m_service + "\t" + requestId + "\t" + idempotencyKey + "\n";
@@ -45,7 +45,7 @@
     count(m_keys, idempotencyKey);
 }
 
-nlohmann::json ExecutionRecord::report() const
+nlohmann::json ExecutionLog::report() const
 {
     const std::lock_guard lock(m_mutex);
     return { { "service", m_service }, { "requests", m_requests }, { "keys", m_keys },
--- a/src/testing/ExecutionRecord.h
+++ b/src/testing/ExecutionLog.h
@@ -15,16 +15,16 @@
 
 namespace skylark {
 
-class ExecutionRecord {
+class ExecutionLog {
 public:
     // Executions of further ids are only counted as overflow, and a verification reports them.
     static constexpr size_t maxIds = 2'000'000;
 
     // An empty path keeps the record in memory alone. Throws Error when the file cannot be opened.
-    ExecutionRecord(std::string service, const std::string& path);
-    ~ExecutionRecord();
-    ExecutionRecord(const ExecutionRecord&) = delete;
-    ExecutionRecord& operator=(const ExecutionRecord&) = delete;
+    ExecutionLog(std::string service, const std::string& path);
+    ~ExecutionLog();
+    ExecutionLog(const ExecutionLog&) = delete;
+    ExecutionLog& operator=(const ExecutionLog&) = delete;
 
     void note(const std::string& requestId, const std::string& idempotencyKey);
     // {"service", "requests": {id: count}, "keys": {key: count}, "totals": {"executions", "overflow"}}
--- a/src/testing/PlatformStandin.cpp
+++ b/src/testing/PlatformStandin.cpp
@@ -2,7 +2,7 @@
 
 #include "base/Error.h"
 #include "base/Settings.h"
-#include "source/InstanceList.h"
+#include "membership/InstanceListJson.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/testing/PlatformStore.cpp
+++ b/src/testing/PlatformStore.cpp
@@ -1,6 +1,6 @@
 #include "testing/PlatformStore.h"
 
-#include "source/InstanceList.h"
+#include "membership/InstanceListJson.h"
 
 #include <set>
 
@@ -151,7 +151,7 @@
         ZoneInstanceList list { .zone = zone };
         for (const auto& [id, record] : m_listed[zone])
             list.instances.push_back(record);
-        put(std::string(instancePrefix) + zone.value(), instanceListToJson(list), now);
+        put("skylarkbay/instances/" + zone.value(), instanceListToJson(list), now);
     }
 }
 
--- a/src/testing/tests/PlatformStandinTest.cpp
+++ b/src/testing/tests/PlatformStandinTest.cpp
@@ -1,7 +1,7 @@
 // Guards the stand-in platform: a fault in it would hide faults of the daemon.
 #include "testing/PlatformStandin.h"
 #include "base/Error.h"
-#include "source/InstanceList.h"
+#include "membership/InstanceListJson.h"
 
 #include <atomic>
 #include <gtest/gtest.h>
