Ask around faster while no version is held

Cause: random runs with a restarted zone took longer than 3 s, and reads that had failed kept their backoff after the source answered again. Change: a node without a version sends summaries every 300 ms; a good watch answer ends the backoff of the wanted keys; a failed check describes each node.

--- a/src/distribution/Distributor.cpp
+++ b/src/distribution/Distributor.cpp
@@ -257,7 +257,9 @@
 {
     if (now < m_nextSummary)
         return;
-    m_nextSummary = std::max(m_nextSummary + m_options.summaryInterval, now);
+    // A node that holds no version cannot serve, so it asks around more often.
+    const Duration interval = m_store.current() ? m_options.summaryInterval : m_options.emptyInterval;
+    m_nextSummary = std::max(m_nextSummary + interval, now);
     ++m_round;
     if (const std::optional<Peer> peer = randomPeer()) {
         sendSummary(peer->id, peer->endpoint, false, now);
--- a/src/distribution/Distributor.h
+++ b/src/distribution/Distributor.h
@@ -48,6 +48,8 @@
     ReaderOptions readers {};
     PushOptions push {};
     Duration summaryInterval { std::chrono::seconds(1) };
+    // Instead of it while no version is held.
+    Duration emptyInterval { std::chrono::milliseconds(300) };
     Duration publishInterval { std::chrono::milliseconds(200) };
     // The longest time between ticks that does not count as a pause of the process.
     Duration clockGap { std::chrono::seconds(2) };
--- a/src/distribution/DistributorSource.cpp
+++ b/src/distribution/DistributorSource.cpp
@@ -147,6 +147,7 @@
         m_selector.noteOwnSuccess(answer.revision, now);
         m_sourceRevision = answer.revision;
         m_watchAfter = answer.revision;
+        m_source.endBackoff(now);
     }
     for (const ChangedKey& changed : answer.changed)
         wantChanged(changed, now);
--- a/src/distribution/SourceReader.cpp
+++ b/src/distribution/SourceReader.cpp
@@ -115,6 +115,16 @@
     return key;
 }
 
+void SourceReader::endBackoff(TimePoint now)
+{
+    for (auto& [key, wanted] : m_wanted) {
+        if (wanted.failures == 0)
+            continue;
+        wanted.failures = 0;
+        wanted.due = now;
+    }
+}
+
 SourceReader::Lost SourceReader::lost(TimePoint now) const
 {
     Lost result;
--- a/src/distribution/SourceReader.h
+++ b/src/distribution/SourceReader.h
@@ -53,6 +53,8 @@
     };
     Lost lost(TimePoint now) const;
     size_t wantedCount() const { return m_wanted.size(); }
+    // The source answers again: the keys that wait for the end of a backoff are due.
+    void endBackoff(TimePoint now);
     // Forgets all requests, as after a pause of this process; late answers are then ignored.
     void reset();
 
--- a/src/distribution/tests/Fleet.cpp
+++ b/src/distribution/tests/Fleet.cpp
@@ -362,6 +362,30 @@
     return digests.size() <= 1;
 }
 
+std::string Fleet::describe() const
+{
+    std::string text = "source revision " + std::to_string(source.revision.value()) + "\n";
+    for (const Node& node : nodes) {
+        text += node.record.id.value();
+        if (!node.distributor) {
+            text += " is dead\n";
+            continue;
+        }
+        const Distributor& it = *node.distributor;
+        const auto mark = it.readers().mark(now);
+        text += " version " + std::to_string(it.versions().currentOrder().version.value()) + " missing "
+            + std::to_string(it.versions().missingSections().size()) + " pending "
+            + std::to_string(it.versions().pending().has_value()) + " rank " + std::to_string(it.readers().rank())
+            + " list " + std::to_string(it.membership().listRevision(node.record.zone).value()) + " next attempt in "
+            + std::to_string((it.readers().nextAttempt() - now) / std::chrono::milliseconds(1)) + " ms mark "
+            + (mark ? std::to_string(mark->sourceRevision.value()) : "none") + " events";
+        for (size_t index = node.events.size() - std::min<size_t>(node.events.size(), 6); index < node.events.size(); ++index)
+            text += " " + node.events[index];
+        text += "\n";
+    }
+    return text;
+}
+
 size_t Fleet::count(const std::string& event) const
 {
     size_t total = 0;
--- a/src/distribution/tests/Fleet.h
+++ b/src/distribution/tests/Fleet.h
@@ -70,6 +70,8 @@
     bool isConverged() const;
     bool haveEqualLists() const;
     size_t count(const std::string& event) const;
+    // One line for each node, for the message of a failed check.
+    std::string describe() const;
 
     std::vector<Node> nodes;
     SourceState source;
