Add admission: learned limit, rank queues and floors

Cause: a gate must keep urgent calls on time and every rank's floor while some rank floods, and use its backend server's capacity meanwhile. Change: AdmissionController with a limit learned near the slots, queues by rank in order of deadline, floors by credit over 5 s, slots kept free for more urgent ranks where slots turn over slowly, early refusal, cancel and drain. FIFO is kept as a baseline policy. GateSimulator is the event loop of the flood tests.

--- /dev/null
+++ b/src/admission/AdmissionController.cpp
@@ -0,0 +1,367 @@
+#include "admission/AdmissionController.h"
+
+#include "base/Invariant.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylark {
+
+namespace {
+
+    constexpr const char* step = "admission";
+    // A wait for a free slot up to this share of a rank's target needs no reserved slot.
+    constexpr double tolerableWait = 0.1;
+    // Under a flood calls wait as long as their deadlines allow. Without this margin over the mean service
+    // time half of them would finish late, for nothing.
+    constexpr double safeDeviations = 2;
+    // Below this rate a rank is taken to be unused, and no slot is kept for it unless it is the most urgent.
+    constexpr double leastArrivalRate = 0.1;
+
+    double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+    Duration fromSeconds(double seconds)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(seconds, 1e6)));
+    }
+
+} // namespace
+
+const char* refusalReasonName(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::QueueFull:
+        return "the queue is full of more urgent calls";
+    case RefusalReason::TooLate:
+        return "the call cannot finish before its deadline";
+    case RefusalReason::Draining:
+        return "the instance is shutting down";
+    }
+    return "unknown";
+}
+
+bool AdmissionController::Order::operator()(const Waiting& left, const Waiting& right) const
+{
+    if (left.key != right.key)
+        return left.key < right.key;
+    if (left.ticket.worth != right.ticket.worth)
+        return left.ticket.worth > right.ticket.worth;
+    return left.sequence < right.sequence;
+}
+
+AdmissionController::AdmissionController(AdmissionOptions options, TimePoint now)
+    : m_options(std::move(options))
+    , m_limit(m_options.slots, std::max<size_t>(1, m_options.ranks.size()), now)
+{
+    reconfigure(m_options, now);
+}
+
+void AdmissionController::reconfigure(AdmissionOptions options, TimePoint now)
+{
+    m_options = std::move(options);
+    if (m_options.ranks.empty())
+        m_options.ranks.emplace_back();
+    while (m_ranks.size() < m_options.ranks.size())
+        m_ranks.push_back({ .credit = FloorCredit(now) });
+    for (size_t rank = 0; rank < m_ranks.size(); ++rank)
+        m_ranks[rank].policy = rank < m_options.ranks.size() ? m_options.ranks[rank] : RankPolicy {};
+    m_limit.reconfigure(m_options.slots, m_ranks.size());
+}
+
+AdmitResult AdmissionController::offer(const Ticket& ticket, TimePoint now)
+{
+    invariant(!m_running.contains(ticket.id) && !m_waiting.contains(ticket.id),
+        { .rule = "a call is offered once", .step = step });
+    const size_t rank = rankOf(ticket);
+    m_ranks[rank].arrivals.note(now);
+    if (m_isDraining)
+        return { .reason = RefusalReason::Draining };
+    const bool isStartable = mayStart(rank, now);
+    if (isTooLate(ticket, isStartable, now))
+        return { .reason = RefusalReason::TooLate };
+    if (isStartable) {
+        start(ticket, now);
+        return { .admission = Admission::Admitted };
+    }
+    AdmitResult result { .reason = RefusalReason::QueueFull };
+    if (!makeRoom(ticket, result.displaced))
+        return result;
+    enqueue(ticket);
+    result.admission = Admission::Queued;
+    return result;
+}
+
+Dispatch AdmissionController::release(TicketId id, ServiceResult result, Duration serviceTime, TimePoint now)
+{
+    const auto found = m_running.find(id);
+    invariant(found != m_running.end(), { .rule = "a running call is released once", .step = step });
+    const size_t rank = found->second;
+    if (result == ServiceResult::Answered) {
+        m_ranks[rank].serviceTime.add(serviceTime, now);
+        m_limit.noteAnswer(rank, serviceTime, inFlight(), now);
+    } else if (result == ServiceResult::Shed) {
+        m_limit.noteShed(now);
+    }
+    settle(rank, now);
+    m_running.erase(found);
+    --m_ranks[rank].inFlight;
+    invariant(m_ranks[rank].inFlight >= 0, { .rule = "calls in flight are never negative", .step = step });
+    return dispatch(now);
+}
+
+Dispatch AdmissionController::advance(TimePoint now) { return dispatch(now); }
+
+bool AdmissionController::cancel(TicketId id)
+{
+    const auto found = m_waiting.find(id);
+    if (found == m_waiting.end())
+        return false;
+    take(found->second.queue, found->second.entry);
+    return true;
+}
+
+int AdmissionController::queuedOf(int rank) const
+{
+    const auto index = static_cast<size_t>(std::max(rank, 0));
+    return index < m_ranks.size() ? static_cast<int>(m_ranks[index].queue.size()) : 0;
+}
+
+double AdmissionController::shareOf(int rank, TimePoint now)
+{
+    const size_t index = rankOf({ .rank = rank });
+    settle(index, now);
+    return m_ranks[index].credit.share();
+}
+
+Duration AdmissionController::estimatedWait(int rank, TimePoint now) const
+{
+    const size_t index = rankOf({ .rank = rank });
+    return fromSeconds(waitSeconds(index, m_ranks[index].queue.size(), now));
+}
+
+size_t AdmissionController::rankOf(const Ticket& ticket) const
+{
+    return std::min(static_cast<size_t>(std::max(ticket.rank, 0)), m_options.ranks.size() - 1);
+}
+
+double AdmissionController::serviceSeconds(size_t rank, Duration costHint) const
+{
+    const Rank& entry = m_ranks[rank];
+    if (entry.serviceTime.isKnown())
+        return entry.serviceTime.mean();
+    // A quarter of the target is a guess on the long side for most calls.
+    return costHint > Duration::zero() ? inSeconds(costHint) : inSeconds(entry.policy.target) / 4;
+}
+
+double AdmissionController::demand(size_t rank, TimePoint now) const
+{
+    return std::min(1.0, m_ranks[rank].arrivals.perSecond(now) * serviceSeconds(rank) / limit());
+}
+
+// Two ways to a slot: by the floor alone, or by the capacity that more urgent calls and the floors of other
+// ranks leave. The call takes whichever comes first.
+double AdmissionController::waitSeconds(size_t rank, size_t ownAhead, TimePoint now) const
+{
+    const double ownWork = static_cast<double>(ownAhead) * serviceSeconds(rank);
+    double otherWork = 0;
+    double left = 1;
+    for (size_t other = 0; other < m_ranks.size(); ++other) {
+        if (other == rank)
+            continue;
+        const double share = demand(other, now);
+        left -= other < rank ? share : std::min(share, m_ranks[other].policy.floor);
+        if (other < rank)
+            otherWork += static_cast<double>(m_ranks[other].queue.size()) * serviceSeconds(other);
+    }
+    const double floor = m_ranks[rank].policy.floor;
+    const double byFloor = floor > 0 ? ownWork / (floor * limit()) : HUGE_VAL;
+    const double byOrder = left > 0 ? (ownWork + otherWork) / (left * limit()) : HUGE_VAL;
+    return std::min(byFloor, byOrder) + secondsToFreeSlot(0, rank);
+}
+
+bool AdmissionController::isTooLate(const Ticket& ticket, bool isStartable, TimePoint now) const
+{
+    const double remaining = inSeconds(ticket.deadline - now);
+    if (remaining <= 0)
+        return true;
+    const size_t rank = rankOf(ticket);
+    const ServiceTimeEstimate& estimate = m_ranks[rank].serviceTime;
+    if (!isRanked())
+        return false;
+    // An estimate that no answer has confirmed for a while must not refuse the calls that would correct it.
+    if (isStartable)
+        return estimate.isFresh(now) && estimate.mean() > remaining;
+    const auto& queue = m_ranks[rank].queue;
+    size_t ahead = queue.size();
+    for (auto later = queue.rbegin(); later != queue.rend() && later->key > ticket.deadline; ++later)
+        --ahead;
+    const double service = serviceSeconds(rank, ticket.costHint) + safeDeviations * estimate.deviation();
+    return waitSeconds(rank, ahead, now) + service > remaining;
+}
+
+void AdmissionController::settle(size_t rank, TimePoint now)
+{
+    Rank& entry = m_ranks[rank];
+    entry.credit.settle(entry.inFlight, floorSlots(rank), limit(), now);
+}
+
+bool AdmissionController::isBelowFloor(size_t rank, TimePoint now)
+{
+    settle(rank, now);
+    const Rank& entry = m_ranks[rank];
+    return entry.inFlight < static_cast<int>(std::ceil(floorSlots(rank))) && entry.credit.isBelowFloor();
+}
+
+double AdmissionController::secondsToFreeSlot(size_t fromRank, size_t starting) const
+{
+    double releasesPerSecond = 0;
+    for (size_t rank = fromRank; rank < m_ranks.size(); ++rank) {
+        const int running = m_ranks[rank].inFlight + (rank == starting ? 1 : 0);
+        releasesPerSecond += running / std::max(serviceSeconds(rank), 1e-6);
+    }
+    return 1 / releasesPerSecond;
+}
+
+int AdmissionController::reservedSlots(size_t rank, TimePoint now) const
+{
+    int reserved = 0;
+    for (size_t urgent = 0; urgent < rank; ++urgent) {
+        const Rank& entry = m_ranks[urgent];
+        const double arrivals = entry.arrivals.perSecond(now);
+        // Slots that the urgent ranks hold themselves come free too, but for calls that those slots are due to.
+        if (secondsToFreeSlot(urgent + 1, rank) <= tolerableWait * inSeconds(entry.policy.target))
+            continue;
+        if (arrivals < leastArrivalRate && urgent > 0)
+            continue;
+        // The square-root staffing rule: the mean of the occupied slots and one standard deviation.
+        const double occupied = arrivals * serviceSeconds(urgent);
+        const auto wanted = static_cast<int>(std::lround(occupied + std::max(1.0, std::sqrt(occupied))));
+        reserved += std::max(0, wanted - entry.inFlight);
+    }
+    return std::min(reserved, limit() - 1);
+}
+
+bool AdmissionController::maySpareSlot(size_t rank, TimePoint now) const
+{
+    return limit() - inFlight() - 1 >= reservedSlots(rank, now);
+}
+
+bool AdmissionController::mayStart(size_t rank, TimePoint now)
+{
+    if (inFlight() >= limit())
+        return false;
+    if (!isRanked())
+        return m_waiting.empty();
+    for (size_t other = 0; other <= rank; ++other) {
+        if (!m_ranks[other].queue.empty())
+            return false;
+    }
+    return isBelowFloor(rank, now) || maySpareSlot(rank, now);
+}
+
+std::optional<size_t> AdmissionController::nextQueue(TimePoint now)
+{
+    if (inFlight() >= limit() || m_waiting.empty())
+        return std::nullopt;
+    if (!isRanked())
+        return 0;
+    std::optional<size_t> neediest;
+    double most = 0;
+    for (size_t rank = 0; rank < m_ranks.size(); ++rank) {
+        if (m_ranks[rank].queue.empty() || !isBelowFloor(rank, now))
+            continue;
+        if (rank == 0)
+            return 0;
+        const double behind = m_ranks[rank].credit.secondsBehind(floorSlots(rank));
+        if (behind > most) {
+            most = behind;
+            neediest = rank;
+        }
+    }
+    if (neediest)
+        return neediest;
+    for (size_t rank = 0; rank < m_ranks.size(); ++rank) {
+        if (!m_ranks[rank].queue.empty())
+            return maySpareSlot(rank, now) ? std::optional(rank) : std::nullopt;
+    }
+    return std::nullopt;
+}
+
+void AdmissionController::start(const Ticket& ticket, TimePoint now)
+{
+    invariant(inFlight() < limit(), { .rule = "calls in flight are within the limit at admission", .step = step });
+    const size_t rank = rankOf(ticket);
+    m_running.emplace(ticket.id, rank);
+    settle(rank, now);
+    ++m_ranks[rank].inFlight;
+}
+
+void AdmissionController::enqueue(const Ticket& ticket)
+{
+    const uint64_t sequence = m_sequence++;
+    const TimePoint arrival { Duration(sequence) };
+    const size_t queue = isRanked() ? rankOf(ticket) : 0;
+    const auto entry = m_ranks[queue].queue.insert({ ticket, isRanked() ? ticket.deadline : arrival, sequence }).first;
+    m_waiting.emplace(ticket.id, Place { queue, entry });
+    invariant(m_waiting.size() <= static_cast<size_t>(std::max(1, m_options.maxQueue)),
+        { .rule = "the queues keep to their bound", .step = step });
+}
+
+Ticket AdmissionController::take(size_t queue, Queue::const_iterator entry)
+{
+    const Ticket ticket = entry->ticket;
+    m_ranks[queue].queue.erase(entry);
+    m_waiting.erase(ticket.id);
+    return ticket;
+}
+
+bool AdmissionController::makeRoom(const Ticket& ticket, std::vector<RefusedTicket>& displaced)
+{
+    if (m_options.maxQueue <= 0)
+        return false;
+    const size_t own = rankOf(ticket);
+    // More than one is dropped only after a new configuration has lowered the bound.
+    while (m_waiting.size() >= static_cast<size_t>(m_options.maxQueue)) {
+        if (!isRanked())
+            return false;
+        size_t victim = m_ranks.size();
+        for (size_t rank = m_ranks.size(); rank-- > 0;) {
+            const size_t waiting = m_ranks[rank].queue.size() + (rank == own ? 1 : 0);
+            const auto kept = static_cast<size_t>(m_ranks[rank].policy.floor * m_options.maxQueue);
+            if (waiting > kept) {
+                victim = rank;
+                break;
+            }
+        }
+        invariant(victim < m_ranks.size(), { .rule = "floors sum to at most 1", .step = step });
+        const Queue& queue = m_ranks[victim].queue;
+        if (victim == own && (queue.empty() || queue.rbegin()->key <= ticket.deadline))
+            return false;
+        displaced.push_back({ take(victim, std::prev(queue.end())), RefusalReason::QueueFull });
+    }
+    return true;
+}
+
+void AdmissionController::refuseLate(TimePoint now, std::vector<RefusedTicket>& refused)
+{
+    for (size_t index = 0; index < m_ranks.size(); ++index) {
+        Rank& rank = m_ranks[index];
+        const bool isEstimated = isRanked() && rank.serviceTime.isFresh(now);
+        const double service
+            = isEstimated ? rank.serviceTime.mean() + safeDeviations * rank.serviceTime.deviation() : 0;
+        while (!rank.queue.empty() && rank.queue.begin()->ticket.deadline <= now + fromSeconds(service))
+            refused.push_back({ take(index, rank.queue.begin()), RefusalReason::TooLate });
+    }
+}
+
+Dispatch AdmissionController::dispatch(TimePoint now)
+{
+    Dispatch result;
+    refuseLate(now, result.refused);
+    while (const std::optional<size_t> queue = nextQueue(now)) {
+        result.started.push_back(take(*queue, m_ranks[*queue].queue.begin()));
+        start(result.started.back(), now);
+    }
+    return result;
+}
+
+} // namespace skylark
--- a/src/admission/AdmissionController.h
+++ b/src/admission/AdmissionController.h
@@ -5,11 +5,13 @@
 // 10 to 100 ms. Whatever is refused was never started: "not run" is true of it.
 //
 // Order: urgent ranks (low numbers) first, except that a rank whose share of slot time over the last 5 s is
-// below its floor goes ahead, on at most ceil(floor x limit) slots, so that a rank that was idle cannot claim
-// a whole window's slot time at once. Within a rank the earliest deadline goes first. A rank above its floor
-// leaves slots free for more urgent ranks when the next slot is not expected to become free within a tenth of
-// their target: then it leaves as many as the more urgent rank's recent arrivals occupy on average, and one.
-// Where slots turn over faster than that, an urgent arrival waits little and no slot needs to stay idle.
+// below its floor (see FloorCredit) goes ahead, on at most ceil(floor x limit) slots, so that a rank that was
+// idle cannot claim a whole window's slot time at once. Within a rank the earliest deadline goes first.
+//
+// A rank above its floor leaves slots free for more urgent ranks when none of the slots that less urgent ranks
+// hold is expected to become free within a tenth of their target. It then leaves as many as the more urgent
+// rank's recent arrivals occupy on average, plus one standard deviation (at least one slot), less those that
+// they occupy now. Where slots turn over faster, urgent arrivals wait little and no slot needs to stay idle.
 //
 // Early refusal: a call whose estimated wait and service time exceed its deadline is refused at once. The
 // queues hold maxQueue calls at most. Beyond that the latest deadline of the lowest rank is dropped, among
@@ -21,11 +23,12 @@
 #pragma once
 
 #include "admission/ConcurrencyLimit.h"
-#include "admission/SlotTime.h"
+#include "admission/Estimates.h"
 #include "base/Types.h"
 #include "document/Configuration.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <optional>
 #include <set>
 #include <variant>
 #include <vector>
@@ -118,64 +121,79 @@
     bool isDraining() const { return m_isDraining; }
     bool isIdle() const { return m_running.empty() && m_waiting.empty(); }
 
-    // Applies a new configuration version. Calls that wait keep their place; the limit is kept within bounds.
+    // Applies a new configuration version. Calls that wait keep their place; the limit starts again where slots
+    // changed.
     void reconfigure(AdmissionOptions options, TimePoint now);
 
     int limit() const { return m_limit.value(); }
     int inFlight() const { return static_cast<int>(m_running.size()); }
     int queued() const { return static_cast<int>(m_waiting.size()); }
     int queuedOf(int rank) const;
-    // Share of the capacity (limit x time) that the rank used over the last 5 s.
+    // Share of the capacity (limit x time) that the rank used, smoothed over 5 s.
     double shareOf(int rank, TimePoint now);
     // Estimated time that a call of this rank would wait if it came now.
-    Duration estimatedWait(int rank, TimePoint now);
+    Duration estimatedWait(int rank, TimePoint now) const;
 
 private:
     struct Waiting {
         Ticket ticket;
+        // The deadline, or the order of arrival under FifoAdmission.
+        TimePoint key;
         uint64_t sequence { 0 };
     };
     struct Order {
         bool operator()(const Waiting& left, const Waiting& right) const;
     };
     using Queue = std::set<Waiting, Order>;
-    struct Running {
-        int rank { 0 };
-        TimePoint since;
+    struct Place {
+        size_t queue { 0 };
+        Queue::const_iterator entry;
     };
     struct Rank {
         RankPolicy policy;
         Queue queue;
         int inFlight { 0 };
         ServiceTimeEstimate serviceTime;
-        // Offered work, in slots; see noteArrival().
         RateEstimate arrivals;
+        FloorCredit credit;
     };
 
     bool isRanked() const { return std::holds_alternative<RankedAdmission>(m_options.policy); }
-    int clampRank(int rank) const;
-    Duration serviceTimeOf(int rank, Duration costHint) const;
-    bool isBelowFloor(int rank, TimePoint now);
-    // Whether a call of the rank may take a free slot although more urgent calls may come.
-    bool maySpareSlot(int rank, TimePoint now) const;
-    int reservedFor(int rank, int lesserRank, TimePoint now) const;
-    int nextRank(TimePoint now);
-    bool canFinish(const Ticket& ticket, TimePoint now);
+    size_t rankOf(const Ticket& ticket) const;
+    double serviceSeconds(size_t rank, Duration costHint = {}) const;
+    // Offered work of the rank as a share of the limit, at most 1.
+    double demand(size_t rank, TimePoint now) const;
+    double waitSeconds(size_t rank, size_t ownAhead, TimePoint now) const;
+    bool isTooLate(const Ticket& ticket, bool isStartable, TimePoint now) const;
+
+    double floorSlots(size_t rank) const { return m_ranks[rank].policy.floor * limit(); }
+    void settle(size_t rank, TimePoint now);
+    bool isBelowFloor(size_t rank, TimePoint now);
+    // Expected time in seconds until one of the slots held by this and less urgent ranks becomes free, if one
+    // more call of the rank `starting` ran.
+    double secondsToFreeSlot(size_t fromRank, size_t starting) const;
+    int reservedSlots(size_t rank, TimePoint now) const;
+    bool maySpareSlot(size_t rank, TimePoint now) const;
+    bool mayStart(size_t rank, TimePoint now);
+    // The queue whose first call starts next, if any may.
+    std::optional<size_t> nextQueue(TimePoint now);
+
     void start(const Ticket& ticket, TimePoint now);
     void enqueue(const Ticket& ticket);
-    void remove(int rank, Queue::const_iterator place);
+    Ticket take(size_t queue, Queue::const_iterator entry);
     // Makes a place for the ticket; false when the ticket itself is the one to drop.
     bool makeRoom(const Ticket& ticket, std::vector<RefusedTicket>& displaced);
-    void refuseExpired(TimePoint now, std::vector<RefusedTicket>& refused);
-    void dispatch(TimePoint now, Dispatch& result);
+    void refuseLate(TimePoint now, std::vector<RefusedTicket>& refused);
+    Dispatch dispatch(TimePoint now);
 
     AdmissionOptions m_options;
     ConcurrencyLimit m_limit;
-    SlotTime m_slotTime;
+    // Never shrinks, so that calls of a rank that was removed keep their place.
     std::vector<Rank> m_ranks;
-    // At most limit() entries at each start, and options.maxQueue entries.
-    absl::flat_hash_map<TicketId, Running> m_running;
-    absl::flat_hash_map<TicketId, Queue::const_iterator> m_waiting;
+    // Rank by call; at most 2 x slots entries.
+    absl::flat_hash_map<TicketId, size_t> m_running;
+    // At most options.maxQueue entries.
+    absl::flat_hash_map<TicketId, Place> m_waiting;
     uint64_t m_sequence { 0 };
     bool m_isDraining { false };
 };
--- a/src/admission/ConcurrencyLimit.h
+++ b/src/admission/ConcurrencyLimit.h
@@ -1,9 +1,15 @@
 // Learns how many calls a backend server runs at a time without slowing down.
 //
 // The limit starts at the configured slots and moves between 1 and twice the slots, once per window of at
-// least 100 answers, or 20 answers in 5 s. It rises by 1 when it was fully used and latency did not grow, and
-// falls by 10% when latency exceeds twice the floor or the backend server sheds load. Latency is compared per
-// rank, since a change in the mix of ranks is no sign of congestion.
+// least 100 answers, or 20 answers in 5 s. It rises by 1 when it was fully used on average and latency did not
+// grow, returns by 1 towards the slots when it was not, since a higher limit is proved by use alone, and falls by 10%
+// when latency exceeds twice the floor or the backend server sheds load. Latency is compared per rank, since a change
+// in the mix of ranks is no sign of congestion, and the rank that is slowed down most counts: waiting inside the
+// backend server shows in short calls first.
+//
+// The floor of a rank follows shorter service times at once, and longer ones only while at most half of the
+// slots are in use, when waiting inside the backend server cannot be the reason. If it followed at any load,
+// a limit that is too high would become the measure of itself.
 #pragma once
 
 #include "base/Types.h"
@@ -27,13 +33,17 @@
 
 private:
     struct Baseline {
-        // Mean of the fastest group of answers, in seconds; zero before the first group.
+        // Smoothed low mean of groups of answers, in seconds; zero before the first group.
         double floor { 0 };
         double sum { 0 };
         int count { 0 };
+        int mostInFlight { 0 };
+        // Latency over floor, summed over this window's answers.
+        double windowSum { 0 };
+        int windowCount { 0 };
     };
 
-    void learnBaseline(Baseline& baseline, double seconds);
+    void learnBaseline(Baseline& baseline, double seconds, int inFlight) const;
     void closeWindow(TimePoint now);
     void lower();
     int highest() const { return 2 * m_slots; }
@@ -43,9 +53,7 @@
     std::vector<Baseline> m_baselines;
     TimePoint m_windowStart;
     int m_answers { 0 };
-    int m_mostInFlight { 0 };
-    double m_measured { 0 };
-    double m_expected { 0 };
+    int64_t m_inFlightSum { 0 };
     TimePoint m_lastShed;
 };
 
--- /dev/null
+++ b/src/admission/tests/AdmissionTest.cpp
@@ -0,0 +1,396 @@
+// Guards the rules of admission one by one, and the queues against plain versions of them.
+#include "admission/AdmissionController.h"
+#include "base/Guarded.h"
+#include "base/Invariant.h"
+#include "base/Random.h"
+#include "testing/FakeClock.h"
+#include "testing/TestSeed.h"
+
+#include <algorithm>
+#include <deque>
+#include <rapidcheck/gtest.h>
+#include <thread>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class AdmissionTest : public testing::Test {
+    protected:
+        static AdmissionOptions options(int slots = 2, int maxQueue = 4)
+        {
+            return { .ranks = { { RankName("urgent"), 100ms, 0, 1 }, { RankName("normal"), 1s, 0, 1 },
+                         { RankName("bulk"), 5s, 0, 1 } },
+                .slots = slots,
+                .maxQueue = maxQueue };
+        }
+        Ticket ticket(uint64_t id, int rank, Duration remaining = 60s) const
+        {
+            return { .id = TicketId(id), .rank = rank, .deadline = m_clock.now() + remaining, .costHint = 10ms };
+        }
+        Admission offer(uint64_t id, int rank, Duration remaining = 60s)
+        {
+            return m_controller.offer(ticket(id, rank, remaining), m_clock.now()).admission;
+        }
+        std::vector<uint64_t> release(uint64_t id, Duration serviceTime = 10ms)
+        {
+            const Dispatch dispatch
+                = m_controller.release(TicketId(id), ServiceResult::Answered, serviceTime, m_clock.now());
+            std::vector<uint64_t> ids;
+            for (const Ticket& started : dispatch.started)
+                ids.push_back(started.id.value());
+            return ids;
+        }
+
+        FakeClock m_clock;
+        AdmissionController m_controller { options(), m_clock.now() };
+    };
+
+    TEST_F(AdmissionTest, StartsUpToTheLimitThenTheMostUrgentWithTheEarliestDeadline)
+    {
+        EXPECT_EQ(offer(1, 0), Admission::Admitted);
+        EXPECT_EQ(offer(2, 0), Admission::Admitted);
+        EXPECT_EQ(offer(3, 2), Admission::Queued);
+        EXPECT_EQ(offer(4, 1, 50s), Admission::Queued);
+        EXPECT_EQ(offer(5, 1, 40s), Admission::Queued);
+        EXPECT_EQ(offer(6, 0), Admission::Queued);
+        EXPECT_EQ(release(1), std::vector<uint64_t>({ 6 }));
+        EXPECT_EQ(release(2), std::vector<uint64_t>({ 5 }));
+        EXPECT_EQ(release(5), std::vector<uint64_t>({ 4 }));
+        EXPECT_EQ(release(6), std::vector<uint64_t>({ 3 }));
+        EXPECT_EQ(m_controller.inFlight(), 2);
+    }
+
+    TEST_F(AdmissionTest, FullQueueDropsTheLowestRanksLatestDeadline)
+    {
+        offer(1, 0);
+        offer(2, 0);
+        offer(3, 2, 30s);
+        offer(4, 2, 40s);
+        offer(5, 1);
+        offer(6, 1);
+        EXPECT_EQ(offer(7, 2, 50s), Admission::Refused) << "the newcomer itself is the least urgent";
+        const AdmitResult result = m_controller.offer(ticket(8, 1), m_clock.now());
+        EXPECT_EQ(result.admission, Admission::Queued);
+        ASSERT_EQ(result.displaced.size(), 1u);
+        EXPECT_EQ(result.displaced[0].ticket.id.value(), 4u);
+        EXPECT_EQ(result.displaced[0].reason, RefusalReason::QueueFull);
+    }
+
+    TEST_F(AdmissionTest, FullQueueKeepsThePlacesOfFloors)
+    {
+        AdmissionOptions withFloors = options(2, 4);
+        withFloors.ranks[2].floor = 0.25;
+        m_controller.reconfigure(withFloors, m_clock.now());
+        offer(1, 0);
+        offer(2, 0);
+        offer(3, 2);
+        for (uint64_t id = 4; id < 7; ++id)
+            EXPECT_EQ(offer(id, 0), Admission::Queued);
+        EXPECT_EQ(offer(7, 0, 90s), Admission::Refused);
+        EXPECT_EQ(m_controller.queuedOf(2), 1);
+    }
+
+    TEST_F(AdmissionTest, CallThatCannotFinishInTimeIsRefusedAtOnce)
+    {
+        EXPECT_EQ(offer(1, 0, 0s), Admission::Refused);
+        EXPECT_EQ(offer(2, 0), Admission::Admitted);
+        EXPECT_EQ(offer(3, 0), Admission::Admitted);
+        release(2, 100ms);
+        EXPECT_EQ(offer(4, 0, 99ms), Admission::Refused) << "a slot is free, but the service takes 100 ms";
+        EXPECT_EQ(offer(5, 0, 101ms), Admission::Admitted);
+        EXPECT_EQ(offer(6, 0, 200ms), Admission::Refused) << "100 ms + 2 x 50 ms deviation + the wait for a slot";
+        EXPECT_EQ(offer(7, 0, 400ms), Admission::Queued);
+        EXPECT_GT(m_controller.estimatedWait(0, m_clock.now()), 50ms);
+        m_clock.advance(301ms);
+        const Dispatch dispatch = m_controller.advance(m_clock.now());
+        ASSERT_EQ(dispatch.refused.size(), 1u);
+        EXPECT_EQ(dispatch.refused[0].reason, RefusalReason::TooLate);
+    }
+
+    TEST_F(AdmissionTest, EarlierDeadlineDoesNotWaitForLaterOnes)
+    {
+        for (uint64_t id = 1; id <= 6; ++id)
+            offer(id, 0);
+        release(1, 100ms);
+        // Three calls wait; behind them the call would be late, ahead of them it is not.
+        EXPECT_EQ(offer(7, 0, 270ms), Admission::Queued);
+        EXPECT_EQ(m_controller.queued(), 4);
+    }
+
+    TEST_F(AdmissionTest, OldEstimateDoesNotRefuseForever)
+    {
+        offer(1, 1);
+        release(1, 10s);
+        EXPECT_EQ(offer(2, 1, 1s), Admission::Refused);
+        m_clock.advance(1s);
+        EXPECT_EQ(offer(3, 1, 1s), Admission::Admitted);
+    }
+
+    TEST_F(AdmissionTest, CancelledWaitingCallNeverStartsAndARunningOneKeepsItsSlot)
+    {
+        offer(1, 0);
+        offer(2, 0);
+        offer(3, 0);
+        EXPECT_TRUE(m_controller.cancel(TicketId(3)));
+        EXPECT_FALSE(m_controller.cancel(TicketId(3)));
+        EXPECT_FALSE(m_controller.cancel(TicketId(1)));
+        EXPECT_EQ(m_controller.inFlight(), 2);
+        EXPECT_TRUE(release(1).empty());
+    }
+
+    TEST_F(AdmissionTest, DrainRefusesNewCallsServesTheOthersAndThenIsIdle)
+    {
+        offer(1, 0);
+        offer(2, 0);
+        offer(3, 0);
+        m_controller.drain();
+        const AdmitResult result = m_controller.offer(ticket(4, 0), m_clock.now());
+        EXPECT_EQ(result.admission, Admission::Refused);
+        EXPECT_EQ(result.reason, RefusalReason::Draining);
+        EXPECT_EQ(release(1), std::vector<uint64_t>({ 3 }));
+        release(2);
+        EXPECT_FALSE(m_controller.isIdle());
+        release(3);
+        EXPECT_TRUE(m_controller.isIdle());
+    }
+
+    TEST_F(AdmissionTest, ReleasingTwiceIsAViolation)
+    {
+        offer(1, 0);
+        release(1);
+        EXPECT_THROW(release(1), InvariantViolation);
+        EXPECT_THROW(release(9), InvariantViolation);
+    }
+
+    TEST_F(AdmissionTest, RankBelowItsFloorGoesAheadOnItsSlotsOnly)
+    {
+        AdmissionOptions withFloors = options(4, 100);
+        withFloors.ranks[2].floor = 0.3; // 1.2 slots: at most 2 at a time
+        m_controller.reconfigure(withFloors, m_clock.now());
+        for (uint64_t id = 1; id <= 4; ++id)
+            offer(id, 0);
+        for (uint64_t id = 10; id < 20; ++id)
+            offer(id, 0);
+        for (uint64_t id = 20; id < 24; ++id)
+            offer(id, 2);
+        m_clock.advance(5s);
+        EXPECT_EQ(release(1), std::vector<uint64_t>({ 20 }));
+        EXPECT_EQ(release(2), std::vector<uint64_t>({ 21 }));
+        EXPECT_EQ(release(3), std::vector<uint64_t>({ 10 }));
+        m_clock.advance(10s); // the rank now had more than its floor
+        EXPECT_EQ(release(20), std::vector<uint64_t>({ 11 }));
+        EXPECT_NEAR(m_controller.shareOf(2, m_clock.now()), 0.5 * (1 - std::exp(-2)), 0.01);
+    }
+
+    TEST_F(AdmissionTest, LongCallsOfTheLowestRankLeaveASlotForTheMostUrgent)
+    {
+        m_controller.reconfigure(options(4), m_clock.now());
+        AdmissionController& controller = m_controller;
+        for (uint64_t id = 1; id <= 4; ++id) {
+            Ticket longCall = ticket(id, 2);
+            longCall.costHint = 2s;
+            const Admission expected = id <= 3 ? Admission::Admitted : Admission::Queued;
+            EXPECT_EQ(controller.offer(longCall, m_clock.now()).admission, expected) << id;
+        }
+        EXPECT_EQ(offer(5, 0), Admission::Admitted);
+    }
+
+    // Against std::deque.
+    RC_GTEST_PROP(FifoAdmissionPropertyTest, AgreesWithADeque, (const std::vector<uint8_t>& actions))
+    {
+        FakeClock clock;
+        AdmissionController controller(
+            { .ranks = {}, .slots = 2, .maxQueue = 3, .policy = FifoAdmission {} }, clock.now());
+        std::deque<uint64_t> waiting;
+        std::vector<uint64_t> running;
+        uint64_t id = 0;
+        for (const uint8_t action : actions) {
+            clock.advance(1ms);
+            if (action % 3 < 2) {
+                const auto result = controller.offer({ TicketId(++id), action % 5, clock.now() + 1h }, clock.now());
+                if (running.size() < 2) {
+                    RC_ASSERT(result.admission == Admission::Admitted);
+                    running.push_back(id);
+                } else if (waiting.size() < 3) {
+                    RC_ASSERT(result.admission == Admission::Queued);
+                    waiting.push_back(id);
+                } else {
+                    RC_ASSERT(result.admission == Admission::Refused);
+                }
+            } else if (!running.empty()) {
+                const auto chosen = running.begin() + action % static_cast<int>(running.size());
+                const Dispatch dispatch
+                    = controller.release(TicketId(*chosen), ServiceResult::Failed, 1ms, clock.now());
+                running.erase(chosen);
+                RC_ASSERT(dispatch.started.size() == (waiting.empty() ? 0u : 1u));
+                if (!waiting.empty()) {
+                    RC_ASSERT(dispatch.started[0].id.value() == waiting.front());
+                    running.push_back(waiting.front());
+                    waiting.pop_front();
+                }
+            }
+        }
+    }
+
+    // The ranked queues without floors as one vector with linear searches.
+    class NaiveQueue {
+    public:
+        explicit NaiveQueue(size_t bound)
+            : m_bound(bound)
+        {
+        }
+        // The id that is dropped, if any.
+        std::optional<uint64_t> add(const Ticket& ticket)
+        {
+            m_waiting.push_back(ticket);
+            if (m_waiting.size() <= m_bound)
+                return std::nullopt;
+            // Among equal calls the newest is dropped.
+            auto worst = m_waiting.begin();
+            for (auto entry = m_waiting.begin(); entry != m_waiting.end(); ++entry) {
+                if (std::tie(entry->rank, entry->deadline) >= std::tie(worst->rank, worst->deadline))
+                    worst = entry;
+            }
+            const uint64_t id = worst->id.value();
+            m_waiting.erase(worst);
+            return id;
+        }
+        void refuseExpired(TimePoint now)
+        {
+            std::erase_if(m_waiting, [now](const Ticket& ticket) { return ticket.deadline <= now; });
+        }
+        std::optional<uint64_t> take()
+        {
+            if (m_waiting.empty())
+                return std::nullopt;
+            const auto best
+                = std::min_element(m_waiting.begin(), m_waiting.end(), [](const Ticket& a, const Ticket& b) {
+                      return std::tie(a.rank, a.deadline) < std::tie(b.rank, b.deadline);
+                  });
+            const uint64_t id = best->id.value();
+            m_waiting.erase(best);
+            return id;
+        }
+        bool cancel(TicketId id)
+        {
+            return std::erase_if(m_waiting, [id](const Ticket& ticket) { return ticket.id == id; }) > 0;
+        }
+        size_t size() const { return m_waiting.size(); }
+
+    private:
+        size_t m_bound;
+        std::vector<Ticket> m_waiting;
+    };
+
+    void compareWithNaive(uint64_t seed, int steps)
+    {
+        Random random(seed);
+        FakeClock clock;
+        // Service times of zero make every estimate zero, so that only deadlines that have passed refuse calls.
+        AdmissionOptions options {
+            .ranks = std::vector<RankPolicy>(3, RankPolicy { .target = 1s }), .slots = 3, .maxQueue = 6
+        };
+        AdmissionController controller(options, clock.now());
+        uint64_t id = 0;
+        for (int rank = 0; rank < 3; ++rank) {
+            controller.offer({ TicketId(++id), rank, clock.now() + 1s }, clock.now());
+            controller.release(TicketId(id), ServiceResult::Answered, 0s, clock.now());
+        }
+        NaiveQueue naive(6);
+        std::vector<uint64_t> running;
+        for (int i = 0; i < steps; ++i) {
+            clock.advance(std::chrono::milliseconds(random.below(3)));
+            const uint64_t action = random.below(10);
+            const Dispatch late = controller.advance(clock.now());
+            const size_t before = naive.size();
+            naive.refuseExpired(clock.now());
+            ASSERT_EQ(late.refused.size(), before - naive.size());
+            ASSERT_TRUE(late.started.empty());
+            if (action < 6) {
+                const Ticket ticket { TicketId(++id), static_cast<int>(random.below(4)),
+                    clock.now() + std::chrono::milliseconds(1 + random.below(40)) };
+                Ticket clamped = ticket;
+                clamped.rank = std::min(ticket.rank, 2);
+                const AdmitResult result = controller.offer(ticket, clock.now());
+                if (running.size() < 3) {
+                    ASSERT_EQ(result.admission, Admission::Admitted);
+                    running.push_back(id);
+                } else if (const auto dropped = naive.add(clamped); dropped == id) {
+                    ASSERT_EQ(result.admission, Admission::Refused);
+                } else {
+                    ASSERT_EQ(result.admission, Admission::Queued);
+                    ASSERT_EQ(result.displaced.size(), dropped ? 1u : 0u);
+                    if (dropped) {
+                        ASSERT_EQ(result.displaced[0].ticket.id.value(), *dropped);
+                    }
+                }
+            } else if (action < 7) {
+                const TicketId any(1 + random.below(id));
+                ASSERT_EQ(controller.cancel(any), naive.cancel(any));
+            } else if (!running.empty()) {
+                const auto chosen = running.begin() + static_cast<int>(random.below(running.size()));
+                const Dispatch dispatch
+                    = controller.release(TicketId(*chosen), ServiceResult::Answered, 0s, clock.now());
+                running.erase(chosen);
+                const auto next = naive.take();
+                ASSERT_EQ(dispatch.started.size(), next ? 1u : 0u);
+                if (next) {
+                    ASSERT_EQ(dispatch.started[0].id.value(), *next);
+                    running.push_back(*next);
+                }
+            }
+            ASSERT_EQ(static_cast<size_t>(controller.queued()), naive.size());
+        }
+    }
+
+    RC_GTEST_PROP(RankedAdmissionPropertyTest, AgreesWithALinearSearch, ())
+    {
+        compareWithNaive(*rc::gen::arbitrary<uint64_t>(), 300);
+        RC_ASSERT(!testing::Test::HasFailure());
+    }
+
+    TEST(RankedAdmissionLongTest, AgreesWithALinearSearchOverALongRun)
+    {
+        runWithSeeds(21, [](uint64_t seed) { compareWithNaive(seed, 20'000); });
+    }
+
+    // The wrapper must keep the invariants when request threads meet; also run by ThreadSanitizer.
+    TEST(GuardedAdmissionTest, ThreadsShareOneController)
+    {
+        const SystemClock clock;
+        const uint64_t violationsBefore = violationCount();
+        Guarded<AdmissionController> admission(AdmissionOptions { .slots = 3, .maxQueue = 2 }, clock.now());
+        std::vector<std::thread> threads;
+        for (uint64_t t = 0; t < 4; ++t) {
+            threads.emplace_back([&, t] {
+                for (uint64_t i = 0; i < 2'000; ++i) {
+                    const TicketId id(t * 1'000'000 + i);
+                    const TimePoint now = clock.now();
+                    const AdmitResult result = admission.with([&](auto& value) {
+                        return value.offer({ id, 0, now + 1h }, now);
+                    });
+                    if (result.admission != Admission::Admitted) {
+                        admission.with([&](auto& value) { value.cancel(id); });
+                        continue;
+                    }
+                    std::deque<TicketId> own { id };
+                    while (!own.empty()) {
+                        const Dispatch dispatch = admission.with(
+                            [&](auto& value) { return value.release(own.front(), ServiceResult::Failed, 1us, now); });
+                        own.pop_front();
+                        for (const Ticket& started : dispatch.started)
+                            own.push_back(started.id);
+                    }
+                }
+            });
+        }
+        for (std::thread& thread : threads)
+            thread.join();
+        EXPECT_EQ(violationCount(), violationsBefore);
+        EXPECT_TRUE(admission.with([](auto& value) { return value.isIdle(); }));
+    }
+
+} // namespace
+} // namespace skylark
--- /dev/null
+++ b/src/admission/tests/FloodTest.cpp
@@ -0,0 +1,126 @@
+// Guards what each rank keeps while another rank floods, in a simulated gate. The bounds are the targets of
+// the design; a miss is a fault of the admission rules.
+#include "admission/tests/GateSimulator.h"
+#include "testing/TestSeed.h"
+
+#include <numeric>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr int slots = 13;
+    constexpr Duration service = 20ms;
+    // Calls a second that fill the backend server.
+    constexpr double capacity = slots / 0.020;
+
+    AdmissionOptions options()
+    {
+        return { .ranks = { { RankName("urgent"), 100ms, 0.3, 100 }, { RankName("normal"), 500ms, 0.2, 10 },
+                     { RankName("bulk"), 5s, 0.05, 1 } },
+            .slots = slots };
+    }
+
+    Stream urgent(double load) { return { 0, load * capacity, service, 100ms }; }
+    Stream normal(double load) { return { 1, load * capacity, service, 500ms }; }
+    Stream bulk(double load) { return { 2, load * capacity, service, 5s }; }
+
+    double shareOf(const std::vector<RankResult>& results, int rank)
+    {
+        const double sum = std::accumulate(
+            results.begin(), results.end(), 0.0, [](double s, const RankResult& r) { return s + r.slotSeconds; });
+        return results[rank].slotSeconds / sum;
+    }
+    double goodput(const std::vector<RankResult>& results, Duration length)
+    {
+        const double sum = std::accumulate(
+            results.begin(), results.end(), 0.0, [](double s, const RankResult& r) { return s + r.goodSeconds; });
+        return sum / (slots * std::chrono::duration<double>(length).count());
+    }
+
+    void expectUrgentKept(const std::vector<RankResult>& results)
+    {
+        EXPECT_GE(results[0].onTimeShare(), 0.999)
+            << results[0].late << " late, " << results[0].refused << " refused of " << results[0].offered;
+    }
+    void expectFloorsKept(const std::vector<RankResult>& results)
+    {
+        EXPECT_GE(shareOf(results, 1), 0.9 * 0.2);
+        EXPECT_GE(shareOf(results, 2), 0.9 * 0.05);
+    }
+
+    TEST(FloodTest, UrgentCallsAreOnTimeInAFloodOfLesserWork)
+    {
+        runWithSeeds(101, [](uint64_t seed) {
+            GateSimulator gate(options(), slots, seed);
+            gate.run({ urgent(0.2), normal(0.1), bulk(0.1) }, 10s);
+            const auto results = gate.run({ urgent(0.2), normal(0.5), bulk(3) }, 60s);
+            expectUrgentKept(results);
+            EXPECT_GE(goodput(results, 60s), 0.95);
+        });
+    }
+
+    // Bulk calls that hold a slot for long: no slot becomes free in time unless one is kept.
+    TEST(FloodTest, UrgentCallsAreOnTimeInAFloodOfLongCalls)
+    {
+        runWithSeeds(102, [](uint64_t seed) {
+            GateSimulator gate(options(), slots, seed);
+            gate.run({ urgent(0.2), normal(0.1) }, 10s);
+            const Stream longBulk { 2, 3 * slots / 0.5, 500ms, 5s };
+            const auto results = gate.run({ urgent(0.2), longBulk }, 60s);
+            expectUrgentKept(results);
+            // At most two of the 13 slots wait for urgent calls.
+            EXPECT_GE(goodput(results, 60s), 11.0 / 13);
+        });
+    }
+
+    TEST(FloodTest, LesserRanksKeepTheirFloorsInAFloodOfUrgentWork)
+    {
+        runWithSeeds(103, [](uint64_t seed) {
+            GateSimulator gate(options(), slots, seed);
+            gate.run({ urgent(0.2), normal(0.1), bulk(0.1) }, 10s);
+            const auto results = gate.run({ urgent(3), normal(0.5), bulk(0.5) }, 60s);
+            expectFloorsKept(results);
+            EXPECT_GE(goodput(results, 60s), 0.95);
+        });
+    }
+
+    TEST(FloodTest, FloodsInTurnChangeNeither)
+    {
+        runWithSeeds(104, [](uint64_t seed) {
+            GateSimulator gate(options(), slots, seed);
+            for (int turn = 0; turn < 3; ++turn) {
+                const auto lesser = gate.run({ urgent(0.2), normal(1.5), bulk(1.5) }, 20s);
+                expectUrgentKept(lesser);
+                EXPECT_GE(goodput(lesser, 20s), 0.95);
+                const auto flood = gate.run({ urgent(3), normal(0.5), bulk(0.5) }, 20s);
+                expectFloorsKept(flood);
+                EXPECT_GE(goodput(flood, 20s), 0.95);
+            }
+        });
+    }
+
+    // The control: without ranks the same flood takes the urgent calls along, so the tests above can fail.
+    TEST(FloodTest, FifoBaselineLosesUrgentCalls)
+    {
+        AdmissionOptions fifo = options();
+        fifo.policy = FifoAdmission {};
+        GateSimulator gate(fifo, slots, 101);
+        const auto results = gate.run({ urgent(0.2), normal(0.5), bulk(3) }, 60s);
+        EXPECT_LT(results[0].onTimeShare(), 0.1);
+    }
+
+    TEST(FloodTest, CapacityIsUsedWhenAllRanksFlood)
+    {
+        runWithSeeds(105, [](uint64_t seed) {
+            GateSimulator gate(options(), slots, seed);
+            const auto results = gate.run({ urgent(1), normal(1), bulk(1) }, 60s);
+            EXPECT_GE(goodput(results, 60s), 0.95);
+            expectFloorsKept(results);
+            EXPECT_GE(shareOf(results, 0), 0.9 * 0.3);
+        });
+    }
+
+} // namespace
+} // namespace skylark
--- /dev/null
+++ b/src/admission/tests/GateSimulator.h
@@ -0,0 +1,186 @@
+// An event loop around one gate: Poisson streams of calls, the controller, and a backend server that runs
+// `backendSlots` calls at a time and keeps the others waiting in order of arrival.
+#pragma once
+
+#include "admission/AdmissionController.h"
+#include "base/Random.h"
+#include "testing/FakeClock.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+
+namespace skylark {
+
+struct Stream {
+    int rank { 0 };
+    double callsPerSecond { 0 };
+    // Service times are uniform over half to one and a half of it.
+    Duration meanService {};
+    Duration deadline {};
+};
+
+struct RankResult {
+    int64_t offered { 0 };
+    int64_t onTime { 0 };
+    int64_t late { 0 };
+    int64_t refused { 0 };
+    // Backend slot time of answered calls, and of those that were on time, in seconds.
+    double slotSeconds { 0 };
+    double goodSeconds { 0 };
+
+    double onTimeShare() const { return offered ? static_cast<double>(onTime) / static_cast<double>(offered) : 1; }
+};
+
+class GateSimulator {
+public:
+    GateSimulator(AdmissionOptions options, int backendSlots, uint64_t seed)
+        : m_controller(std::move(options), m_clock.now())
+        , m_backendSlots(backendSlots)
+        , m_random(seed)
+    {
+        at(m_clock.now(), [this] { tick(); });
+    }
+
+    // Runs the streams for this long, on top of what is under way, and returns what became of their calls
+    // once all of them have ended.
+    std::vector<RankResult> run(const std::vector<Stream>& streams, Duration length)
+    {
+        m_results.assign(8, {});
+        m_end = m_clock.now() + length;
+        for (const Stream& stream : streams)
+            scheduleArrival(stream);
+        while (m_clock.now() < m_end || !m_controller.isIdle())
+            step();
+        return m_results;
+    }
+
+    AdmissionController& controller() { return m_controller; }
+    TimePoint now() const { return m_clock.now(); }
+    void setBackendSlots(int slots) { m_backendSlots = slots; }
+
+private:
+    struct Event {
+        TimePoint time;
+        uint64_t sequence;
+        std::function<void()> action;
+        bool operator<(const Event& other) const
+        {
+            return time != other.time ? time > other.time : sequence > other.sequence;
+        }
+    };
+    struct Call {
+        Stream stream;
+        TimePoint deadline;
+        TimePoint startedAt;
+        Duration service {};
+    };
+
+    void at(TimePoint time, std::function<void()> action) { m_events.push({ time, m_sequence++, std::move(action) }); }
+
+    void step()
+    {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_clock.advance(event.time - m_clock.now());
+        event.action();
+    }
+
+    void tick()
+    {
+        apply(m_controller.advance(m_clock.now()));
+        at(m_clock.now() + std::chrono::milliseconds(10), [this] { tick(); });
+    }
+
+    void scheduleArrival(const Stream& stream)
+    {
+        const double gap = std::exponential_distribution<double>(stream.callsPerSecond)(m_random.engine());
+        const TimePoint time = m_clock.now() + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap));
+        if (time >= m_end)
+            return;
+        at(time, [this, stream] {
+            arrive(stream);
+            scheduleArrival(stream);
+        });
+    }
+
+    void arrive(const Stream& stream)
+    {
+        const TicketId id(m_nextId++);
+        const Ticket ticket { .id = id, .rank = stream.rank, .deadline = m_clock.now() + stream.deadline };
+        m_calls[id]
+            = { stream, ticket.deadline, m_clock.now(), stream.meanService / 2 + m_random.upTo(stream.meanService) };
+        ++m_results[stream.rank].offered;
+        const AdmitResult result = m_controller.offer(ticket, m_clock.now());
+        refuse(result.displaced);
+        if (result.admission == Admission::Admitted)
+            start(id);
+        else if (result.admission == Admission::Refused)
+            refuse({ { ticket, result.reason } });
+    }
+
+    void start(TicketId id)
+    {
+        m_calls[id].startedAt = m_clock.now();
+        m_backendQueue.push_back(id);
+        serve();
+    }
+
+    void serve()
+    {
+        while (!m_backendQueue.empty() && m_busy < m_backendSlots) {
+            const TicketId id = m_backendQueue.front();
+            m_backendQueue.pop_front();
+            ++m_busy;
+            at(m_clock.now() + m_calls[id].service, [this, id] { finish(id); });
+        }
+    }
+
+    void finish(TicketId id)
+    {
+        const Call call = m_calls[id];
+        m_calls.erase(id);
+        --m_busy;
+        RankResult& result = m_results[call.stream.rank];
+        const double seconds = std::chrono::duration<double>(call.service).count();
+        const bool isOnTime = m_clock.now() <= call.deadline;
+        ++(isOnTime ? result.onTime : result.late);
+        if (m_clock.now() <= m_end) {
+            result.slotSeconds += seconds;
+            result.goodSeconds += isOnTime ? seconds : 0;
+        }
+        serve();
+        apply(m_controller.release(id, ServiceResult::Answered, m_clock.now() - call.startedAt, m_clock.now()));
+    }
+
+    void apply(const Dispatch& dispatch)
+    {
+        refuse(dispatch.refused);
+        for (const Ticket& ticket : dispatch.started)
+            start(ticket.id);
+    }
+
+    void refuse(const std::vector<RefusedTicket>& refused)
+    {
+        for (const RefusedTicket& entry : refused) {
+            ++m_results[entry.ticket.rank].refused;
+            m_calls.erase(entry.ticket.id);
+        }
+    }
+
+    FakeClock m_clock;
+    AdmissionController m_controller;
+    int m_backendSlots;
+    Random m_random;
+    std::priority_queue<Event> m_events;
+    uint64_t m_sequence { 0 };
+    uint64_t m_nextId { 1 };
+    std::map<TicketId, Call> m_calls;
+    std::deque<TicketId> m_backendQueue;
+    int m_busy { 0 };
+    TimePoint m_end;
+    std::vector<RankResult> m_results;
+};
+
+} // namespace skylark
