Refuse to continue a body that missed its deadline and report stalls

Cause: after sendBody() had dropped the rest of a chunk at its deadline, a later sendBody() went on at the next offset, so that the gate took a body with a hole for a whole one. A gate could also not tell calls that had waited in the socket while its process was paused, and idle connections kept large buffers. Change: a stream whose send missed a deadline sends no more body and is cut off when its handle goes. ServerStream::stalledFor() gives the pause before the call was read. Buffers above 16 KB are released when empty. send() takes the message by reference. NetworkMessages.cpp and CallStream.cpp are split off. Conclusion: a body is whole or cut off, never shortened.

--- a/src/transport/CallStream.h
+++ b/src/transport/CallStream.h
@@ -74,7 +74,8 @@
 
 class ServerStream {
 public:
-    ServerStream(std::shared_ptr<Stream> stream, CallStart call, TimePoint receivedAt, PeerInfo peer);
+    ServerStream(
+        std::shared_ptr<Stream> stream, CallStart call, TimePoint receivedAt, Duration stalledFor, PeerInfo peer);
     // Without an answer the caller gets a refusal with outcome Unknown; an unfinished body is cut off.
     ~ServerStream();
     ServerStream(const ServerStream&) = delete;
@@ -82,6 +83,9 @@
 
     const CallStart& call() const { return m_call; }
     TimePoint receivedAt() const { return m_receivedAt; }
+    // Above zero when the network's thread had not run for that long shortly before it read the call, as after
+    // a pause of the process: the call may have waited in the socket for all that time.
+    Duration stalledFor() const { return m_stalledFor; }
     const PeerInfo& peer() const { return m_peer; }
 
     // As ClientStream::readBody.
@@ -104,6 +108,7 @@
     std::shared_ptr<Stream> m_stream;
     const CallStart m_call;
     const TimePoint m_receivedAt;
+    const Duration m_stalledFor;
     const PeerInfo m_peer;
 };
 
--- a/src/transport/Connection.cpp
+++ b/src/transport/Connection.cpp
@@ -30,7 +30,7 @@
 
 NetworkContext::~NetworkContext() = default;
 
-void NetworkContext::wake()
+void NetworkContext::wake() const
 {
     const uint64_t one = 1;
     // Fails only when the counter is full, and then the thread wakes up anyway.
@@ -52,6 +52,11 @@
     m_loop.lastReceived = m_lastUsed;
 }
 
+std::string Connection::describe() const
+{
+    return m_remote.host.empty() ? "an accepted connection" : m_remote.toString();
+}
+
 StreamFailure Connection::closeReason() const
 {
     const std::lock_guard lock(m_mutex);
@@ -290,6 +295,8 @@
         if (m_queuePosition * 2 >= m_queue.size()) {
             m_queue.erase(0, m_queuePosition);
             m_queuePosition = 0;
+            if (m_queue.empty())
+                m_queue.shrink_to_fit();
         }
         if (queuedBytes() <= congestedBytes)
             resumed.swap(m_waiting);
--- a/src/transport/Connection.h
+++ b/src/transport/Connection.h
@@ -27,7 +27,7 @@
     NetworkContext& operator=(const NetworkContext&) = delete;
 
     // Makes the network's thread run its loop once.
-    void wake();
+    void wake() const;
 
     PeerNetworkOptions options;
     const Clock& clock;
@@ -66,6 +66,8 @@
     ConnectionPurpose purpose() const { return m_purpose; }
     // Valid once Ready.
     const PeerInfo& peer() const { return m_peer; }
+    // For log lines.
+    std::string describe() const;
     // Why the connection is closed.
     StreamFailure closeReason() const;
 
--- a/src/transport/NetworkLoop.cpp
+++ b/src/transport/NetworkLoop.cpp
@@ -7,7 +7,6 @@
 #include <cerrno>
 #include <cstring>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 #include <sys/timerfd.h>
 #include <unistd.h>
 
@@ -17,8 +16,6 @@
     using std::chrono::milliseconds;
 
     constexpr size_t readBytes = size_t { 64 } * 1024;
-    // A connection yields to the others after 1 MiB.
-    constexpr int readsPerTurn = 16;
     constexpr int acceptsPerTurn = 64;
     constexpr auto checkInterval = milliseconds(50);
     constexpr auto closingInterval = milliseconds(5);
@@ -29,11 +26,6 @@
     // Time for peers to close their side once all is sent.
     constexpr auto finishTimeout = milliseconds(200);
 
-    std::string describe(const Connection& connection)
-    {
-        return connection.remote().host.empty() ? "an accepted connection" : connection.remote().toString();
-    }
-
     void drain(int fd)
     {
         uint64_t count = 0;
@@ -47,6 +39,7 @@
     std::array<epoll_event, eventsPerTurn> events {};
     m_readBuffer.resize(readBytes);
     while (m_phase != Phase::Stopped) {
+        noteAlive(m_context->clock.now());
         const int count = ::epoll_wait(m_epoll.value(), events.data(), eventsPerTurn, waitMilliseconds());
         std::vector<uint64_t> unread;
         unread.swap(m_unread);
@@ -188,188 +181,6 @@
     connection->sendHello(m_listenAddress);
 }
 
-void PeerNetwork::Impl::readFrom(const ConnectionPtr& connection, bool isEndNear)
-{
-    for (int i = 0; i < readsPerTurn; ++i) {
-        const FileDescriptor& socket = connection->loop().socket;
-        if (!socket)
-            return;
-        const ssize_t size = ::recv(socket.value(), m_readBuffer.data(), m_readBuffer.size(), 0);
-        if (size < 0 && (errno == EAGAIN || errno == EINTR))
-            return;
-        if (size <= 0) {
-            const char* message = size == 0 ? "the peer closed the connection" : std::strerror(errno);
-            return closeConnection(connection, { .step = "connection", .message = message });
-        }
-        connection->noteReceived(m_context->clock.now());
-        FrameReader& reader = connection->loop().reader;
-        try {
-            reader.feed({ m_readBuffer.data(), static_cast<size_t>(size) });
-            while (connection->state() != Connection::State::Closed) {
-                const auto payload = reader.next();
-                if (!payload)
-                    break;
-                handlePayload(connection, *payload);
-            }
-        } catch (const Error& error) {
-            return refuseProtocol(connection, error);
-        }
-        // A short read has emptied the socket; later bytes raise a new event. An end that came with the
-        // bytes does not, so it is read at once.
-        if (static_cast<size_t>(size) < m_readBuffer.size() && !isEndNear)
-            return;
-    }
-    m_unread.push_back(connection->serial());
-}
-
-void PeerNetwork::Impl::refuseProtocol(const ConnectionPtr& connection, const Error& error)
-{
-    ++m_context->counters.protocolErrors;
-    m_protocolLog.write({ { "peer", describe(*connection) }, { "step", error.step() }, { "error", error.message() },
-        { "advice", error.advice() } });
-    closeConnection(connection, { .step = error.step(), .message = error.message() });
-}
-
-void PeerNetwork::Impl::handlePayload(const ConnectionPtr& connection, std::string_view payload)
-{
-    std::optional<Message> message = decode(payload);
-    if (!message) {
-        ++m_context->counters.unknownMessages;
-        return;
-    }
-    const bool isHello = std::holds_alternative<Hello>(*message);
-    const bool isReady = connection->state() == Connection::State::Ready;
-    if (isHello == isReady) {
-        throw Error({ .step = "hello",
-            .message = isReady ? "a second Hello" : "the first message is not a Hello",
-            .advice = "check what connects to this port" });
-    }
-    if (isHello)
-        handleHello(connection, std::get<Hello>(*message));
-    m_context->counters.countReceived(connection->purpose(), message->index(), payload.size() + frameHeaderBytes);
-    if (!isHello)
-        handleMessage(connection, std::move(*message));
-}
-
-void PeerNetwork::Impl::handleHello(const ConnectionPtr& connection, const Hello& hello)
-{
-    const PeerNetworkOptions& options = m_context->options;
-    const uint32_t lowest = std::max(hello.protocolMinimum, options.protocolMinimum);
-    const uint32_t highest = std::min(hello.protocolMaximum, options.protocolMaximum);
-    if (lowest > highest) {
-        // The dialing side learns our versions from our Hello.
-        if (!connection->isDialed())
-            connection->sendHello(m_listenAddress);
-        throw Error({ .step = "hello",
-            .peer = hello.listenAddress.toString(),
-            .message = "instance " + hello.instance.value() + " speaks protocol versions "
-                + std::to_string(hello.protocolMinimum) + " to " + std::to_string(hello.protocolMaximum)
-                + " and this node " + std::to_string(options.protocolMinimum) + " to "
-                + std::to_string(options.protocolMaximum),
-            .advice = "update the older of the two" });
-    }
-    connection->adoptHello(hello, highest);
-    Connection::LoopState& loop = connection->loop();
-    if (!connection->isDialed()) {
-        connection->sendHello(m_listenAddress);
-        connection->becomeReady();
-        return registerAccepted(connection);
-    }
-    connection->becomeReady();
-    {
-        // Waiters check the state with the mutex held.
-        const std::lock_guard lock(m_mutex);
-    }
-    m_readyOrClosed.notify_all();
-    if (std::exchange(loop.isProbe, false) && m_handlers.onPeerProbe)
-        m_handlers.onPeerProbe(connection->remote(), true);
-    if (loop.isSurplus)
-        closeConnection(connection, { .step = "probe", .message = "the probe is done" });
-}
-
-void PeerNetwork::Impl::registerAccepted(const ConnectionPtr& connection)
-{
-    ConnectionPtr excess;
-    {
-        const std::lock_guard lock(m_mutex);
-        auto& connections = m_peers[connection->remote()].of(connection->purpose());
-        size_t accepted = 0;
-        for (const ConnectionPtr& other : connections) {
-            if (other->isDialed())
-                continue;
-            ++accepted;
-            if (!excess || other->loop().lastReceived < excess->loop().lastReceived)
-                excess = other;
-        }
-        connections.push_back(connection);
-        if (accepted < connectionLimit(connection->purpose()))
-            excess.reset();
-    }
-    m_readyOrClosed.notify_all();
-    // The peer keeps to the limit as well, so it has given up one of those it opened before: most likely
-    // the one that has been quiet for longest.
-    if (excess) {
-        ++m_context->counters.refusedConnections;
-        closeConnection(excess, { .step = "limit", .message = "the peer opened another connection" });
-    }
-}
-
-void PeerNetwork::Impl::handleCall(const ConnectionPtr& connection, CallStart&& call)
-{
-    if (m_phase != Phase::Running) {
-        return connection->sendForStream(
-            Refusal { .stream = call.stream, .step = "transport", .reason = "this node is stopping" });
-    }
-    std::shared_ptr<Stream> stream;
-    switch (connection->acceptStream(call, stream)) {
-    case Connection::Accepted::WrongId:
-        throw Error({ .step = "call-start",
-            .message = "stream id " + std::to_string(call.stream.value()) + " is not a new one of the peer" });
-    case Connection::Accepted::TooMany:
-        return connection->sendForStream(
-            Refusal { .stream = call.stream, .step = "transport", .reason = "too many calls on one connection" });
-    case Connection::Accepted::Yes:
-        break;
-    }
-    auto server = std::make_shared<ServerStream>(
-        std::move(stream), std::move(call), connection->loop().lastReceived, connection->peer());
-    if (m_handlers.onCall)
-        m_handlers.onCall(std::move(server));
-}
-
-template <typename Frame, typename Handler>
-void PeerNetwork::Impl::deliver(const ConnectionPtr& connection, const Frame& frame, const Handler& handler)
-{
-    if (const auto stream = connection->findStream(frame.stream))
-        handler(*stream);
-    else
-        ++m_context->counters.lateFrames;
-}
-
-void PeerNetwork::Impl::handleMessage(const ConnectionPtr& connection, Message&& message)
-{
-    if (const auto* ping = std::get_if<Ping>(&message)) {
-        connection->sendForStream(Pong { ping->nonce });
-    } else if (std::holds_alternative<Pong>(message)) {
-        // Any received byte counts, so there is nothing more to do.
-        return;
-    } else if (auto* call = std::get_if<CallStart>(&message)) {
-        handleCall(connection, std::move(*call));
-    } else if (auto* chunk = std::get_if<BodyChunk>(&message)) {
-        deliver(connection, *chunk, [&](Stream& stream) { stream.handleChunk(std::move(*chunk)); });
-    } else if (auto* window = std::get_if<WindowUpdate>(&message)) {
-        deliver(connection, *window, [&](Stream& stream) { stream.handleWindow(window->bytes); });
-    } else if (auto* answer = std::get_if<AnswerStart>(&message)) {
-        deliver(connection, *answer, [&](Stream& stream) { stream.handleAnswer(std::move(*answer)); });
-    } else if (auto* refusal = std::get_if<Refusal>(&message)) {
-        deliver(connection, *refusal, [&](Stream& stream) { stream.handleRefusal(std::move(*refusal)); });
-    } else if (auto* cancel = std::get_if<Cancel>(&message)) {
-        deliver(connection, *cancel, [&](Stream& stream) { stream.handleCancel(); });
-    } else if (m_handlers.onMessage) {
-        m_handlers.onMessage(std::move(message), connection->peer());
-    }
-}
-
 void PeerNetwork::Impl::closeConnection(const ConnectionPtr& connection, const StreamFailure& reason)
 {
     const bool isControlLost = connection->close(reason);
@@ -442,7 +253,7 @@
         if (now - *pingSentAt < options.pingTimeout)
             return;
         ++m_context->counters.silentConnections;
-        m_silenceLog.write({ { "peer", describe(*connection) } });
+        m_silenceLog.write({ { "peer", connection->describe() } });
         return closeConnection(
             connection, { .step = "ping", .message = "the connection went silent", .isSilentConnection = true });
     }
--- a/src/transport/PeerNetwork.cpp
+++ b/src/transport/PeerNetwork.cpp
@@ -37,6 +37,7 @@
     , m_timer(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC))
     , m_listener(listenOn(m_context->options.listen))
     , m_lastCheck(clock.now())
+    , m_lastAlive(m_lastCheck)
 {
     m_listenAddress = boundEndpoint(m_listener);
     watchDescriptor(m_epoll.value(), m_listener.value(), listenerKey);
@@ -233,7 +234,7 @@
 
 const Endpoint& PeerNetwork::listenAddress() const { return m_impl->listenAddress(); }
 
-bool PeerNetwork::send(const Endpoint& peer, Message message) { return m_impl->send(peer, message); }
+bool PeerNetwork::send(const Endpoint& peer, const Message& message) { return m_impl->send(peer, message); }
 
 std::shared_ptr<ClientStream> PeerNetwork::openCall(
     const Endpoint& gate, const InstanceId& expected, CallStart call, std::string body, bool isBodyComplete)
--- a/src/transport/PeerNetwork.h
+++ b/src/transport/PeerNetwork.h
@@ -76,7 +76,7 @@
     // Queues a control message and does not block. False when it fails at once: the queue is full or the
     // network is closed; onSendFailed follows on the network's thread. Throws Error for a message above the
     // frame size. Messages to one peer arrive in order or not at all.
-    bool send(const Endpoint& peer, Message message);
+    bool send(const Endpoint& peer, const Message& message);
 
     // Opens a call on the gate's node. Blocks for a new connection only, at most for the connect timeout.
     // The stream of the call is assigned here, and hasBody from the other parameters. Where no connection
--- a/src/transport/PeerNetworkImpl.h
+++ b/src/transport/PeerNetworkImpl.h
@@ -1,6 +1,7 @@
 // The table of peers and the epoll loop behind PeerNetwork. Internal to transport.
 //
-// PeerNetwork.cpp holds what any thread calls, NetworkLoop.cpp what the network's thread runs. The mutex
+// PeerNetwork.cpp holds what any thread calls, NetworkLoop.cpp and NetworkMessages.cpp what the network's
+// thread runs. The mutex
 // guards the table of peers and is taken before a connection's mutex, never after it.
 #pragma once
 
@@ -76,6 +77,15 @@
     bool makeRoom();
     void handleEvent(uint64_t serial, uint32_t events);
     void finishDial(const ConnectionPtr& connection);
+    void closeConnection(const ConnectionPtr& connection, const StreamFailure& reason);
+    void checkTimers(TimePoint now);
+    void checkConnection(const ConnectionPtr& connection, TimePoint now);
+    void checkSilence(const ConnectionPtr& connection, TimePoint now);
+    void releaseDelayed(TimePoint now);
+    void advancePhase(TimePoint now);
+    void closeAll();
+
+    // NetworkMessages.cpp
     void readFrom(const ConnectionPtr& connection, bool isEndNear);
     void handlePayload(const ConnectionPtr& connection, std::string_view payload);
     void handleMessage(const ConnectionPtr& connection, Message&& message);
@@ -84,14 +94,8 @@
     void handleCall(const ConnectionPtr& connection, CallStart&& call);
     template <typename Frame, typename Handler>
     void deliver(const ConnectionPtr& connection, const Frame& frame, const Handler& handler);
-    void closeConnection(const ConnectionPtr& connection, const StreamFailure& reason);
     void refuseProtocol(const ConnectionPtr& connection, const Error& error);
-    void checkTimers(TimePoint now);
-    void checkConnection(const ConnectionPtr& connection, TimePoint now);
-    void checkSilence(const ConnectionPtr& connection, TimePoint now);
-    void releaseDelayed(TimePoint now);
-    void advancePhase(TimePoint now);
-    void closeAll();
+    void noteAlive(TimePoint now);
 
     const std::shared_ptr<NetworkContext> m_context;
     const PeerHandlers m_handlers;
@@ -118,6 +122,10 @@
     std::vector<uint64_t> m_unread;
     std::string m_readBuffer;
     TimePoint m_lastCheck;
+    // When the thread last ran, how long it had not run before that, and when that ended.
+    TimePoint m_lastAlive;
+    Duration m_stalledFor {};
+    TimePoint m_stallEnded;
     Phase m_phase { Phase::Running };
     TimePoint m_closeDeadline;
     std::thread m_thread;
--- a/src/transport/Stream.cpp
+++ b/src/transport/Stream.cpp
@@ -109,13 +109,14 @@
     Lock lock(m_mutex);
     const auto isTaken = [this] { return !m_connection || (unsentBytes() == 0 && !m_isLastUnsent); };
     // What an earlier openCall() or answer() left goes first.
-    if (m_changed.wait_until(lock, deadline, isTaken) && m_connection && !m_isSendFinished) {
+    if (!m_isSendBroken && m_changed.wait_until(lock, deadline, isTaken) && m_connection && !m_isSendFinished) {
         setUnsent(std::move(chunk), isLast);
         sendUnsent();
         if (m_changed.wait_until(lock, deadline, isTaken))
             return m_connection || m_isSendFinished;
     }
-    // The rest of a body that missed its deadline must not follow later.
+    // The rest of a body that missed its deadline is dropped, so nothing may follow it either.
+    m_isSendBroken = true;
     setUnsent({}, false);
     return false;
 }
@@ -345,50 +346,4 @@
     return m_connection && (unsentBytes() > 0 || m_isLastUnsent);
 }
 
-ClientStream::ClientStream(std::shared_ptr<Stream> stream)
-    : m_stream(std::move(stream))
-{
-}
-
-ClientStream::~ClientStream() { m_stream->cancel(); }
-
-bool ClientStream::sendBody(std::string chunk, bool isLast, TimePoint deadline)
-{
-    return m_stream->sendBody(std::move(chunk), isLast, deadline);
-}
-
-AwaitResult ClientStream::awaitAnswer(TimePoint deadline) { return m_stream->awaitAnswer(deadline); }
-
-std::optional<std::string> ClientStream::readBody(TimePoint deadline) { return m_stream->readBody(deadline); }
-
-void ClientStream::cancel() { m_stream->cancel(); }
-
-ServerStream::ServerStream(std::shared_ptr<Stream> stream, CallStart call, TimePoint receivedAt, PeerInfo peer)
-    : m_stream(std::move(stream))
-    , m_call(std::move(call))
-    , m_receivedAt(receivedAt)
-    , m_peer(std::move(peer))
-{
-}
-
-ServerStream::~ServerStream() { m_stream->abandon(); }
-
-std::optional<std::string> ServerStream::readBody(TimePoint deadline) { return m_stream->readBody(deadline); }
-
-void ServerStream::answer(AnswerStart answer, std::string firstBody, bool isComplete)
-{
-    m_stream->answer(std::move(answer), std::move(firstBody), isComplete);
-}
-
-bool ServerStream::sendBody(std::string chunk, bool isLast, TimePoint deadline)
-{
-    return m_stream->sendBody(std::move(chunk), isLast, deadline);
-}
-
-void ServerStream::refuse(Refusal refusal) { m_stream->refuse(std::move(refusal)); }
-
-bool ServerStream::isCancelled() const { return m_stream->isCancelled(); }
-
-void ServerStream::onCancelled(std::function<void()> function) { m_stream->onCancelled(std::move(function)); }
-
 } // namespace skylark
--- a/src/transport/Stream.h
+++ b/src/transport/Stream.h
@@ -77,6 +77,7 @@
     size_t m_unsentPosition { 0 };
     bool m_isLastUnsent { false };
     bool m_isSendFinished { false };
+    bool m_isSendBroken { false };
     uint64_t m_sendOffset { 0 };
     uint64_t m_sendLimit { streamWindowBytes };
 
--- a/src/transport/bench/TransportBench.cpp
+++ b/src/transport/bench/TransportBench.cpp
@@ -98,6 +98,7 @@
     const std::string body(1024, 'x');
     std::vector<std::vector<double>> times(threadCount);
     std::vector<std::thread> threads;
+    threads.reserve(threadCount);
     const auto start = steady_clock::now();
     for (int t = 0; t < threadCount; ++t) {
         threads.emplace_back([&, t] {
--- a/src/transport/tests/CallTest.cpp
+++ b/src/transport/tests/CallTest.cpp
@@ -99,16 +99,27 @@
         EXPECT_EQ(sent, total);
     }
 
-    TEST(CallTest, SendingToAGateThatDoesNotReadEndsAtTheDeadline)
+    // Guards against a body with a hole: what missed its deadline is lost, so nothing may follow it.
+    TEST(CallTest, ABodyThatMissedItsDeadlineIsNotContinued)
     {
-        std::atomic<bool> isDone { false };
-        Node gate("gate", [&](ServerStream&) { EXPECT_TRUE(eventually([&] { return isDone.load(); })); });
+        std::atomic<bool> mayRead { false };
+        std::atomic<bool> isCutOff { false };
+        Node gate("gate", [&](ServerStream& call) {
+            EXPECT_TRUE(eventually([&] { return mayRead.load(); }));
+            try {
+                readAll(call);
+            } catch (const Error&) {
+                isCutOff = true;
+            }
+        });
         Node caller("caller");
-        const auto call = caller.call(gate.address(), "", false);
+        auto call = caller.call(gate.address(), "", false);
         EXPECT_FALSE(call->sendBody(patterned(streamWindowBytes + 1), true, in(100ms)));
-        EXPECT_FALSE(call->sendBody("more", true, in(10ms)));
+        mayRead = true;
+        EXPECT_FALSE(call->sendBody("more", true, in(200ms)));
         EXPECT_TRUE(failureOf(*call, 10ms).isTimeout);
-        isDone = true;
+        call.reset();
+        EXPECT_TRUE(eventually([&] { return isCutOff.load(); }));
     }
 
     // Guards against an answer that reaches another caller when answers cross or come late.
--- a/src/transport/tests/PeerNetworkTest.cpp
+++ b/src/transport/tests/PeerNetworkTest.cpp
@@ -119,6 +119,34 @@
         EXPECT_TRUE(eventually([&] { return caller.unreachable == 1; }));
     }
 
+    // Guards against running a call that its caller may have given up while this process was paused.
+    TEST(PeerNetworkTest, CallsReadAfterAStallOfTheThreadSayForHowLong)
+    {
+        std::mutex mutex;
+        std::vector<Duration> stalls;
+        SystemClock clock;
+        PeerHandlers handlers;
+        handlers.onMessage = [](const Message&, const PeerInfo&) { std::this_thread::sleep_for(1200ms); };
+        handlers.onCall = [&](const std::shared_ptr<ServerStream>& call) {
+            const std::lock_guard lock(mutex);
+            stalls.push_back(call->stalledFor());
+            call->answer({ .status = 200 }, "", true);
+        };
+        PeerNetwork gate({ .listen = { "127.0.0.1", 0 }, .instance = InstanceId("gate") }, handlers, clock);
+        Node caller("caller");
+        answerOf(*caller.call(gate.listenAddress()));
+        caller.network->send(gate.listenAddress(), Leaving {});
+        std::this_thread::sleep_for(100ms);
+        answerOf(*caller.call(gate.listenAddress()));
+        std::this_thread::sleep_for(600ms);
+        answerOf(*caller.call(gate.listenAddress()));
+        const std::lock_guard lock(mutex);
+        ASSERT_EQ(stalls.size(), 3U);
+        EXPECT_EQ(stalls[0], Duration::zero());
+        EXPECT_GE(stalls[1], 1s);
+        EXPECT_EQ(stalls[2], Duration::zero());
+    }
+
     TEST(PeerNetworkTest, ASilentControlConnectionIsReplaced)
     {
         Node b("b");
--- a/src/wire/Frame.cpp
+++ b/src/wire/Frame.cpp
@@ -6,6 +6,8 @@
 
 namespace {
     constexpr unsigned bitsPerByte = 8;
+    // Thousands of connections that once carried a large frame must not keep its space.
+    constexpr size_t retainedBytes = size_t { 16 } * 1024;
 
     size_t readLength(const char* header)
     {
@@ -29,6 +31,8 @@
 {
     m_buffer.erase(0, m_position);
     m_position = 0;
+    if (m_buffer.empty() && m_buffer.capacity() > retainedBytes)
+        m_buffer.shrink_to_fit();
     m_buffer.append(bytes);
 }
 
