Add the open-loop load generator and the ledger check

Cause: service by rank under floods and at-most-once are measured from the callers' side. Conclusion: each worker holds one connection to one target, so a node needs as many caller connections as workers / targets.

--- /dev/null
+++ b/src/load/LedgerCheck.cpp
@@ -0,0 +1,115 @@
+#include "load/LedgerCheck.h"
+
+#include "base/Error.h"
+#include "base/Settings.h"
+
+#include <algorithm>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace skylark {
+
+namespace {
+
+    constexpr std::string_view scheme = "http://";
+
+    nlohmann::json fetchReport(const std::string& url)
+    {
+        const std::string rest = url.substr(scheme.size());
+        const size_t slash = rest.find('/');
+        const Endpoint endpoint = Endpoint::fromString(rest.substr(0, slash));
+        httplib::Client client(endpoint.host, endpoint.port);
+        client.set_read_timeout(std::chrono::seconds(30));
+        const auto answer = client.Get(slash == std::string::npos ? "/executions" : rest.substr(slash));
+        if (!answer || answer->status != 200) {
+            throw Error({ .step = "read-executions",
+                .peer = endpoint.toString(),
+                .message = answer ? "status " + std::to_string(answer->status) : httplib::to_string(answer.error()),
+                .advice = "give the file that a stopped server wrote with --record" });
+        }
+        return nlohmann::json::parse(answer->body, nullptr, false);
+    }
+
+} // namespace
+
+void ExecutionCounts::addReport(const nlohmann::json& report)
+{
+    try {
+        if (report.at("totals").at("overflow") != 0)
+            throw Error(
+                { .step = "read-executions", .message = "the server's record was full; some runs are missing" });
+        const auto service = report.at("service").get<std::string>();
+        for (const auto& [id, count] : report.at("requests").items())
+            m_byRequest[id][service] += count.get<uint64_t>();
+    } catch (const nlohmann::json::exception& error) {
+        throw Error({ .step = "read-executions", .message = error.what() });
+    }
+}
+
+void ExecutionCounts::addRecord(std::string_view text)
+{
+    std::istringstream lines { std::string(text) };
+    for (std::string line; std::getline(lines, line);) {
+        std::istringstream fields(line);
+        std::string service;
+        std::string id;
+        std::getline(fields, service, '\t');
+        if (!std::getline(fields, id, '\t'))
+            throw Error({ .step = "read-executions", .message = "\"" + line + "\" is not a line of a record" });
+        ++m_byRequest[id][service];
+    }
+}
+
+uint64_t ExecutionCounts::total(const std::string& requestId) const
+{
+    uint64_t sum = 0;
+    if (const auto counts = m_byRequest.find(requestId); counts != m_byRequest.end()) {
+        for (const auto& [service, count] : counts->second)
+            sum += count;
+    }
+    return sum;
+}
+
+uint64_t ExecutionCounts::mostInOneService(const std::string& requestId) const
+{
+    uint64_t most = 0;
+    if (const auto counts = m_byRequest.find(requestId); counts != m_byRequest.end()) {
+        for (const auto& [service, count] : counts->second)
+            most = std::max(most, count);
+    }
+    return most;
+}
+
+LedgerFindings checkLedger(const std::vector<LedgerEntry>& ledger, const ExecutionCounts& executions)
+{
+    LedgerFindings findings { .checked = ledger.size() };
+    for (const LedgerEntry& entry : ledger) {
+        const uint64_t runs = executions.total(entry.requestId);
+        if (executions.mostInOneService(entry.requestId) > 1)
+            findings.doubleRuns.push_back(entry.requestId);
+        if (entry.outcome == "not-run" && runs > 0)
+            findings.falseNotRuns.push_back(entry.requestId);
+        if (entry.outcome == "answered" && runs == 0)
+            findings.lostAnswers.push_back(entry.requestId);
+        if (entry.outcome == "unknown") {
+            ++findings.unknown;
+            findings.unknownThatRan += runs > 0;
+        }
+    }
+    return findings;
+}
+
+ExecutionCounts readExecutions(const std::vector<std::string>& sources)
+{
+    ExecutionCounts executions;
+    for (const std::string& source : sources) {
+        if (source.starts_with(scheme))
+            executions.addReport(fetchReport(source));
+        else
+            executions.addRecord(readFile(source));
+    }
+    return executions;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/load/LoadMain.cpp
@@ -0,0 +1,156 @@
+// skylarkload: sends load by a plan, or verifies a ledger against the backend servers' records.
+#include "base/Error.h"
+#include "base/Settings.h"
+#include "load/LedgerCheck.h"
+
+#include <csignal>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using namespace skylark;
+
+constexpr int foundFault = 1;
+constexpr int usageError = 2;
+
+// Reads "name=lookup,rate=50,idempotent=true" as a JSON object; values that are JSON numbers or booleans
+// are taken as such, all others as text.
+nlohmann::json objectFromOption(const std::string& text)
+{
+    auto object = nlohmann::json::object();
+    std::istringstream parts(text);
+    for (std::string part; std::getline(parts, part, ',');) {
+        const size_t equals = part.find('=');
+        if (equals == std::string::npos)
+            throw Error({ .step = "read-options", .message = "\"" + part + "\" is not of the form key=value" });
+        const std::string value = part.substr(equals + 1);
+        auto parsed = nlohmann::json::parse(value, nullptr, false);
+        object[part.substr(0, equals)] = parsed.is_number() || parsed.is_boolean() ? parsed : nlohmann::json(value);
+    }
+    return object;
+}
+
+LoadPlan planFromOptions(const cxxopts::ParseResult& values)
+{
+    auto document = nlohmann::json::object();
+    if (values.count("plan") > 0)
+        document = nlohmann::json::parse(readFile(values["plan"].as<std::string>()));
+    // Options replace what the plan file says.
+    for (const char* key : { "duration", "warmup", "timeout" }) {
+        if (values.count(key) > 0)
+            document[key] = values[key].as<std::string>();
+    }
+    for (const char* key : { "workers", "seed" }) {
+        if (values.count(key) > 0)
+            document[key] = values[key].as<int64_t>();
+    }
+    if (values.count("no-answer-check") > 0)
+        document["checkAnswers"] = false;
+    if (values.count("target") > 0)
+        document["targets"] = values["target"].as<std::vector<std::string>>();
+    const std::pair<const char*, const char*> objectOptions[] = { { "class", "classes" }, { "flood", "floods" } };
+    for (const auto& [option, key] : objectOptions) {
+        if (values.count(option) == 0)
+            continue;
+        document[key] = nlohmann::json::array();
+        document[key].push_back(objectFromOption(values[option].as<std::string>()));
+    }
+    return planFromJson(document);
+}
+
+int runCommand(int argc, char** argv)
+{
+    using cxxopts::value;
+    cxxopts::Options options("skylarkload", "Open-loop load generator.\nskylarkload verify --help checks a ledger.");
+    auto add = options.add_options();
+    add("plan", "plan in JSON (see load/LoadPlan.h)", value<std::string>());
+    add("target", "host:port of a node, in turn; may be repeated", value<std::vector<std::string>>());
+    add("class", "one class, as name=lookup,path=/pitches,rate=50,deadline=800ms", value<std::string>());
+    add("flood", "one flood, as class=lookup,start=3s,duration=2s,factor=20", value<std::string>());
+    add("duration", "length of the run", value<std::string>());
+    add("warmup", "first part that is not counted", value<std::string>());
+    add("timeout", "longest wait for an answer", value<std::string>());
+    add("workers", "connections over all targets", value<int64_t>());
+    add("seed", "seed of the arrivals", value<int64_t>());
+    add("no-answer-check", "accept any answer body");
+    add("json", "file for the report", value<std::string>());
+    add("ledger", "file for the non-idempotent requests", value<std::string>());
+    add("help", "print this text");
+    const cxxopts::ParseResult values = options.parse(argc, argv);
+    if (values.count("help") > 0) {
+        std::cout << options.help();
+        return 0;
+    }
+    const LoadPlan plan = planFromOptions(values);
+    const LoadResult result = runLoad(plan);
+    std::cout << result.report.toTable(plan);
+    if (values.count("ledger") > 0)
+        writeLedger(result.ledger, values["ledger"].as<std::string>());
+    if (values.count("json") > 0) {
+        std::ofstream file(values["json"].as<std::string>());
+        file << result.report.toJson(plan).dump(1) << "\n";
+        file.close();
+        if (!file)
+            throw Error({ .step = "write-report", .message = "cannot write " + values["json"].as<std::string>() });
+    }
+    return 0;
+}
+
+void printFinding(const char* name, const std::vector<std::string>& ids)
+{
+    constexpr size_t mostShown = 10;
+    std::cout << name << ": " << ids.size();
+    for (size_t i = 0; i < std::min(ids.size(), mostShown); ++i)
+        std::cout << " " << ids[i];
+    std::cout << "\n";
+}
+
+int verifyCommand(int argc, char** argv)
+{
+    using cxxopts::value;
+    cxxopts::Options options("skylarkload verify", "Compares a ledger with the backend servers' execution records");
+    auto add = options.add_options();
+    add("ledger", "file that skylarkload wrote", value<std::string>());
+    add("executions", "http://host:port or record file", value<std::vector<std::string>>());
+    add("help", "print this text");
+    options.parse_positional("executions");
+    options.positional_help("URL...");
+    const cxxopts::ParseResult values = options.parse(argc, argv);
+    if (values.count("help") > 0) {
+        std::cout << options.help();
+        return 0;
+    }
+    if (values.count("ledger") == 0 || values.count("executions") == 0) {
+        std::cerr << options.help();
+        return usageError;
+    }
+    const auto findings = checkLedger(readLedger(values["ledger"].as<std::string>()),
+        readExecutions(values["executions"].as<std::vector<std::string>>()));
+    std::cout << "checked: " << findings.checked << " non-idempotent requests\n"
+              << "unknown: " << findings.unknown << ", of which " << findings.unknownThatRan << " ran\n";
+    printFinding("double runs", findings.doubleRuns);
+    printFinding("false not-run refusals", findings.falseNotRuns);
+    printFinding("lost answers", findings.lostAnswers);
+    return findings.areAllEmpty() ? 0 : foundFault;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    signal(SIGPIPE, SIG_IGN);
+    try {
+        if (argc > 1 && std::string(argv[1]) == "verify")
+            return verifyCommand(argc - 1, argv + 1);
+        return runCommand(argc, argv);
+    } catch (const cxxopts::exceptions::exception& error) {
+        std::cerr << "skylarkload: " << error.what() << "\n";
+        return usageError;
+    } catch (const std::exception& error) {
+        std::cerr << "skylarkload: " << error.what() << "\n";
+        return foundFault;
+    }
+}
--- /dev/null
+++ b/src/load/LoadPlan.cpp
@@ -0,0 +1,131 @@
+#include "load/LoadPlan.h"
+
+#include "base/Error.h"
+#include "base/Settings.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylark {
+
+namespace {
+
+    constexpr double maxArrivals = 20e6;
+    constexpr Duration longestRun = std::chrono::hours(24);
+
+    RequestClass classFromJson(const nlohmann::json& object, const std::string& pointer)
+    {
+        SettingsReader reader(object, pointer);
+        RequestClass result {
+            .name = reader.text("name"),
+            .method = reader.text("method", "GET"),
+            .path = reader.text("path", "/"),
+            .host = reader.text("host", ""),
+            .ratePerSecond = reader.number("rate", std::nullopt, 0, 1e6),
+            .rank = reader.text("rank", ""),
+            .deadline = reader.duration("deadline", Duration::zero(), Duration::zero(), longestRun),
+            .worth = reader.number("worth", 1, 0, 1e9),
+            .isIdempotent = reader.boolean("idempotent", true),
+            .bodyBytes = static_cast<size_t>(reader.integer("bodyBytes", 0, 0, 8 << 20)),
+            .answerBytes = static_cast<size_t>(reader.integer("answerBytes", 0, 0, 8 << 20)),
+            .work = reader.duration("work", Duration::zero(), Duration::zero(), std::chrono::minutes(1)),
+        };
+        reader.finish();
+        return result;
+    }
+
+    Flood floodFromJson(const nlohmann::json& object, const std::string& pointer, const LoadPlan& plan)
+    {
+        SettingsReader reader(object, pointer);
+        const std::string name = reader.text("class");
+        const auto position = std::find_if(plan.classes.begin(), plan.classes.end(),
+            [&](const RequestClass& requestClass) { return requestClass.name == name; });
+        if (position == plan.classes.end())
+            reader.refuse("class", "the name of a class of the plan");
+        const Flood flood {
+            .classIndex = static_cast<size_t>(position - plan.classes.begin()),
+            .start = reader.duration("start", Duration::zero(), Duration::zero(), longestRun),
+            .duration = reader.duration("duration", longestRun, Duration::zero(), longestRun),
+            .factor = reader.number("factor", std::nullopt, 0, 1e6),
+        };
+        reader.finish();
+        return flood;
+    }
+
+    const nlohmann::json& arrayOf(SettingsReader& reader, const std::string& key, bool mayBeEmpty)
+    {
+        static const nlohmann::json empty = nlohmann::json::array();
+        const nlohmann::json& value = reader.value(key);
+        if (value.is_null() && mayBeEmpty)
+            return empty;
+        if (!value.is_array() || (value.empty() && !mayBeEmpty))
+            reader.refuse(key, mayBeEmpty ? "an array" : "an array with at least one entry");
+        return value;
+    }
+
+    double factorAt(const LoadPlan& plan, size_t classIndex, Duration offset)
+    {
+        double factor = 1;
+        for (const Flood& flood : plan.floods) {
+            if (flood.classIndex == classIndex && offset >= flood.start && offset < flood.start + flood.duration)
+                factor *= flood.factor;
+        }
+        return factor;
+    }
+
+} // namespace
+
+LoadPlan planFromJson(const nlohmann::json& document)
+{
+    SettingsReader reader(document, "");
+    LoadPlan plan {
+        .duration = reader.duration("duration", std::chrono::seconds(10), std::chrono::milliseconds(1), longestRun),
+        .warmup = reader.duration("warmup", Duration::zero(), Duration::zero(), longestRun),
+        .timeout = reader.duration("timeout", std::chrono::seconds(10), std::chrono::milliseconds(1), longestRun),
+        .workers = static_cast<size_t>(reader.integer("workers", 128, 1, 8192)),
+        .seed = static_cast<uint64_t>(reader.integer("seed", 1, 0, std::numeric_limits<int64_t>::max())),
+        .checksAnswers = reader.boolean("checkAnswers", true),
+    };
+    for (const auto& item : arrayOf(reader, "targets", false))
+        plan.targets.push_back(Endpoint::fromString(item.is_string() ? item.get<std::string>() : item.dump()));
+    for (const auto& item : arrayOf(reader, "classes", false))
+        plan.classes.push_back(classFromJson(item, "/classes/" + std::to_string(plan.classes.size())));
+    for (const auto& item : arrayOf(reader, "floods", true))
+        plan.floods.push_back(floodFromJson(item, "/floods/" + std::to_string(plan.floods.size()), plan));
+    reader.finish();
+    return plan;
+}
+
+std::vector<Arrival> drawArrivals(const LoadPlan& plan, Random& random)
+{
+    std::vector<Arrival> arrivals;
+    for (size_t index = 0; index < plan.classes.size(); ++index) {
+        // Draws at the highest rate that the class ever has and keeps each arrival with the share of the
+        // rate at its time, which gives a Poisson process of the varying rate.
+        double highestFactor = 1;
+        for (const Flood& flood : plan.floods)
+            highestFactor *= flood.classIndex == index ? std::max(1.0, flood.factor) : 1;
+        const double highestRate = plan.classes[index].ratePerSecond * highestFactor;
+        const double seconds = std::chrono::duration<double>(plan.duration).count();
+        if (arrivals.size() + highestRate * seconds > maxArrivals) {
+            throw Error({ .step = "draw-arrivals",
+                .message = "the plan asks for more than 20 million requests",
+                .advice = "shorten the duration or lower a rate" });
+        }
+        if (highestRate <= 0)
+            continue;
+        for (double at = 0;;) {
+            at += -std::log(1 - random.unit()) / highestRate;
+            if (at >= seconds)
+                break;
+            const auto offset = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(at));
+            if (random.unit() * highestFactor < factorAt(plan, index, offset))
+                arrivals.push_back({ offset, static_cast<uint32_t>(index) });
+        }
+    }
+    std::sort(arrivals.begin(), arrivals.end(),
+        [](const Arrival& left, const Arrival& right) { return left.offset < right.offset; });
+    return arrivals;
+}
+
+} // namespace skylark
