Keep lint clean in the document library and test two more bounds

Cause: lint found a vector without a reserved size; breaking the code showed that no test caught an unbounded list of faults between sections, nor floors whose sum exceeds 1 by rounding.

--- a/src/cli/DocumentFiles.cpp
+++ b/src/cli/DocumentFiles.cpp
@@ -38,6 +38,7 @@
             throw UsageError(directory.string() + " holds no section file NAME.json");
         std::sort(paths.begin(), paths.end());
         std::vector<SectionText> texts;
+        texts.reserve(paths.size());
         for (const fs::path& path : paths)
             texts.push_back(readSection(path));
         return texts;
--- a/src/cli/tests/NodeCommandsTest.cpp
+++ b/src/cli/tests/NodeCommandsTest.cpp
@@ -5,6 +5,7 @@
 #include "cli/tests/CliTestTools.h"
 
 #include <httplib.h>
+#include <mutex>
 #include <thread>
 
 namespace skylark {
@@ -21,6 +22,7 @@
         {
             for (const char* path : { "/status", "/state", "/explain" })
                 m_server.Get(path, [this](const httplib::Request& request, httplib::Response& response) {
+                    const std::lock_guard lock(m_mutex);
                     m_query = request.params;
                     response.status = m_status;
                     response.set_content(m_answer, "application/json");
@@ -42,18 +44,23 @@
             m_thread.join();
         }
 
-        // Called between requests only.
         void answer(std::string text, int status = 200)
         {
+            const std::lock_guard lock(m_mutex);
             m_answer = std::move(text);
             m_status = status;
         }
-        const httplib::Params& query() const { return m_query; }
+        httplib::Params query() const
+        {
+            const std::lock_guard lock(m_mutex);
+            return m_query;
+        }
         Endpoint endpoint() const { return { .host = "127.0.0.1", .port = static_cast<uint16_t>(m_port) }; }
         std::string address() const { return endpoint().toString(); }
 
     private:
         httplib::Server m_server;
+        mutable std::mutex m_mutex;
         std::string m_answer;
         int m_status { 200 };
         httplib::Params m_query;
--- a/src/document/tests/BuilderTest.cpp
+++ b/src/document/tests/BuilderTest.cpp
@@ -151,12 +151,13 @@
         EXPECT_EQ(faultsOf(buildTexts({})).size(), 1u);
     }
 
-    // 0.1 + 0.2 + 0.7 in floating point differs from 1 by rounding.
+    // The sum of these floors in floating point is above 1 by rounding.
     TEST(BuilderTest, AcceptsFloorsThatSumToOne)
     {
-        const std::string text = R"({"section": "global", "ranks": [{"name": "a", "target": "1s", "floor": 0.7},
-{"name": "b", "target": "1s", "floor": 0.1}, {"name": "c", "target": "1s", "floor": 0.1},
+        const std::string text = R"({"section": "global", "ranks": [{"name": "a", "target": "1s", "floor": 0.05},
+{"name": "b", "target": "1s", "floor": 0.55}, {"name": "c", "target": "1s", "floor": 0.3},
 {"name": "d", "target": "1s", "floor": 0.1}]})";
+        EXPECT_GT(0.05 + 0.55 + 0.3 + 0.1, 1.0);
         EXPECT_TRUE(faultsOfGlobal(text).empty());
     }
 
@@ -224,6 +225,8 @@
         for (const Fault& fault : faults)
             EXPECT_LT(describe(fault).size(), 500u);
         EXPECT_THAT(faults[0].pointer, HasSubstr("key~0~1"));
+        // Faults between sections count too.
+        EXPECT_EQ(faultsOf(buildTexts({ globalText(), syntheticSection("b", 1500, "none") })).size(), mostFaults);
     }
 
     TEST(BuilderTest, ReportsSecondDeclarationsInTheLaterSection)
--- a/src/document/tests/SyntheticDocument.h
+++ b/src/document/tests/SyntheticDocument.h
@@ -3,6 +3,8 @@
 
 #include "document/Builder.h"
 
+#include <absl/strings/str_cat.h>
+
 namespace skylark {
 
 inline SectionText globalText()
@@ -16,14 +18,15 @@
 // A section with one service and some routes, which is the shape of the design size with 3 routes.
 inline SectionText syntheticSection(const std::string& name, size_t routes, const std::string& rank = "normal")
 {
-    std::string text = R"({"section": ")" + name + R"(", "owner": ")" + name + R"(-team", "services": [{"name": ")"
-        + name + R"(", "port": 8080, "slots": 13, "connections": 120, "healthPath": "/health"}], "routes": [)";
+    std::string text
+        = absl::StrCat(R"({"section": ")", name, R"(", "owner": ")", name, R"(-team", "services": [{"name": ")", name,
+            R"(", "port": 8080, "slots": 13, "connections": 120, "healthPath": "/health"}], "routes": [)");
     for (size_t index = 0; index < routes; ++index)
-        text += std::string(index ? "," : "") + R"({"name": ")" + name + "-" + std::to_string(index) + R"(", "host": ")"
-            + name + R"(.internal.example", "pathPrefix": "/api/v1/resource)" + std::to_string(index)
-            + R"(", "methods": ["GET"], "service": ")" + name + R"(", "rank": ")" + rank
-            + R"(", "deadline": "800ms", "worth": 5, "idempotent": true, "retries": 2})";
-    return { .name = SectionName(name), .text = text + R"(], "limits": {"maxBodyBytes": 8388608, "maxQueue": 256}})" };
+        absl::StrAppend(&text, index ? "," : "", R"({"name": ")", name, "-", index, R"(", "host": ")", name,
+            R"(.internal.example", "pathPrefix": "/api/v1/resource)", index, R"(", "methods": ["GET"], "service": ")",
+            name, R"(", "rank": ")", rank, R"(", "deadline": "800ms", "worth": 5, "idempotent": true, "retries": 2})");
+    text += R"(], "limits": {"maxBodyBytes": 8388608, "maxQueue": 256}})";
+    return { .name = SectionName(name), .text = std::move(text) };
 }
 
 inline std::vector<SectionText> syntheticDocument(size_t sections, size_t routesPerSection)
