Show whether the node is a reader in its state

Cause: the reader decision became a state of the distributor. Change: the control loop asks the distributor.

--- a/src/distribution/Distributor.h
+++ b/src/distribution/Distributor.h
@@ -88,6 +88,8 @@
     const MembershipTable& membership() const { return m_table; }
     const VersionStore& versions() const { return m_store; }
     const ReaderSelector& readers() const { return m_selector; }
+    // Whether this node reads the source now.
+    bool isReader() const { return m_isReader; }
     // What is known of the readers of each zone, this one included.
     std::vector<FreshnessMark> marks(TimePoint now) const;
     // Versions that peers have rejected, newest last; at most 64.
--- a/src/node/ControlLoop.cpp
+++ b/src/node/ControlLoop.cpp
@@ -142,7 +142,7 @@
     m_targets.metrics.setControlBytes("sent", controlBytes(traffic.controlSent));
     m_targets.metrics.setControlBytes("received", controlBytes(traffic.controlReceived));
     const std::lock_guard lock(m_distributorMutex);
-    m_targets.metrics.setReader(m_distributor.readers().shouldWatch(now));
+    m_targets.metrics.setReader(m_distributor.isReader());
     if (m_distributor.versions().current())
         m_targets.metrics.setAppliedAge(now - m_appliedAt);
     m_targets.setServing(m_distributor.isServing() && m_distributor.versions().current() != nullptr);
@@ -271,7 +271,7 @@
             { "sinceSuccessMs", milliseconds(mark.sinceSuccess) } });
     }
     state["readers"] = { { "rank", m_distributor.readers().rank() },
-        { "isReader", m_distributor.readers().shouldWatch(now) }, { "marks", marks } };
+        { "isReader", m_distributor.isReader() }, { "marks", marks } };
     nlohmann::json lists = nlohmann::json::object();
     for (const auto& [zone, revision] : m_distributor.membership().listRevisions())
         lists[zone.value()] = revision.value();
