Pass actions and dispatches by reference

Cause: the lint found two parameters that were copied for nothing. Change: both are const references. Measured: these were the two findings of the lint over all libraries. Conclusion: the lint is clean but for code that is still to be merged.

--- a/src/distribution/tests/Fleet.cpp
+++ b/src/distribution/tests/Fleet.cpp
@@ -380,7 +380,8 @@
             + " list " + std::to_string(it.membership().listRevision(node.record.zone).value()) + " next attempt in "
             + std::to_string((it.readers().nextAttempt() - now) / std::chrono::milliseconds(1)) + " ms mark "
             + (mark ? std::to_string(mark->sourceRevision.value()) : "none") + " events";
-        for (size_t index = node.events.size() - std::min<size_t>(node.events.size(), 6); index < node.events.size(); ++index)
+        for (size_t index = node.events.size() - std::min<size_t>(node.events.size(), 6); index < node.events.size();
+             ++index)
             text += " " + node.events[index];
         text += "\n";
     }
--- a/src/distribution/tests/RandomizedFleetTest.cpp
+++ b/src/distribution/tests/RandomizedFleetTest.cpp
@@ -131,9 +131,11 @@
         void check(const std::string& faults, Duration limitToFirst)
         {
             const auto first = m_fleet.runUntil([&] { return m_fleet.isAnyNewest(); }, limitToFirst);
-            ASSERT_TRUE(first) << "no node reached version " << m_fleet.newestGood << " after:" << faults << "\n" << m_fleet.describe();
+            ASSERT_TRUE(first) << "no node reached version " << m_fleet.newestGood << " after:" << faults << "\n"
+                               << m_fleet.describe();
             const auto all = m_fleet.runUntil([&] { return m_fleet.isConverged(); }, convergenceLimit);
-            ASSERT_TRUE(all) << "not all nodes reached version " << m_fleet.newestGood << " after:" << faults << "\n" << m_fleet.describe();
+            ASSERT_TRUE(all) << "not all nodes reached version " << m_fleet.newestGood << " after:" << faults << "\n"
+                             << m_fleet.describe();
             m_worst = std::max(m_worst, *all);
             const auto lists = m_fleet.runUntil([&] { return m_fleet.haveEqualLists(); }, seconds(16));
             ASSERT_TRUE(lists) << "the lists differ after:" << faults << "\n" << m_fleet.describe();
@@ -141,7 +143,8 @@
                 return std::all_of(m_fleet.nodes.begin(), m_fleet.nodes.end(),
                     [](const Fleet::Node& node) { return node.distributor->isServing(); });
             };
-            ASSERT_TRUE(m_fleet.runUntil(isServing, seconds(4))) << "a node does not serve after:" << faults << "\n" << m_fleet.describe();
+            ASSERT_TRUE(m_fleet.runUntil(isServing, seconds(4))) << "a node does not serve after:" << faults << "\n"
+                                                                 << m_fleet.describe();
         }
 
         Random m_random;
--- a/src/node/ControlLoop.cpp
+++ b/src/node/ControlLoop.cpp
@@ -148,7 +148,7 @@
     m_targets.setServing(m_distributor.isServing() && m_distributor.versions().current() != nullptr);
 }
 
-void ControlLoop::execute(Actions actions)
+void ControlLoop::execute(const Actions& actions)
 {
     for (const Action& action : actions)
         std::visit(Execute { *this }, action);
@@ -270,8 +270,8 @@
             { "sourceRevision", mark.sourceRevision.value() }, { "sinceAttemptMs", milliseconds(mark.sinceAttempt) },
             { "sinceSuccessMs", milliseconds(mark.sinceSuccess) } });
     }
-    state["readers"] = { { "rank", m_distributor.readers().rank() },
-        { "isReader", m_distributor.isReader() }, { "marks", marks } };
+    state["readers"]
+        = { { "rank", m_distributor.readers().rank() }, { "isReader", m_distributor.isReader() }, { "marks", marks } };
     nlohmann::json lists = nlohmann::json::object();
     for (const auto& [zone, revision] : m_distributor.membership().listRevisions())
         lists[zone.value()] = revision.value();
--- a/src/node/ControlLoop.h
+++ b/src/node/ControlLoop.h
@@ -73,7 +73,7 @@
 
     void run();
     void handle(const Event& event);
-    void execute(Actions actions);
+    void execute(const Actions& actions);
     void tick(TimePoint now);
     void publish(const PublishConfiguration& action);
     void publish(const PublishMembership& action);
--- a/src/node/Gate.cpp
+++ b/src/node/Gate.cpp
@@ -166,7 +166,7 @@
         call->cancellation->cancel();
 }
 
-void Gate::finishDispatch(Dispatch dispatch, Admitted& admitted, std::vector<CallPointer>& started,
+void Gate::finishDispatch(const Dispatch& dispatch, Admitted& admitted, std::vector<CallPointer>& started,
     std::vector<std::pair<CallPointer, RefusalReason>>& refused)
 {
     for (const Ticket& ticket : dispatch.started)
@@ -366,9 +366,9 @@
     std::vector<CallPointer> started;
     std::vector<std::pair<CallPointer, RefusalReason>> refused;
     m_admitted.with([&](Admitted& admitted) {
-        Dispatch dispatch = admitted.controller.release(call->ticket.id, result, serviceTime, now);
+        const Dispatch dispatch = admitted.controller.release(call->ticket.id, result, serviceTime, now);
         admitted.calls.erase(call->ticket.id);
-        finishDispatch(std::move(dispatch), admitted, started, refused);
+        finishDispatch(dispatch, admitted, started, refused);
     });
     enqueue(started);
     refuseAll(refused);
--- a/src/node/Gate.h
+++ b/src/node/Gate.h
@@ -75,7 +75,7 @@
     void refuseAll(const std::vector<std::pair<CallPointer, RefusalReason>>& refused);
     void refuse(const CallPointer& call, const std::string& step, const std::string& reason);
     void enqueue(const std::vector<CallPointer>& calls);
-    void finishDispatch(Dispatch dispatch, Admitted& admitted, std::vector<CallPointer>& started,
+    void finishDispatch(const Dispatch& dispatch, Admitted& admitted, std::vector<CallPointer>& started,
         std::vector<std::pair<CallPointer, RefusalReason>>& refused);
     void cancel(const CallPointer& call);
     void ensureThreads(int count);
