Add routing: two choices within zones, spill, ejection and owners of keys

Cause: request threads need an instance for each call without taking a mutex. Change: Router over per-service tables by RCU with atomic statistics, zone shares, slow start, outlier ejection with probes, rendezvous owners, explain() and four policies. Conclusion: usable by the daemon.

--- /dev/null
+++ b/src/routing/InstanceStatistics.cpp
@@ -0,0 +1,160 @@
+#include "routing/InstanceStatistics.h"
+
+#include "base/Invariant.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylark {
+
+namespace {
+
+    constexpr double latencyWeight = 0.1;
+    constexpr double resultWeight = 0.05;
+    constexpr double latencyMemory = 10; // seconds
+    // A probe without result for this long is taken to be lost.
+    constexpr Duration probeTimeout = std::chrono::seconds(30);
+    // A failed probe fails a caller, so it is left to calls that may be sent again, if there are any.
+    constexpr Duration probePatience = std::chrono::seconds(1);
+
+    TimePoint::rep count(TimePoint time) { return time.time_since_epoch().count(); }
+    double inSeconds(TimePoint::rep duration) { return std::chrono::duration<double>(Duration(duration)).count(); }
+
+    uint64_t pack(const LoadHint& hint)
+    {
+        const auto bounded = [](uint64_t value, int bits) { return std::min(value, (uint64_t { 1 } << bits) - 1); };
+        return bounded(hint.inFlight, 20) << 44 | bounded(hint.queued, 24) << 20 | bounded(hint.limit, 20);
+    }
+
+    // Moves the value towards the sample by the weight; the first sample replaces it.
+    void smooth(std::atomic<double>& value, double sample, double weight, bool isFirst)
+    {
+        double old = value.load(std::memory_order_relaxed);
+        double updated = 0;
+        do {
+            updated = isFirst ? sample : old + weight * (sample - old);
+        } while (!value.compare_exchange_weak(old, updated, std::memory_order_relaxed));
+    }
+
+} // namespace
+
+void InstanceStatistics::finished(const CallReport& report, TimePoint now)
+{
+    const int64_t before = m_inFlight.fetch_sub(1, std::memory_order_relaxed);
+    invariant(before > 0, { .rule = "calls in flight are never negative", .step = "routing" });
+    if (report.load) {
+        m_hint.store(pack(*report.load), std::memory_order_relaxed);
+        m_hintAt.store(count(now), std::memory_order_relaxed);
+        if (report.load->isLeaving)
+            m_isLeaving.store(true, std::memory_order_relaxed);
+    }
+    if (report.isFault) {
+        m_failuresInRow.fetch_add(1, std::memory_order_relaxed);
+        noteResult(false);
+        // A quick failure must not make the instance look fast; a slow one shows that it is slow.
+        if (inSeconds(report.latency.count()) > m_latency.load(std::memory_order_relaxed))
+            noteLatency(report.latency, now);
+    } else if (report.outcome == CallOutcome::Answered) {
+        m_failuresInRow.store(0, std::memory_order_relaxed);
+        noteResult(true);
+        noteLatency(report.latency, now);
+    }
+}
+
+LoadHint InstanceStatistics::hint() const
+{
+    const uint64_t bits = m_hint.load(std::memory_order_relaxed);
+    return { .inFlight = static_cast<uint32_t>(bits >> 44),
+        .queued = static_cast<uint32_t>(bits >> 20 & 0xffffff),
+        .limit = static_cast<uint32_t>(bits & 0xfffff),
+        .isLeaving = isLeaving() };
+}
+
+double InstanceStatistics::hintWeight(Duration lifetime, TimePoint now) const
+{
+    const TimePoint::rep at = m_hintAt.load(std::memory_order_relaxed);
+    if (at == 0)
+        return 0;
+    const double age = static_cast<double>(count(now) - at) / static_cast<double>(lifetime.count());
+    return std::clamp(1 - age, 0.0, 1.0);
+}
+
+double InstanceStatistics::load(Duration lifetime, TimePoint now) const
+{
+    return loadWithHint(hintWeight(lifetime, now));
+}
+
+double InstanceStatistics::lastLoad(Duration lifetime, TimePoint now) const
+{
+    return loadWithHint(hintWeight(lifetime, now) > 0 ? 1 : 0);
+}
+
+double InstanceStatistics::loadWithHint(double weight) const
+{
+    const LoadHint last = hint();
+    const auto own = static_cast<double>(inFlight());
+    const double others = std::max(0.0, last.inFlight - own);
+    return own + weight * (last.queued + others);
+}
+
+double InstanceStatistics::latencySeconds(double serviceMean, TimePoint now) const
+{
+    const TimePoint::rep at = m_latencyAt.load(std::memory_order_relaxed);
+    if (at == 0)
+        return serviceMean;
+    const double weight = std::exp(-std::max(0.0, inSeconds(count(now) - at)) / latencyMemory);
+    return weight * m_latency.load(std::memory_order_relaxed) + (1 - weight) * serviceMean;
+}
+
+Duration InstanceStatistics::ejectedFor(TimePoint now) const
+{
+    const TimePoint::rep until = m_ejectedUntil.load(std::memory_order_relaxed);
+    return until == 0 ? Duration::zero() : std::max(Duration::zero(), Duration(until - count(now)));
+}
+
+void InstanceStatistics::eject(const RouterOptions& options, TimePoint now)
+{
+    // The doubling is forgotten by an instance that has stayed in use for the longest ejection.
+    if (!isEjected() && count(now) - m_restoredAt.load(std::memory_order_relaxed) > options.longestEjection.count())
+        m_ejections.store(0, std::memory_order_relaxed);
+    const uint32_t doublings = std::min<uint32_t>(m_ejections.fetch_add(1, std::memory_order_relaxed), 16);
+    const Duration length = std::min(options.longestEjection, options.firstEjection * (int64_t { 1 } << doublings));
+    m_ejectedUntil.store(count(now + length), std::memory_order_relaxed);
+    m_probeAt.store(0, std::memory_order_relaxed);
+}
+
+void InstanceStatistics::restore(TimePoint now)
+{
+    m_ejectedUntil.store(0, std::memory_order_relaxed);
+    m_probeAt.store(0, std::memory_order_relaxed);
+    m_restoredAt.store(count(now), std::memory_order_relaxed);
+    m_failuresInRow.store(0, std::memory_order_relaxed);
+    m_successRate.store(1, std::memory_order_relaxed);
+    m_calls.store(0, std::memory_order_relaxed);
+}
+
+bool InstanceStatistics::tryProbe(bool isIdempotent, TimePoint now)
+{
+    const TimePoint::rep until = m_ejectedUntil.load(std::memory_order_relaxed);
+    const TimePoint::rep due = until + (isIdempotent ? 0 : probePatience.count());
+    if (until == 0 || count(now) < due)
+        return false;
+    TimePoint::rep probe = m_probeAt.load(std::memory_order_relaxed);
+    if (probe != 0 && count(now) - probe < probeTimeout.count())
+        return false;
+    return m_probeAt.compare_exchange_strong(probe, count(now), std::memory_order_relaxed);
+}
+
+void InstanceStatistics::noteLatency(Duration latency, TimePoint now)
+{
+    const bool isFirst = m_latencyAt.exchange(count(now), std::memory_order_relaxed) == 0;
+    smooth(m_latency, inSeconds(latency.count()), latencyWeight, isFirst);
+}
+
+void InstanceStatistics::noteResult(bool isSuccess)
+{
+    m_calls.fetch_add(1, std::memory_order_relaxed);
+    smooth(m_successRate, isSuccess ? 1 : 0, resultWeight, false);
+}
+
+} // namespace skylark
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -142,11 +142,16 @@
 
     std::shared_ptr<const ServiceTable> tableOf(const ServiceName& service, TimePoint now);
     std::shared_ptr<const ServiceTable> addTable(const ServiceName& service, TimePoint now);
-    void rebuild(const std::shared_ptr<const MembershipView>& view, TimePoint now);
+    void rebuild(const std::shared_ptr<const MembershipView>& view, bool isRefresh, TimePoint now);
+    void finishProbe(const Choice& choice, bool isSuccess, bool isFault, TimePoint now);
+    // These need m_buildMutex.
+    void ejectIfAllowed(const ServiceTable& table, InstanceStatistics& statistics, TimePoint now);
+    void ejectByRate(const ServiceTable& table, TimePoint now);
 
     const RouterOptions m_options;
     RcuCell<Tables> m_tables;
-    // Serialises the builders of tables; never taken by choose() for a service that has a table.
+    // Serialises the builders of tables and ejections; never waited for by choose() for a service that has a
+    // table.
     std::mutex m_buildMutex;
     TimePoint m_lastRefresh;
 };
--- /dev/null
+++ b/src/routing/ServiceTable.cpp
@@ -0,0 +1,283 @@
+#include "routing/ServiceTable.h"
+
+#include "routing/ZoneShares.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <algorithm>
+#include <map>
+
+namespace skylark {
+
+namespace {
+
+    // With half of the members healthy, eight draws fail once in 256 times; a scan follows then.
+    constexpr int drawAttempts = 8;
+    // Stands for the latency of a service that has answered no call yet.
+    constexpr double unknownLatency = 0.001;
+
+    size_t tierOf(const RouterOptions& options, const InstanceRecord& record)
+    {
+        if (record.region == options.region)
+            return record.zone == options.zone ? 0 : 1;
+        const auto found = std::find(options.regionOrder.begin(), options.regionOrder.end(), record.region);
+        return 2 + static_cast<size_t>(found - options.regionOrder.begin());
+    }
+
+    using Statistics = absl::flat_hash_map<InstanceId, std::shared_ptr<InstanceStatistics>>;
+
+    Statistics statisticsOf(const ServiceTable* table)
+    {
+        Statistics result;
+        if (!table)
+            return result;
+        for (const ZoneMembers& zone : table->zones()) {
+            for (const Member& member : zone.members)
+                result.emplace(member.state->record.id, member.statistics);
+        }
+        return result;
+    }
+
+} // namespace
+
+std::shared_ptr<const ServiceTable> ServiceTable::build(const RouterOptions& options, const ServiceName& service,
+    std::shared_ptr<const MembershipView> view, const ServiceTable* previous, bool isRefresh, TimePoint now)
+{
+    const MembershipView::Members& listed = view->ofService(service);
+    if (listed.empty())
+        return nullptr;
+    auto table = std::make_shared<ServiceTable>();
+    table->m_view = view;
+    table->m_size = listed.size();
+    table->m_ejected = previous ? previous->m_ejected : std::make_shared<std::atomic<int>>(0);
+    const Statistics known = statisticsOf(previous);
+    // Regions past the named ones share a tier number; the name keeps them apart and in order.
+    std::map<std::tuple<size_t, std::string, std::string>, ZoneMembers> zones;
+    for (const InstanceState* state : listed) {
+        const size_t tier = tierOf(options, state->record);
+        const std::string& region = state->record.region.value();
+        ZoneMembers& zone = zones[{ tier, region, state->record.zone.value() }];
+        Member member { .state = state };
+        const auto found = known.find(state->record.id);
+        if (found != known.end() && found->second->incarnation() == state->record.incarnation)
+            member.statistics = found->second;
+        else
+            member.statistics = std::make_shared<InstanceStatistics>(state->record.incarnation);
+        zone.tier = tier;
+        zone.zone = state->record.zone;
+        zone.region = state->record.region;
+        const bool isOlder = zone.members.empty() || state->firstSeen < zone.oldestFirstSeen;
+        zone.oldestFirstSeen = isOlder ? state->firstSeen : zone.oldestFirstSeen;
+        zone.members.push_back(std::move(member));
+    }
+    std::string lastRegion;
+    size_t tier = 0;
+    for (auto& [key, zone] : zones) {
+        // Each region from the third tier on gets a tier of its own.
+        tier = std::max(tier + (zone.tier >= 2 && zone.region.value() != lastRegion ? 1 : 0), zone.tier);
+        lastRegion = zone.region.value();
+        zone.tier = tier;
+        table->m_zones.push_back(std::move(zone));
+    }
+    table->m_ejected->store(static_cast<int>(table->countEjected()), std::memory_order_relaxed);
+    table->computeMeanLatency(now);
+    ZoneShares(options, now).compute(*table, previous, isRefresh);
+    if (const auto* best = std::get_if<BestScore>(&options.policy))
+        table->computeScores(options, best->coefficients, now);
+    else if (const auto* proportional = std::get_if<ScoreProportional>(&options.policy))
+        table->computeScores(options, proportional->coefficients, now);
+    return table;
+}
+
+size_t ServiceTable::countEjected() const
+{
+    size_t count = 0;
+    for (const ZoneMembers& zone : m_zones) {
+        for (const Member& member : zone.members)
+            count += member.statistics->isEjected() ? 1 : 0;
+    }
+    return count;
+}
+
+size_t ServiceTable::countStaying() const
+{
+    size_t count = 0;
+    for (const ZoneMembers& zone : m_zones) {
+        for (const Member& member : zone.members)
+            count += member.isLeaving() ? 0 : 1;
+    }
+    return count;
+}
+
+void ServiceTable::computeMeanLatency(TimePoint now)
+{
+    double sum = 0;
+    int known = 0;
+    for (const ZoneMembers& zone : m_zones) {
+        for (const Member& member : zone.members) {
+            if (!member.statistics->hasLatency())
+                continue;
+            sum += member.statistics->latencySeconds(0, now);
+            ++known;
+        }
+    }
+    m_meanLatency = known > 0 ? sum / known : unknownLatency;
+}
+
+void ServiceTable::computeScores(const RouterOptions& options, const ScoreCoefficients& coefficients, TimePoint now)
+{
+    double fastest = m_meanLatency;
+    for (const ZoneMembers& zone : m_zones) {
+        for (const Member& member : zone.members)
+            fastest = std::min(fastest, member.statistics->latencySeconds(m_meanLatency, now));
+    }
+    for (ZoneMembers& zone : m_zones) {
+        for (Member& member : zone.members) {
+            const InstanceStatistics& statistics = *member.statistics;
+            const double latency = statistics.latencySeconds(m_meanLatency, now);
+            const double limit = statistics.hint().limit;
+            const double used = limit > 0 ? std::min(1.0, statistics.load(options.hintLifetime, now) / limit) : 0;
+            // Each metric from 0 to 10, 10 being the best.
+            member.score = coefficients.latency * (latency > 0 ? 10 * fastest / latency : 10)
+                + coefficients.load * 10 * (1 - used) + coefficients.successRate * 10 * statistics.successRate();
+        }
+    }
+}
+
+const Member* ServiceTable::pick(const RouterOptions& options, const ZoneMembers& zone,
+    std::span<const InstanceId> excluded, Random& random, TimePoint now) const
+{
+    struct Visitor {
+        const ServiceTable& table;
+        const RouterOptions& options;
+        const ZoneMembers& zone;
+        std::span<const InstanceId> excluded;
+        Random& random;
+        TimePoint now;
+        const Member* operator()(const TwoChoices&) const
+        {
+            return table.pickOfTwo(options, zone, excluded, random, now);
+        }
+        const Member* operator()(const RandomChoice&) const
+        {
+            return table.pickRandom(options, zone, excluded, random, now, nullptr);
+        }
+        const Member* operator()(const BestScore&) const { return pickBest(zone, excluded); }
+        const Member* operator()(const ScoreProportional&) const { return pickByScore(zone, excluded, random); }
+    };
+    return std::visit(Visitor { *this, options, zone, excluded, random, now }, options.policy);
+}
+
+const ZoneMembers& ServiceTable::zoneFor(double unit) const
+{
+    for (const ZoneMembers& zone : m_zones) {
+        if (unit < zone.share)
+            return zone;
+        unit -= zone.share;
+    }
+    return m_zones.front();
+}
+
+const Member* ServiceTable::ownerOf(std::string_view key) const
+{
+    const uint64_t seed = seededHash(key, 0);
+    const Member* owner = nullptr;
+    uint64_t highest = 0;
+    for (const ZoneMembers& zone : m_zones) {
+        for (const Member& member : zone.members) {
+            const InstanceId& id = member.state->record.id;
+            const uint64_t hash = seededHash(id.value(), seed);
+            if (owner && (hash < highest || (hash == highest && id.value() > owner->state->record.id.value())))
+                continue;
+            owner = &member;
+            highest = hash;
+        }
+    }
+    return owner;
+}
+
+double ServiceTable::scoreOf(const RouterOptions& options, const Member& member, TimePoint now) const
+{
+    const bool isByScore = std::holds_alternative<BestScore>(options.policy)
+        || std::holds_alternative<ScoreProportional>(options.policy);
+    if (isByScore)
+        return member.score;
+    // The call to be placed counts too, so that latency matters among idle instances.
+    return (member.statistics->load(options.hintLifetime, now) + 1)
+        * member.statistics->latencySeconds(m_meanLatency, now);
+}
+
+double ServiceTable::slowStartWeight(
+    const RouterOptions& options, const ZoneMembers& zone, const Member& member, TimePoint now) const
+{
+    const auto ramp = [&](TimePoint firstSeen) {
+        const double age = std::chrono::duration<double>(now - firstSeen) / options.slowStart;
+        return options.slowStartShare + (1 - options.slowStartShare) * std::clamp(age, 0.0, 1.0);
+    };
+    // Relative to the oldest, since where all are new they share the calls evenly.
+    return ramp(member.state->firstSeen) / ramp(zone.oldestFirstSeen);
+}
+
+const Member* ServiceTable::pickOfTwo(const RouterOptions& options, const ZoneMembers& zone,
+    std::span<const InstanceId> excluded, Random& random, TimePoint now) const
+{
+    const Member* first = pickRandom(options, zone, excluded, random, now, nullptr);
+    const Member* second = first ? pickRandom(options, zone, excluded, random, now, first) : nullptr;
+    if (!second)
+        return first;
+    return scoreOf(options, *second, now) < scoreOf(options, *first, now) ? second : first;
+}
+
+// A new instance is drawn as the first candidate with its slow-start weight, and never as the second, so that
+// its share of the calls is at most its weight even though it is idle and wins each comparison.
+const Member* ServiceTable::pickRandom(const RouterOptions& options, const ZoneMembers& zone,
+    std::span<const InstanceId> excluded, Random& random, TimePoint now, const Member* first) const
+{
+    const auto isUsable
+        = [&](const Member& member) { return &member != first && member.isHealthy() && !isExcluded(excluded, member); };
+    for (int i = 0; i < drawAttempts; ++i) {
+        const Member& member = zone.members[random.below(zone.members.size())];
+        if (!isUsable(member))
+            continue;
+        const double weight = slowStartWeight(options, zone, member, now);
+        if (first ? weight >= 1 : random.unit() < weight)
+            return &member;
+    }
+    if (first)
+        return nullptr;
+    // One pass that draws evenly among the usable members.
+    const Member* chosen = nullptr;
+    uint64_t seen = 0;
+    for (const Member& member : zone.members) {
+        if (isUsable(member) && random.below(++seen) == 0)
+            chosen = &member;
+    }
+    return chosen;
+}
+
+const Member* ServiceTable::pickBest(const ZoneMembers& zone, std::span<const InstanceId> excluded)
+{
+    const Member* best = nullptr;
+    for (const Member& member : zone.members) {
+        if (member.isHealthy() && !isExcluded(excluded, member) && (!best || member.score > best->score))
+            best = &member;
+    }
+    return best;
+}
+
+const Member* ServiceTable::pickByScore(const ZoneMembers& zone, std::span<const InstanceId> excluded, Random& random)
+{
+    const Member* chosen = nullptr;
+    double sum = 0;
+    for (const Member& member : zone.members) {
+        if (!member.isHealthy() || isExcluded(excluded, member))
+            continue;
+        // A floor above zero keeps an instance with the worst score in reach.
+        const double score = std::max(member.score, 0.01);
+        sum += score;
+        if (random.unit() * sum < score)
+            chosen = &member;
+    }
+    return chosen;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/routing/ZoneShares.cpp
@@ -0,0 +1,114 @@
+#include "routing/ZoneShares.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    constexpr double fastestFall = 0.8;
+    constexpr double fastestRise = 1.25;
+    // Some calls stay, so that the state of the home zones remains known.
+    constexpr double leastHomeShare = 0.05;
+
+} // namespace
+
+void ZoneShares::compute(ServiceTable& table, const ServiceTable* previous, bool isRefresh) const
+{
+    std::vector<ZoneMembers>& zones = table.m_zones;
+    const double limit = assumedLimit(table);
+    std::vector<ZoneLoad> loads;
+    loads.reserve(zones.size());
+    for (ZoneMembers& zone : zones) {
+        loads.push_back(measure(zone, limit));
+        zone.share = 0;
+    }
+    size_t home = 0;
+    while (home < zones.size() && loads[home].healthy == 0)
+        ++home;
+    table.m_homeShare = 1;
+    // When none is healthy, the last resort considers all zones in order.
+    if (home == zones.size())
+        return;
+    ZoneLoad homeLoad;
+    size_t end = home;
+    for (; end < zones.size() && zones[end].tier == zones[home].tier; ++end)
+        homeLoad.add(loads[end]);
+    double homeShare = previous ? previous->m_homeShare : 1;
+    // The whole demand in slots, as the load of the share that stayed at home implies it.
+    const double demand = std::max(homeLoad.load, 1.0) / homeShare;
+    if (isRefresh) {
+        const double target = m_options.spillThreshold * homeLoad.limit;
+        const double factor = homeLoad.load > 0 ? target / homeLoad.load : fastestRise;
+        homeShare = std::clamp(homeShare * std::clamp(factor, fastestFall, fastestRise), leastHomeShare, 1.0);
+    }
+    const double away = spill(zones, loads, end, demand, 1 - homeShare, previous);
+    for (size_t i = home; i < end; ++i)
+        zones[i].share = (1 - away) * static_cast<double>(loads[i].healthy) / static_cast<double>(homeLoad.healthy);
+    table.m_homeShare = 1 - away;
+}
+
+double ZoneShares::spill(std::vector<ZoneMembers>& zones, const std::vector<ZoneLoad>& loads, size_t from,
+    double demand, double wanted, const ServiceTable* previous) const
+{
+    // What this zone sends there already is part of the load there, and no reason to send less.
+    const auto spareOf = [&](size_t zone) {
+        const double sent = previousShare(previous, zones[zone].zone) * demand;
+        const double used = std::max(0.0, loads[zone].load - sent);
+        return std::max(0.0, m_options.spillThreshold * loads[zone].limit - used);
+    };
+    double away = 0;
+    for (size_t begin = from; begin < zones.size() && wanted - away > 1e-9;) {
+        size_t end = begin;
+        double spare = 0;
+        for (; end < zones.size() && zones[end].tier == zones[begin].tier; ++end)
+            spare += spareOf(end);
+        const double taken = std::min(wanted - away, spare / demand);
+        for (size_t zone = begin; zone < end && spare > 0; ++zone)
+            zones[zone].share = taken * spareOf(zone) / spare;
+        away += taken;
+        begin = end;
+    }
+    return away;
+}
+
+double ZoneShares::previousShare(const ServiceTable* previous, const ZoneName& zone)
+{
+    if (!previous)
+        return 0;
+    const auto found = std::find_if(previous->m_zones.begin(), previous->m_zones.end(),
+        [&](const ZoneMembers& members) { return members.zone == zone; });
+    return found == previous->m_zones.end() ? 0 : found->share;
+}
+
+ZoneShares::ZoneLoad ZoneShares::measure(const ZoneMembers& zone, double assumedLimit) const
+{
+    ZoneLoad result;
+    for (const Member& member : zone.members) {
+        if (!member.isHealthy())
+            continue;
+        const double hintLimit = member.statistics->hint().limit;
+        ++result.healthy;
+        result.load += member.statistics->lastLoad(m_options.hintLifetime, m_now);
+        result.limit += hintLimit > 0 ? hintLimit : assumedLimit;
+    }
+    return result;
+}
+
+double ZoneShares::assumedLimit(const ServiceTable& table)
+{
+    double sum = 0;
+    int known = 0;
+    for (const ZoneMembers& zone : table.m_zones) {
+        for (const Member& member : zone.members) {
+            if (const uint32_t limit = member.statistics->hint().limit) {
+                sum += limit;
+                ++known;
+            }
+        }
+    }
+    // Before the first hint no load is above it either.
+    return known > 0 ? sum / known : 1e6;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/routing/bench/RoutingBench.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/routing/tests/RouterFixture.h
@@ -0,0 +1,92 @@
+// A router over a small fleet that tests change instance by instance.
+#pragma once
+
+#include "routing/Router.h"
+#include "testing/FakeClock.h"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace skylark {
+
+class RouterFixture : public testing::Test {
+protected:
+    static InstanceState state(const std::string& id, const std::string& zone, const std::string& region = "r1")
+    {
+        return { .record = { .id = InstanceId(id),
+                     .incarnation = Incarnation(1),
+                     .peer = { "127.0.0.1", 7000 },
+                     .service = ServiceName("pitch"),
+                     .zone = ZoneName(zone),
+                     .region = RegionName(region) } };
+    }
+    void add(const std::string& id, const std::string& zone, const std::string& region = "r1")
+    {
+        m_states[id] = state(id, zone, region);
+        m_states[id].firstSeen = m_clock.now() - std::chrono::hours(1);
+    }
+    void publish(Router& router)
+    {
+        std::vector<InstanceState> states;
+        for (const auto& [id, entry] : m_states)
+            states.push_back(entry);
+        router.update(std::make_shared<MembershipView>(std::move(states)), m_clock.now());
+    }
+    void publish() { publish(m_router); }
+
+    std::optional<Choice> choose(bool isIdempotent = true, const std::vector<InstanceId>& excluded = {})
+    {
+        return m_router.choose({ .service = ServiceName("pitch"), .excluded = excluded, .isIdempotent = isIdempotent },
+            m_random, m_clock.now());
+    }
+    void finish(const Choice& choice, bool isFault = false, std::optional<LoadHint> load = std::nullopt,
+        Duration latency = std::chrono::milliseconds(10))
+    {
+        m_router.finished(choice,
+            { .outcome = isFault ? CallOutcome::Unknown : CallOutcome::Answered,
+                .isFault = isFault,
+                .latency = latency,
+                .load = load },
+            m_clock.now());
+    }
+    // Number of choices by instance; each call ends at once.
+    std::map<std::string, int> spread(int calls)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < calls; ++i) {
+            const auto choice = choose();
+            if (!choice)
+                continue;
+            ++counts[choice->instance.value()];
+            m_router.began(*choice);
+            finish(*choice);
+        }
+        return counts;
+    }
+    // One call to this instance with this result.
+    void callTo(const std::string& id, bool isFault, std::optional<LoadHint> load = std::nullopt)
+    {
+        std::vector<InstanceId> others;
+        for (const auto& [other, entry] : m_states) {
+            if (other != id)
+                others.emplace_back(other);
+        }
+        const auto choice = choose(true, others);
+        ASSERT_TRUE(choice && choice->instance.value() == id) << id;
+        m_router.began(*choice);
+        finish(*choice, isFault, load);
+    }
+    void refresh()
+    {
+        m_clock.advance(std::chrono::seconds(1));
+        m_router.advance(m_clock.now());
+    }
+
+    FakeClock m_clock;
+    Random m_random { 5 };
+    std::map<std::string, InstanceState> m_states;
+    Router m_router { RouterOptions {
+        .zone = ZoneName("z1"), .region = RegionName("r1"), .regionOrder = { RegionName("r3"), RegionName("r2") } } };
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/routing/tests/RouterHealthTest.cpp
@@ -0,0 +1,166 @@
+// Guards against calls to instances that fail or leave, and against a router that trusts nobody.
+#include "routing/tests/RouterFixture.h"
+
+#include <set>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class RouterHealthTest : public RouterFixture {
+    protected:
+        void addZone(int count)
+        {
+            for (int i = 0; i < count; ++i)
+                add("a" + std::to_string(i), "z1");
+            publish();
+        }
+        void fail(const std::string& id)
+        {
+            for (int i = 0; i < 5; ++i)
+                callTo(id, true);
+        }
+        std::string conditionOf(const std::string& id)
+        {
+            for (const auto& line : m_router.explain(ServiceName("pitch"), m_clock.now())) {
+                if (line.instance.value() == id)
+                    return line.condition;
+            }
+            return "missing";
+        }
+    };
+
+    TEST_F(RouterHealthTest, FiveFailuresInARowEjectAndOneProbeAtATimeRestores)
+    {
+        addZone(3);
+        fail("a0");
+        EXPECT_EQ(conditionOf("a0"), "ejected");
+        EXPECT_EQ(spread(200).count("a0"), 0u);
+        m_clock.advance(1s);
+        EXPECT_NE(choose(false)->reason, ChoiceReason::Probe) << "a probe may fail a call that cannot be repeated";
+        const auto probe = choose();
+        ASSERT_EQ(probe->reason, ChoiceReason::Probe);
+        EXPECT_EQ(probe->instance.value(), "a0");
+        m_router.began(*probe);
+        EXPECT_EQ(spread(200).count("a0"), 0u) << "one probe at a time";
+        finish(*probe);
+        EXPECT_EQ(conditionOf("a0"), "live");
+        EXPECT_GT(spread(200)["a0"], 20);
+    }
+
+    TEST_F(RouterHealthTest, EjectionDoublesUpToThirtySecondsAndIsForgottenAfterGoodService)
+    {
+        addZone(3);
+        fail("a0");
+        for (const Duration expected : { 1s, 2s, 4s, 8s, 16s, 30s, 30s }) {
+            m_clock.advance(expected - 1ms);
+            EXPECT_NE(choose()->reason, ChoiceReason::Probe) << expected.count();
+            m_clock.advance(1ms);
+            const auto probe = choose();
+            ASSERT_EQ(probe->reason, ChoiceReason::Probe) << expected.count();
+            m_router.began(*probe);
+            finish(*probe, true);
+        }
+        m_clock.advance(30s);
+        const auto probe = choose();
+        m_router.began(*probe);
+        finish(*probe);
+        m_clock.advance(31s);
+        fail("a0");
+        m_clock.advance(1s);
+        EXPECT_EQ(choose()->reason, ChoiceReason::Probe);
+    }
+
+    TEST_F(RouterHealthTest, AtMostAThirdIsEjected)
+    {
+        addZone(7);
+        for (int i = 0; i < 7; ++i)
+            fail("a" + std::to_string(i));
+        int ejected = 0;
+        for (const auto& line : m_router.explain(ServiceName("pitch"), m_clock.now()))
+            ejected += line.condition == "ejected";
+        EXPECT_EQ(ejected, 2);
+    }
+
+    TEST_F(RouterHealthTest, SuccessInBetweenAndRefusalsDoNotEject)
+    {
+        addZone(3);
+        for (int i = 0; i < 20; ++i)
+            callTo("a0", i % 5 != 4);
+        EXPECT_EQ(conditionOf("a0"), "live");
+        for (int i = 0; i < 20; ++i) {
+            const auto choice = choose();
+            m_router.began(*choice);
+            m_router.finished(*choice, { .outcome = CallOutcome::NotRun }, m_clock.now());
+        }
+        for (const auto& line : m_router.explain(ServiceName("pitch"), m_clock.now()))
+            EXPECT_EQ(line.condition, "live");
+    }
+
+    TEST_F(RouterHealthTest, SuccessRateUnderHalfOfTheServicesEjects)
+    {
+        addZone(4);
+        for (int i = 0; i < 200; ++i) {
+            callTo("a0", i % 5 != 0); // never five failures in a row
+            for (const char* id : { "a1", "a2", "a3" })
+                callTo(id, false);
+        }
+        EXPECT_EQ(conditionOf("a0"), "live");
+        refresh();
+        EXPECT_EQ(conditionOf("a0"), "ejected");
+        EXPECT_EQ(conditionOf("a1"), "live");
+    }
+
+    TEST_F(RouterHealthTest, LeavingInstanceGetsNothingNewWhetherByViewOrByHint)
+    {
+        addZone(3);
+        callTo("a0", false, LoadHint { .limit = 10, .isLeaving = true });
+        m_states["a1"].condition = Condition::Leaving;
+        publish();
+        EXPECT_EQ(spread(100), (std::map<std::string, int> { { "a2", 100 } }));
+        m_states["a2"].record.isLeaving = true;
+        publish();
+        EXPECT_FALSE(choose()) << "a leaving instance is no last resort";
+    }
+
+    TEST_F(RouterHealthTest, RestartedInstanceStartsWithoutItsPast)
+    {
+        addZone(3);
+        const auto old = choose(true, { InstanceId("a1"), InstanceId("a2") });
+        m_router.began(*old);
+        callTo("a0", false, LoadHint { .limit = 10, .isLeaving = true });
+        m_states["a0"].record.incarnation = Incarnation(2);
+        publish();
+        EXPECT_EQ(conditionOf("a0"), "live");
+        finish(*old, false, LoadHint { .isLeaving = true }); // of the old process
+        EXPECT_EQ(conditionOf("a0"), "live");
+        EXPECT_GT(spread(200)["a0"], 20);
+    }
+
+    TEST_F(RouterHealthTest, SuspectIsUsedOnlyWhenAllLookUnhealthy)
+    {
+        addZone(3);
+        m_states["a0"].condition = Condition::Suspect;
+        publish();
+        EXPECT_EQ(spread(100).count("a0"), 0u);
+        for (auto& [id, entry] : m_states)
+            entry.condition = Condition::Suspect;
+        publish();
+        EXPECT_EQ(choose()->reason, ChoiceReason::LastResort);
+        EXPECT_EQ(spread(300).size(), 3u);
+        EXPECT_EQ(choose(true, { InstanceId("a0"), InstanceId("a2") })->instance.value(), "a1");
+    }
+
+    TEST_F(RouterHealthTest, ExcludedInstanceIsUsedOnlyWhenThereIsNoOther)
+    {
+        addZone(2);
+        add("b0", "z2");
+        publish();
+        EXPECT_EQ(choose(true, { InstanceId("a0") })->instance.value(), "a1");
+        EXPECT_EQ(choose(true, { InstanceId("a0"), InstanceId("a1") })->instance.value(), "b0");
+        EXPECT_TRUE(choose(true, { InstanceId("a0"), InstanceId("a1"), InstanceId("b0") }));
+    }
+
+} // namespace
+} // namespace skylark
--- /dev/null
+++ b/src/routing/tests/RouterTest.cpp
@@ -0,0 +1,332 @@
+// Guards the choice itself: zones, two choices, slow start, owners of keys, the other policies and threads.
+#include "base/Invariant.h"
+#include "routing/tests/RouterFixture.h"
+
+#include <cmath>
+#include <rapidcheck/gtest.h>
+#include <thread>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class RouterTest : public RouterFixture {
+    protected:
+        std::map<std::string, double> zoneShares()
+        {
+            std::map<std::string, double> shares;
+            for (const auto& line : m_router.explain(ServiceName("pitch"), m_clock.now()))
+                shares[line.zone.value()] = line.zoneShare;
+            return shares;
+        }
+        // A refresh after each instance has reported this load.
+        void report(const std::map<std::string, LoadHint>& hints)
+        {
+            for (const auto& [id, hint] : hints)
+                callTo(id, false, hint);
+            refresh();
+        }
+    };
+
+    TEST_F(RouterTest, OwnZoneThenNearestRegion)
+    {
+        add("a0", "z1");
+        add("b0", "z2");
+        add("c0", "z3", "r2");
+        add("d0", "z4", "r3");
+        add("e0", "z5", "r4");
+        for (const char* expected : { "a0", "b0", "d0", "c0", "e0" }) {
+            publish();
+            EXPECT_EQ(spread(100), (std::map<std::string, int> { { expected, 100 } }));
+            m_states.erase(expected);
+        }
+        publish();
+        EXPECT_FALSE(choose());
+        EXPECT_TRUE(m_router.explain(ServiceName("pitch"), m_clock.now()).empty());
+    }
+
+    TEST_F(RouterTest, CallsSpillInProportionToNeedAndNotAllAtOnce)
+    {
+        add("a0", "z1");
+        add("b0", "z2");
+        add("c0", "z3", "r2");
+        publish();
+        const LoadHint half { .inFlight = 5, .limit = 10 };
+        const LoadHint over { .inFlight = 10, .queued = 6, .limit = 10 };
+        report({ { "a0", half }, { "b0", half } });
+        EXPECT_EQ(zoneShares()["z1"], 1);
+        // Twice the threshold: half of the demand must go, a fifth of what is left at each refresh.
+        double expected = 1;
+        for (int i = 0; i < 3; ++i) {
+            report({ { "a0", over }, { "b0", LoadHint { .limit = 100 } } });
+            expected *= 0.8;
+            EXPECT_NEAR(zoneShares()["z1"], expected, 0.02);
+            EXPECT_NEAR(zoneShares()["z2"], 1 - expected, 0.02) << "the own region has room";
+        }
+        // The own region is full: the next one takes the rest.
+        report({ { "a0", over }, { "b0", half }, { "c0", LoadHint { .limit = 100 } } });
+        EXPECT_GT(zoneShares()["z3"], zoneShares()["z2"]);
+        // Other nodes' calls fill all zones: moving calls does not help.
+        report({ { "a0", over }, { "b0", LoadHint { .inFlight = 40, .limit = 10 } },
+            { "c0", LoadHint { .inFlight = 200, .limit = 100 } } });
+        EXPECT_EQ(zoneShares()["z1"], 1);
+    }
+
+    TEST_F(RouterTest, SpilledCallsComeBackWhenTheLoadFalls)
+    {
+        add("a0", "z1");
+        add("b0", "z2");
+        publish();
+        const LoadHint idle { .limit = 100 };
+        for (int i = 0; i < 5; ++i)
+            report({ { "a0", LoadHint { .inFlight = 10, .queued = 6, .limit = 10 } }, { "b0", idle } });
+        const double before = zoneShares()["z1"];
+        EXPECT_LT(before, 0.5);
+        report({ { "a0", LoadHint { .inFlight = 2, .limit = 10 } }, { "b0", idle } });
+        EXPECT_NEAR(zoneShares()["z1"], before * 1.25, 0.02);
+        for (int i = 0; i < 10; ++i)
+            report({ { "a0", LoadHint { .inFlight = 2, .limit = 10 } }, { "b0", idle } });
+        EXPECT_EQ(zoneShares()["z1"], 1);
+    }
+
+    // A closed loop: the zone's demand is 1.5 of its limit and hints are a second old.
+    TEST_F(RouterTest, SpillSettlesAtTheThresholdWithoutOscillation)
+    {
+        add("a0", "z1");
+        add("b0", "z2");
+        publish();
+        double least = 1;
+        double most = 0;
+        for (int i = 0; i < 60; ++i) {
+            const auto load = static_cast<uint32_t>(std::lround(150 * zoneShares()["z1"]));
+            report({ { "a0", LoadHint { .inFlight = load, .limit = 100 } },
+                { "b0", LoadHint { .inFlight = 150 - load, .limit = 200 } } });
+            if (i >= 30) {
+                least = std::min(least, zoneShares()["z1"]);
+                most = std::max(most, zoneShares()["z1"]);
+            }
+        }
+        EXPECT_NEAR(least, 0.8 / 1.5, 0.03);
+        EXPECT_NEAR(most, 0.8 / 1.5, 0.03);
+    }
+
+    TEST_F(RouterTest, NewInstanceRampsUpFromATenthOfItsShare)
+    {
+        for (int i = 0; i < 9; ++i)
+            add("a" + std::to_string(i), "z1");
+        m_states["new"] = state("new", "z1");
+        m_states["new"].firstSeen = m_clock.now();
+        publish();
+        constexpr int calls = 20'000;
+        const auto share = [&] { return spread(calls)["new"] / (calls / 10.0); };
+        EXPECT_NEAR(share(), 0.1, 0.03);
+        m_clock.advance(5s);
+        EXPECT_NEAR(share(), 0.55, 0.1);
+        m_clock.advance(5s);
+        EXPECT_NEAR(share(), 1, 0.1);
+    }
+
+    TEST_F(RouterTest, InstancesThatAreAllNewShareEvenly)
+    {
+        for (int i = 0; i < 4; ++i) {
+            add("a" + std::to_string(i), "z1");
+            m_states["a" + std::to_string(i)].firstSeen = m_clock.now();
+        }
+        publish();
+        for (const auto& [id, count] : spread(4000))
+            EXPECT_NEAR(count, 1000, 150) << id;
+    }
+
+    TEST_F(RouterTest, QuickFailuresDoNotAttractCalls)
+    {
+        add("a0", "z1");
+        add("a1", "z1");
+        publish();
+        for (const char* id : { "a0", "a1" })
+            callTo(id, false);
+        for (int i = 0; i < 20; ++i) {
+            const auto choice = choose(true, { InstanceId("a1") });
+            m_router.began(*choice);
+            finish(*choice, true, std::nullopt, 10us);
+        }
+        const auto lines = m_router.explain(ServiceName("pitch"), m_clock.now());
+        EXPECT_GE(lines[0].score, lines[1].score);
+    }
+
+    TEST_F(RouterTest, FinishingWhatDidNotBeginIsAViolation)
+    {
+        add("a0", "z1");
+        publish();
+        EXPECT_THROW(finish(*choose()), InvariantViolation);
+    }
+
+    // With two instances, the better of two choices is the better one. The model keeps plain numbers.
+    RC_GTEST_FIXTURE_PROP(RouterTest, TwoChoicesAgreeWithALinearSearch, (const std::vector<uint8_t>& actions))
+    {
+        struct Model {
+            double inFlight { 0 };
+            double latency { 0 };
+            LoadHint hint;
+            TimePoint hintAt;
+            TimePoint answeredAt;
+        };
+        m_states.clear();
+        add("a0", "z1");
+        add("a1", "z1");
+        Router router({ .zone = ZoneName("z1"), .region = RegionName("r1") });
+        publish(router);
+        std::map<std::string, Model> models;
+        std::vector<Choice> running;
+        const RoutingRequest request { .service = ServiceName("pitch") };
+        for (const std::string id : { "a0", "a1" }) {
+            const std::vector<InstanceId> other { InstanceId(id == "a0" ? "a1" : "a0") };
+            const auto choice
+                = router.choose({ .service = ServiceName("pitch"), .excluded = other }, m_random, m_clock.now());
+            router.began(*choice);
+            router.finished(*choice, { .latency = 10ms }, m_clock.now());
+            models[id] = { .latency = 0.01, .answeredAt = m_clock.now() };
+        }
+        router.advance(m_clock.now()); // the service's mean is now 10 ms and is not computed again
+        const auto scoreOf = [&](const Model& model) {
+            const double age = std::chrono::duration<double>(m_clock.now() - model.hintAt).count();
+            const double weight = model.hint.limit ? std::max(0.0, 1 - age / 5) : 0;
+            const double others = std::max(0.0, model.hint.inFlight - model.inFlight);
+            const double fade = std::exp(-std::chrono::duration<double>(m_clock.now() - model.answeredAt).count() / 10);
+            return (model.inFlight + weight * (model.hint.queued + others) + 1)
+                * (fade * model.latency + (1 - fade) * 0.01);
+        };
+        for (const uint8_t action : actions) {
+            m_clock.advance(std::chrono::milliseconds(action * 4));
+            if (action % 2 == 0 || running.empty()) {
+                const auto choice = router.choose(request, m_random, m_clock.now());
+                const std::string id = choice->instance.value();
+                const double other = scoreOf(models[id == "a0" ? "a1" : "a0"]);
+                RC_ASSERT(scoreOf(models[id]) <= other * (1 + 1e-9));
+                router.began(*choice);
+                ++models[id].inFlight;
+                running.push_back(*choice);
+                continue;
+            }
+            const Choice choice = running[action % running.size()];
+            running.erase(running.begin() + static_cast<int>(action % running.size()));
+            Model& model = models[choice.instance.value()];
+            model.hint = { .inFlight = action / 8u, .queued = action % 16u, .limit = 16 };
+            model.hintAt = model.answeredAt = m_clock.now();
+            const Duration latency = std::chrono::milliseconds(1 + action / 4);
+            model.latency += 0.1 * (std::chrono::duration<double>(latency).count() - model.latency);
+            --model.inFlight;
+            router.finished(choice, { .latency = latency, .load = model.hint }, m_clock.now());
+        }
+    }
+
+    TEST_F(RouterTest, OwnerOfAKeyIsTheSameForAllAndMovesOnlyWhenItIsGone)
+    {
+        for (int i = 0; i < 10; ++i)
+            add("a" + std::to_string(i), i % 2 ? "z1" : "z2");
+        publish();
+        Router other({ .zone = ZoneName("z2"), .region = RegionName("r1") });
+        publish(other);
+        std::map<std::string, std::string> owners;
+        for (int i = 0; i < 500; ++i) {
+            const std::string key = "key" + std::to_string(i);
+            owners[key] = m_router.ownerOf(ServiceName("pitch"), key, m_clock.now())->instance.value();
+            EXPECT_EQ(other.ownerOf(ServiceName("pitch"), key, m_clock.now())->instance.value(), owners[key]);
+        }
+        m_states["a3"].condition = Condition::Suspect;
+        m_states["a4"].condition = Condition::Leaving;
+        publish();
+        const std::vector<InstanceId> excluded { InstanceId("a3") };
+        std::map<std::string, int> counts;
+        for (const auto& [key, owner] : owners) {
+            const auto choice = m_router.choose(
+                { .service = ServiceName("pitch"), .excluded = excluded, .isIdempotent = false, .idempotencyKey = key },
+                m_random, m_clock.now());
+            EXPECT_EQ(choice->instance.value(), owner);
+            EXPECT_EQ(choice->reason, ChoiceReason::OwnerOfKey);
+            ++counts[owner];
+        }
+        for (const auto& [id, count] : counts)
+            EXPECT_NEAR(count, 50, 30) << id;
+        m_states.erase("a4");
+        publish();
+        for (const auto& [key, owner] : owners) {
+            const auto now = m_router.ownerOf(ServiceName("pitch"), key, m_clock.now());
+            EXPECT_EQ(now->instance.value() == owner, owner != "a4");
+        }
+    }
+
+    TEST_F(RouterTest, ScorePoliciesFollowTheScoresOfTheLastRefresh)
+    {
+        add("a0", "z1");
+        add("a1", "z1");
+        Router best({ .zone = ZoneName("z1"), .region = RegionName("r1"), .policy = BestScore {} });
+        Router proportional({ .zone = ZoneName("z1"), .region = RegionName("r1"), .policy = ScoreProportional {} });
+        for (Router* router : { &best, &proportional }) {
+            publish(*router);
+            const RoutingRequest request { .service = ServiceName("pitch") };
+            std::map<std::string, int> counts;
+            const auto callMany = [&] {
+                counts.clear();
+                for (int i = 0; i < 2000; ++i) {
+                    const auto choice = router->choose(request, m_random, m_clock.now());
+                    ++counts[choice->instance.value()];
+                    router->began(*choice);
+                    const bool isFirst = choice->instance.value() == "a0";
+                    router->finished(*choice, { .latency = isFirst ? 40ms : 10ms }, m_clock.now());
+                }
+            };
+            callMany();
+            m_clock.advance(1s);
+            router->advance(m_clock.now());
+            callMany();
+            if (router == &best) {
+                EXPECT_EQ(counts.size(), 1u);
+            } else {
+                // Latency weighs 3 of 10, and 10 ms is 4 times as good as 40 ms: 7.75 to 10.
+                EXPECT_NEAR(counts["a0"], 2000 * 7.75 / 17.75, 120);
+            }
+        }
+    }
+
+    // Choices, reports and new views at once; also run by ThreadSanitizer.
+    TEST_F(RouterTest, ThreadsShareARouter)
+    {
+        for (int i = 0; i < 6; ++i)
+            add("a" + std::to_string(i), i < 3 ? "z1" : "z2");
+        publish();
+        const uint64_t violationsBefore = violationCount();
+        std::atomic<bool> isDone = false;
+        std::atomic<int> choices = 0;
+        std::vector<std::thread> threads;
+        for (uint64_t t = 0; t < 4; ++t) {
+            threads.emplace_back([&, t] {
+                Random random(t);
+                for (int i = 0; !isDone; ++i) {
+                    const TimePoint now = m_clock.now() + std::chrono::milliseconds(i);
+                    const auto choice = m_router.choose({ .service = ServiceName("pitch") }, random, now);
+                    m_router.began(*choice);
+                    const LoadHint hint { .inFlight = static_cast<uint32_t>(random.below(20)), .limit = 10 };
+                    m_router.finished(*choice, { .isFault = random.below(3) == 0, .latency = 1ms, .load = hint }, now);
+                    ++choices;
+                }
+            });
+        }
+        for (int i = 0; i < 200; ++i) {
+            m_states["a5"].record.incarnation = Incarnation(static_cast<uint64_t>(i));
+            publish();
+            m_router.advance(m_clock.now() + std::chrono::seconds(i));
+            m_router.explain(ServiceName("pitch"), m_clock.now());
+        }
+        while (choices < 1000)
+            std::this_thread::yield();
+        isDone = true;
+        for (std::thread& thread : threads)
+            thread.join();
+        EXPECT_EQ(violationCount(), violationsBefore);
+        for (const auto& line : m_router.explain(ServiceName("pitch"), m_clock.now()))
+            EXPECT_EQ(line.inFlight, 0) << line.instance.value();
+    }
+
+} // namespace
+} // namespace skylark
