--- a/src/routing/ServiceTable.cpp
+++ b/src/routing/ServiceTable.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 std::shared_ptr<const ServiceTable> ServiceTable::build(const RouterOptions& options, const ServiceName& service,
-    const std::shared_ptr<const MembershipView>& view, const ServiceTable* previous, bool isRefresh, TimePoint now)
+    std::shared_ptr<const MembershipView> view, const ServiceTable* previous, bool isRefresh, TimePoint now)
 {
     const MembershipView::Members& listed = view->ofService(service);
     if (listed.empty())
