--- a/src/transport/tests/CallTest.cpp
+++ b/src/transport/tests/CallTest.cpp
@@ -16,6 +16,17 @@
         return body;
     }
 
+    // Why the body was cut off; empty when it was whole.
+    std::string cutOffReason(ClientStream& call)
+    {
+        try {
+            while (call.readBody(in(5s))) { }
+        } catch (const Error& error) {
+            return error.message();
+        }
+        return "";
+    }
+
     // Guards against a body that is shortened, reordered or stuck at a window, in either direction.
     TEST(CallTest, LargeBodiesArriveWholeInBothDirections)
     {
@@ -254,11 +265,7 @@
         ASSERT_TRUE(std::holds_alternative<AnswerStart>(given->awaitAnswer(in(5s))));
         given->cancel();
         EXPECT_TRUE(eventually([&] { return cancelled == 2; }));
-        EXPECT_THROW(
-            {
-                while (given->readBody(in(1s))) { }
-            },
-            Error);
+        EXPECT_NE(cutOffReason(*given).find("the caller cancelled"), std::string::npos);
     }
 
     // Guards against body that is taken although a part of it is missing, or more than the window allows.
@@ -285,13 +292,8 @@
         for (int i = 0; i < 3; ++i)
             calls.push_back(caller.call(boundEndpoint(listener)));
         EXPECT_EQ(answerOf(*calls[2]), "whole");
-        for (int i = 0; i < 2; ++i) {
-            EXPECT_THROW(
-                {
-                    while (calls[i]->readBody(in(5s))) { }
-                },
-                Error);
-        }
+        EXPECT_NE(cutOffReason(*calls[0]).find("offset 1 does not follow on 0"), std::string::npos);
+        EXPECT_NE(cutOffReason(*calls[1]).find("more body than its window"), std::string::npos);
         EXPECT_EQ(caller.network->traffic().protocolErrors, 0U);
         caller.network->close(in(0ms));
         gate.join();
