--- a/src/load/LoadReport.cpp
+++ b/src/load/LoadReport.cpp
@@ -90,13 +90,14 @@
         byTarget[i].merge(other.byTarget[i]);
     lateSends += other.lateSends;
     longestSendDelay = std::max(longestSendDelay, other.longestSendDelay);
+    failovers += other.failovers;
 }
 
 nlohmann::json LoadReport::toJson(const LoadPlan& plan) const
 {
     nlohmann::json result { { "classes", nlohmann::json::array() }, { "ranks", nlohmann::json::array() },
         { "targets", nlohmann::json::array() }, { "lateSends", lateSends },
-        { "longestSendDelayUs", microseconds(longestSendDelay) } };
+        { "longestSendDelayUs", microseconds(longestSendDelay) }, { "failovers", failovers } };
     std::map<std::string, Tally> byRank;
     Tally totals;
     for (size_t i = 0; i < byClass.size(); ++i) {
--- a/src/load/LoadReport.h
+++ b/src/load/LoadReport.h
@@ -53,9 +53,11 @@
     // Requests that left over 1 ms after their time because all workers were busy, and the longest delay.
     uint64_t lateSends { 0 };
     Duration longestSendDelay {};
+    // Connections that were refused by one target and tried at the next one.
+    uint64_t failovers { 0 };
 
     void merge(const LoadReport& other);
-    // Members: classes, ranks, targets, totals, lateSends, longestSendDelayUs.
+    // Members: classes, ranks, targets, totals, lateSends, longestSendDelayUs, failovers.
     nlohmann::json toJson(const LoadPlan& plan) const;
     std::string toTable(const LoadPlan& plan) const;
 };
--- a/src/load/LoadRunner.cpp
+++ b/src/load/LoadRunner.cpp
@@ -36,15 +36,10 @@
     public:
         Worker(Run& run, size_t target)
             : m_run(run)
+            , m_share(target)
             , m_target(target)
-            , m_address(run.plan.targets[target].toString())
-            , m_client(run.plan.targets[target].host, run.plan.targets[target].port)
         {
-            m_client.set_keep_alive(true);
-            m_client.set_tcp_nodelay(true);
-            m_client.set_connection_timeout(run.plan.timeout);
-            m_client.set_read_timeout(run.plan.timeout);
-            m_client.set_write_timeout(run.plan.timeout);
+            connect();
             m_result.report.byClass.resize(run.plan.classes.size());
             m_result.report.byTarget.resize(run.plan.targets.size());
         }
@@ -55,7 +50,7 @@
             prctl(PR_SET_TIMERSLACK, 1000, 0, 0, 0);
             const size_t targets = m_run.plan.targets.size();
             for (;;) {
-                const size_t index = m_target + m_run.nextOfTarget[m_target]++ * targets;
+                const size_t index = m_share + m_run.nextOfTarget[m_share]++ * targets;
                 if (index >= m_run.arrivals.size())
                     return;
                 call(index);
@@ -75,9 +70,15 @@
             const bool wasLate = now() > due;
             std::this_thread::sleep_until(due);
             const TimePoint sent = now();
-            const httplib::Result answer = m_client.send(request);
+            CallResult result = send(request, requestClass, id);
+            // Nothing was sent, so another node may be asked. The worker stays with the one that answers.
+            for (size_t tried = 1; result == CallResult::NotConnected && tried < m_run.plan.targets.size(); ++tried) {
+                m_target = (m_target + 1) % m_run.plan.targets.size();
+                connect();
+                ++m_result.report.failovers;
+                result = send(request, requestClass, id);
+            }
             const TimePoint received = now();
-            const CallResult result = classify(answer, received - sent, requestClass, id);
             if (arrival.offset >= m_run.plan.warmup) {
                 m_result.report.byClass[arrival.classIndex].add(result, received - due, requestClass);
                 m_result.report.byTarget[m_target].add(result, received - due, requestClass);
@@ -87,7 +88,26 @@
                     m_result.report.longestSendDelay = std::max(m_result.report.longestSendDelay, sent - due);
             }
             if (!requestClass.isIdempotent)
-                m_result.ledger.push_back({ id, "key-" + id, outcomeName(result), m_address, requestClass.name });
+                m_result.ledger.push_back({ id, "key-" + id, outcomeName(result),
+                    m_run.plan.targets[m_target].toString(), requestClass.name });
+        }
+
+        void connect()
+        {
+            const Endpoint& target = m_run.plan.targets[m_target];
+            m_client = std::make_unique<httplib::Client>(target.host, target.port);
+            m_client->set_keep_alive(true);
+            m_client->set_tcp_nodelay(true);
+            m_client->set_connection_timeout(m_run.plan.timeout);
+            m_client->set_read_timeout(m_run.plan.timeout);
+            m_client->set_write_timeout(m_run.plan.timeout);
+        }
+
+        CallResult send(const httplib::Request& request, const RequestClass& requestClass, const std::string& id)
+        {
+            const TimePoint sent = now();
+            const httplib::Result answer = m_client->send(request);
+            return classify(answer, now() - sent, requestClass, id);
         }
 
         httplib::Request makeRequest(const RequestClass& requestClass, const std::string& id, size_t index) const
@@ -145,9 +165,10 @@
         }
 
         Run& m_run;
+        // Whose arrivals it takes, and where it sends them.
+        const size_t m_share;
         size_t m_target;
-        std::string m_address;
-        httplib::Client m_client;
+        std::unique_ptr<httplib::Client> m_client;
         LoadResult m_result;
     };
 
--- a/src/load/LoadRunner.h
+++ b/src/load/LoadRunner.h
@@ -1,6 +1,7 @@
 // Sends a plan's requests at their times and gives the report and the ledger.
 //
-// Each worker is a thread with one kept connection to one target. Latency counts from the intended time
+// Each worker is a thread with one kept connection to one target; when that target takes no connection, it
+// goes on to the next one, as a caller's balancer would. Latency counts from the intended time
 // of sending, so that a stall shows in every request that it delays. The ledger has one line for each
 // non-idempotent request: id, idempotency key, outcome (answered, not-run or unknown), target and class,
 // separated by tabs.
--- a/src/load/tests/LoadTest.cpp
+++ b/src/load/tests/LoadTest.cpp
@@ -160,6 +160,21 @@
         resultOf("/", service.address(), CallResult::NotConnected);
     }
 
+    TEST(LoadRunnerTest, GoesOnToTheNextTargetWhenOneTakesNoConnection)
+    {
+        BackendStandin live({ .work = 0ms });
+        auto closed = std::make_unique<HttpService>(HttpServiceOptions {}, [](httplib::Server&) {});
+        const Endpoint closedAddress = closed->address();
+        closed = nullptr;
+        const LoadPlan plan { .classes = { { .name = "a", .ratePerSecond = 200 } },
+            .targets = { closedAddress, live.address() },
+            .duration = 300ms,
+            .workers = 4 };
+        const LoadResult result = runLoad(plan);
+        EXPECT_EQ(result.report.byTarget[1].count(CallResult::Answered), result.report.byClass[0].sent());
+        EXPECT_EQ(result.report.failovers, 2u);
+    }
+
     TEST(LedgerCheckTest, FindsEachKindOfFault)
     {
         const auto entry = [](const char* id, const char* outcome) {
