--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 build=$(realpath "${1:?usage: tools/demo.sh BUILD_DIRECTORY}")
 cd "$(dirname "$0")/.."
-exec python3 tools/demo.py "$build"
+exec python3 -B tools/demo.py "$build"
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -69,6 +69,7 @@
         self.node_process = None
         self.backend_process = None
         self.record = None
+        self.extra_settings = {}
 
     def status(self):
         return json.loads(request("GET", self.admin, "/status")[1])
@@ -103,6 +104,9 @@
 class Fleet:
     def __init__(self, build, directory):
         self.binaries = os.path.join(os.path.abspath(build), "bin")
+        for program in ("skylarkd", "skylarkctl", "skylarkload", "platform_standin", "backend_standin"):
+            if not os.access(os.path.join(self.binaries, program), os.X_OK):
+                sys.exit(f"{program} is not in {self.binaries}: build the project first")
         self.directory = os.path.abspath(directory)
         os.makedirs(self.directory, exist_ok=True)
         self.processes = []
@@ -136,7 +140,7 @@
         self.platform = f"127.0.0.1:{port}"
         wait_until(lambda: request("GET", self.platform, "/stats")[0] == 200, 10, "the platform answers")
 
-    def add_instances(self, specs, backend_options=(), with_backends=True):
+    def add_instances(self, specs, backend_options=(), with_backends=True, node_settings=None):
         """Starts an instance for each (name, service, zone), all at the same time."""
         ports = free_ports(4 * len(specs))
         new = [Instance(*spec, ports[4 * i:4 * i + 4]) for i, spec in enumerate(specs)]
@@ -144,6 +148,7 @@
         for instance in new:
             if with_backends:
                 self.start_backend(instance, backend_options)
+            instance.extra_settings = node_settings or {}
             self.start_node(instance)
         return new
 
@@ -163,7 +168,7 @@
                     "zone": instance.zone, "region": REGION, "callerAddress": instance.caller,
                     "peerAddress": instance.peer, "adminAddress": instance.admin,
                     "backendAddress": instance.backend, "platformAddress": self.platform, "peers": seeds,
-                    "log": {"level": "info", "format": "json"}}
+                    "log": {"level": "info", "format": "json"}, **instance.extra_settings}
         path = os.path.join(self.directory, instance.name + ".json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file, indent=1)
@@ -194,6 +199,26 @@
                        and instance.version() == version and instance.live_instances() >= expected,
                        seconds, f"{instance.name} is ready with version {version} and knows {expected} instances")
 
+    def applied_after(self, instances, version, since, seconds=30):
+        """As convergence(), from the age of the applied version in GET /state: exact with many nodes."""
+        deadline = since + seconds
+        result = []
+        for instance in instances:
+            age = None
+            while age is None and time.monotonic() < deadline:
+                try:
+                    applied = json.loads(request("GET", instance.admin, "/state")[1]).get("applied", {})
+                    if applied.get("version", 0) == version:
+                        age = applied["ageMs"] / 1000
+                        result.append(time.monotonic() - age - since)
+                except (OSError, ValueError):
+                    pass
+                if age is None:
+                    time.sleep(0.05)
+            if age is None:
+                result.append(float("inf"))
+        return result
+
     def convergence(self, instances, version, since, seconds=30):
         """Seconds from `since` until each instance shows the version, in the order of the instances."""
         def reach(instance):
