Refuse to bundle into a directory of section files

Cause: a bundle written beside section files makes later commands read the bundle instead, so edits to the section files would be ignored. Change: bundle refuses such a directory; document_fuzz checks the section names of accepted manifests.

--- a/src/cli/DocumentFiles.cpp
+++ b/src/cli/DocumentFiles.cpp
@@ -66,6 +66,16 @@
             throw Error({ .step = "write-bundle", .message = "cannot write " + path.string() });
     }
 
+    // With a manifest beside them, section files would no longer be read: the directory would be a bundle.
+    void refuseSectionFiles(const fs::path& directory)
+    {
+        if (!fs::is_directory(directory))
+            return;
+        for (const fs::directory_entry& entry : fs::directory_iterator(directory))
+            if (entry.path().extension() == ".json" && entry.path().filename() != manifestName)
+                throw UsageError(directory.string() + " holds section files; --out takes a directory for bundles only");
+    }
+
     void refuseLaterManifest(const fs::path& path, const Manifest& manifest)
     {
         if (!fs::exists(path))
@@ -101,6 +111,7 @@
 void writeBundle(const LoadedDocument& document, const fs::path& directory)
 {
     const fs::path manifestPath = directory / manifestName;
+    refuseSectionFiles(directory);
     refuseLaterManifest(manifestPath, document.manifest);
     for (const SectionText& text : document.texts) {
         const fs::path folder = directory / sectionsName / text.name.value();
--- a/src/cli/DocumentFiles.h
+++ b/src/cli/DocumentFiles.h
@@ -20,7 +20,8 @@
 LoadedDocument loadDocument(const std::vector<std::string>& paths);
 
 // Writes the texts, then the manifest in one step, so that an interrupted run leaves no new manifest. Throws
-// Error if the directory holds a manifest of this version with other content, or of a later version.
+// UsageError if the directory holds section files, and Error if it holds a manifest of this version with other content,
+// or of a later version.
 void writeBundle(const LoadedDocument& document, const std::filesystem::path& directory);
 
 } // namespace skylark
--- a/src/cli/tests/DocumentCommandsTest.cpp
+++ b/src/cli/tests/DocumentCommandsTest.cpp
@@ -140,6 +140,7 @@
             { "bundle", path("doc") }, { "bundle", "--version", "7", path("doc") },
             { "bundle", "--version", "0", "--out", path("out"), path("doc") },
             { "bundle", "--version", "x", "--out", path("out"), path("doc") },
+            { "bundle", "--version", "7", "--out", path("doc"), path("doc") },
             { "bundle", "--version", "9223372036854775808", "--out", path("out"), path("doc") }, { "status" },
             { "status", "127.0.0.1" }, { "state", "127.0.0.1:1", "127.0.0.1:2" },
             { "explain", "127.0.0.1:1", "GET", "pitches" } };
--- a/src/document/fuzz/DocumentFuzz.cpp
+++ b/src/document/fuzz/DocumentFuzz.cpp
@@ -2,6 +2,7 @@
 // result that a second build repeats, with faults of bounded size, and an accepted manifest must round-trip.
 #include "base/Error.h"
 #include "base/Invariant.h"
+#include "document/Section.h"
 #include "document/tests/SyntheticDocument.h"
 
 #include <cstdint>
@@ -41,6 +42,8 @@
             const Manifest manifest = manifestFromJson(text);
             invariant(manifestFromJson(manifestToJson(manifest)) == manifest,
                 { .rule = "an accepted manifest round-trips", .step = "fuzz" });
+            for (const auto& [name, digest] : manifest.sections)
+                invariant(isName(name.value()), { .rule = "accepted names can stand in keys", .step = "fuzz" });
         } catch (const InvariantViolation&) {
             throw;
         } catch (const Error&) {
