--- a/src/base/Types.h
+++ b/src/base/Types.h
@@ -66,7 +66,7 @@
     static Endpoint fromString(const std::string& text);
 
     // As for Strong: a false report of clang-tidy 14.
-    auto operator<=>(const Endpoint&) const = default; // NOLINT(modernize-use-nullptr)
+    auto operator<=>(const Endpoint&) const = default;
     bool operator==(const Endpoint&) const = default;
 
     template <typename H> friend H AbslHashValue(H state, const Endpoint& endpoint)
