--- a/src/distribution/tests/Fleet.cpp
+++ b/src/distribution/tests/Fleet.cpp
@@ -17,7 +17,7 @@
     for (const SectionText& section : texts) {
         if (section.text.find("bad") != std::string::npos)
             return FaultLines { section.name.value() + ": " + section.text };
-        routes.push_back({ .name = section.text, .section = section.name });
+        routes.push_back({ .name = section.text, .section = section.name, .pathPrefix = "/" + section.name.value() });
     }
     return std::make_shared<const Configuration>(
         manifest, std::vector<RankPolicy> {}, std::map<ServiceName, ServicePolicy> {}, std::move(routes));
