Test that skylarkctl refuses an answer with an error status

Cause: the code was broken once for each guarded fault, and a check of the status that was taken out went unnoticed. Change: a complete status page with status 500 must be refused.

--- a/src/cli/tests/NodeCommandsTest.cpp
+++ b/src/cli/tests/NodeCommandsTest.cpp
@@ -129,6 +129,8 @@
             node.answer(text, status);
             EXPECT_EQ(runCli({ "status", node.address() }).code, ExitCode::FaultFound) << text;
         }
+        node.answer(statusText(""), 500);
+        EXPECT_EQ(runCli({ "status", node.address() }).code, ExitCode::FaultFound);
         node.answer(R"({"version": 1, "nodes": 5, "rejected": {"a": 1}})");
         EXPECT_EQ(runCli({ "status", node.address() }).code, ExitCode::Success);
     }
