Keep the byte counts of a connection right after a failed send

Cause: after a send error the bytes were counted as written and neither handed over nor queued. The proof that a call did not run compares these counts. Change: the bytes are queued as after a full socket. Two invariants check the counts and the window. An Error on the network's thread closes the connection that caused it, also while its queue is sent.

--- a/src/transport/Connection.cpp
+++ b/src/transport/Connection.cpp
@@ -1,6 +1,7 @@
 #include "transport/Connection.h"
 
 #include "base/Error.h"
+#include "base/Invariant.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -181,7 +182,7 @@
             m_handed += static_cast<size_t>(sent);
             frames.remove_prefix(static_cast<size_t>(sent));
         } else if (sent < 0 && errno != EAGAIN && errno != EINTR) {
-            return breakConnection(std::strerror(errno));
+            breakConnection(std::strerror(errno));
         }
     }
     // The socket reports when it is writable again, since its event is edge-triggered and it was full.
@@ -291,6 +292,9 @@
             m_handed += static_cast<size_t>(sent);
             m_queuePosition += static_cast<size_t>(sent);
         }
+        // The proof that a call did not run rests on this count.
+        invariant(m_fd < 0 || m_handed + m_queue.size() - m_queuePosition == m_written,
+            { .rule = "every written byte is handed over or queued", .step = "flush", .peer = m_remote.toString() });
         // Moving the rest is worth its cost once half is sent.
         if (m_queuePosition * 2 >= m_queue.size()) {
             m_queue.erase(0, m_queuePosition);
--- a/src/transport/NetworkLoop.cpp
+++ b/src/transport/NetworkLoop.cpp
@@ -166,10 +166,14 @@
     const ConnectionPtr connection = entry->second;
     if (connection->state() == Connection::State::Dialing)
         finishDial(connection);
-    if (events & EPOLLOUT)
-        connection->flush();
-    if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
-        readFrom(connection, (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
+    try {
+        if (events & EPOLLOUT)
+            connection->flush();
+        if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+            readFrom(connection, (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
+    } catch (const Error& error) {
+        refuseProtocol(connection, error);
+    }
 }
 
 void PeerNetwork::Impl::finishDial(const ConnectionPtr& connection)
--- a/src/transport/NetworkMessages.cpp
+++ b/src/transport/NetworkMessages.cpp
@@ -30,16 +30,12 @@
         connection->noteReceived(m_context->clock.now());
         noteAlive(connection->loop().lastReceived);
         FrameReader& reader = connection->loop().reader;
-        try {
-            reader.feed({ m_readBuffer.data(), static_cast<size_t>(size) });
-            while (connection->state() != Connection::State::Closed) {
-                const auto payload = reader.next();
-                if (!payload)
-                    break;
-                handlePayload(connection, *payload);
-            }
-        } catch (const Error& error) {
-            return refuseProtocol(connection, error);
+        reader.feed({ m_readBuffer.data(), static_cast<size_t>(size) });
+        while (connection->state() != Connection::State::Closed) {
+            const auto payload = reader.next();
+            if (!payload)
+                break;
+            handlePayload(connection, *payload);
         }
         // A short read has emptied the socket; later bytes raise a new event. An end that came with the
         // bytes does not, so it is read at once.
--- a/src/transport/PeerNetwork.h
+++ b/src/transport/PeerNetwork.h
@@ -7,8 +7,10 @@
 // none is idle the new one is refused.
 //
 // A thread that sends writes to the socket itself when nothing is queued before it, so that a call wakes only
-// the receiving side. Handlers run on the network's thread: they must return quickly, and must not call
-// close() or openCall(). They may call send().
+// the receiving side. Handlers run on the network's thread: they must return quickly and must not call
+// close(), stopAccepting() or openCall(). They may call send(). An Error that a handler throws closes the connection
+// that its message came from;
+// onSendFailed and onPeerProbe must not throw.
 //
 // A connection that owes us something (an unanswered call, or any reply to control messages) and that gave no
 // byte for 1 s is sent a Ping; after 500 ms more it is closed as silent, its calls fail, and a probe over a
--- a/src/transport/Stream.cpp
+++ b/src/transport/Stream.cpp
@@ -1,6 +1,7 @@
 #include "transport/Stream.h"
 
 #include "base/Error.h"
+#include "base/Invariant.h"
 #include "transport/Connection.h"
 
 #include <algorithm>
@@ -52,6 +53,8 @@
         m_sendOffset += chunk.data.size();
         m_unsentPosition += chunk.data.size();
         m_isSendFinished = chunk.isLast;
+        invariant(m_sendOffset <= m_sendLimit && m_unsentPosition <= m_unsent.size(),
+            { .rule = "a stream sends within its window", .step = "send-body" });
     }
     if (unsentBytes() == 0)
         setUnsent({}, false);
--- a/src/transport/tests/CallTest.cpp
+++ b/src/transport/tests/CallTest.cpp
@@ -1,9 +1,10 @@
 // Guards calls: whole answers to their own callers, bounded memory, and truthful outcomes of lost calls.
 #include "base/Digest.h"
 #include "base/Error.h"
+#include "base/Invariant.h"
 #include "transport/tests/TransportFixture.h"
 
-#include <numeric>
+#include <set>
 
 namespace skylark {
 namespace {
@@ -193,6 +194,80 @@
         EXPECT_LE(traffic.openConnections, 2U);
     }
 
+    // Guards against stream ids of the two directions that collide.
+    TEST(CallTest, CallsInBothDirectionsShareOneConnection)
+    {
+        Node a("a", echo);
+        Node b("b", echo);
+        EXPECT_EQ(answerOf(*a.call(b.address(), "first")), "first");
+        std::thread other([&] {
+            for (int i = 0; i < 200; ++i)
+                EXPECT_EQ(answerOf(*b.call(a.address(), "b" + std::to_string(i))), "b" + std::to_string(i));
+        });
+        for (int i = 0; i < 200; ++i)
+            EXPECT_EQ(answerOf(*a.call(b.address(), "a" + std::to_string(i))), "a" + std::to_string(i));
+        other.join();
+        EXPECT_EQ(a.network->traffic().openConnections, 1U);
+    }
+
+    // Guards answers and outcomes against connections that break while several threads write to them.
+    TEST(CallTest, CutsUnderLoadGiveOwnAnswersOrTrueFailures)
+    {
+        std::mutex mutex;
+        std::set<std::string> ran;
+        Node gate("gate", [&](ServerStream& call) {
+            {
+                const std::lock_guard lock(mutex);
+                ran.insert(call.call().target);
+            }
+            call.answer({ .status = 200 }, call.call().target + std::string(50000, 'x'), true);
+        });
+        Relay relay(gate.address());
+        Node caller("caller");
+        const uint64_t violations = violationCount();
+        std::atomic<int> answered { 0 };
+        std::vector<std::string> notRun[4];
+        std::atomic<bool> isDone { false };
+        std::vector<std::thread> threads;
+        for (int t = 0; t < 4; ++t) {
+            threads.emplace_back([&, t] {
+                for (int i = 0; !isDone; ++i) {
+                    const std::string target = std::to_string(t) + "/" + std::to_string(i) + "/";
+                    const auto call = caller.network->openCall(relay.address(), {}, { .target = target }, "", true);
+                    const AwaitResult result = call->awaitAnswer(in(5s));
+                    const auto* failure = std::get_if<StreamFailure>(&result);
+                    if (failure && failure->outcome == CallOutcome::NotRun)
+                        notRun[t].push_back(target);
+                    if (failure)
+                        continue;
+                    try {
+                        std::string body;
+                        while (auto chunk = call->readBody(in(5s)))
+                            body += *chunk;
+                        EXPECT_EQ(body, target + std::string(50000, 'x'));
+                        ++answered;
+                    } catch (const Error&) {
+                        // Cut off in the middle of its body.
+                    }
+                }
+            });
+        }
+        for (int cut = 0; cut < 40; ++cut) {
+            std::this_thread::sleep_for(20ms);
+            relay.cutAll();
+        }
+        isDone = true;
+        for (std::thread& thread : threads)
+            thread.join();
+        const std::lock_guard lock(mutex);
+        for (const auto& targets : notRun) {
+            for (const std::string& target : targets)
+                EXPECT_FALSE(ran.contains(target)) << target;
+        }
+        EXPECT_GT(answered, 0);
+        EXPECT_EQ(violationCount(), violations);
+    }
+
     TEST(CallTest, CallsThatCannotStartAreProvedNotRun)
     {
         Node gate("gate", echo);
