--- a/src/distribution/bench/DistributionBench.cpp
+++ b/src/distribution/bench/DistributionBench.cpp
@@ -208,7 +208,7 @@
         measure("first tick with 21,000 instances", 1, [&] { node.tick(now); });
         measure("a tick at rest", 1000, [&] { node.tick(now += std::chrono::milliseconds(100)); });
         const InstanceRecord peer = recordAt(17);
-        const PeerInfo from { peer.id, peer.incarnation, peer.peer, peer.zone, peer.region };
+        const PeerIdentity from { peer.id, peer.incarnation, peer.peer, peer.zone, peer.region };
         measure("handle a summary", 10000, [&] {
             node.handle(Summary { .listsDigest = node.membership().listsDigest(), .isReply = true }, from, now);
         });
