--- a/src/distribution/tests/DistributorTest.cpp
+++ b/src/distribution/tests/DistributorTest.cpp
@@ -1,6 +1,7 @@
 // The rows of the design page's failure table that concern distribution, on a small fleet without random
 // faults.
 #include "Fleet.h"
+#include "distribution/Compression.h"
 
 #include <gtest/gtest.h>
 
@@ -235,6 +236,82 @@
         EXPECT_GT(deltas, 30U);
     }
 
+    // Guards against a starting node that waits for ever for a part that was lost.
+    TEST_F(DistributorTest, LostSnapshotPartIsAskedForAgain)
+    {
+        Fleet fleet(1, 5, 24, true);
+        startAll(fleet);
+        fleet.kill(4);
+        fleet.setSourceFault(Fleet::SourceFault::Refusing);
+        bool isLost = false;
+        fleet.filter = [&](size_t, size_t to, const Message& message) {
+            const bool isFirst = !isLost && to == 4 && std::holds_alternative<SnapshotPart>(message);
+            isLost = isLost || isFirst;
+            return !isFirst;
+        };
+        fleet.start(4);
+        EXPECT_TRUE(fleet.runUntil([&] { return fleet.holdsNewest(4); }, seconds(3))) << fleet.describe();
+        EXPECT_TRUE(isLost);
+    }
+
+    class SingleNodeTest : public testing::Test {
+    protected:
+        SingleNodeTest()
+        {
+            DistributorOptions options = optionsForTest(recordForTest("zone-0", 0));
+            options.seedPeers = { peer.peer };
+            node = std::make_unique<Distributor>(std::move(options), start);
+            node->start(start);
+        }
+        Actions handle(const Message& message, TimePoint now)
+        {
+            return node->handle(message, { peer.id, peer.incarnation, peer.peer, peer.zone, peer.region }, now);
+        }
+        // From the empty manifest, with one section.
+        static PushVersion push(uint64_t version, bool hasText)
+        {
+            const std::string text = "judging " + std::to_string(version);
+            const Manifest manifest = manifestOf(version, version, { { "judging", text } });
+            PushVersion message { .manifest = { .version = manifest.version,
+                                      .revision = manifest.revision,
+                                      .digest = manifest.digest(),
+                                      .changed = { { SectionName("judging"), digestOf(text) } } } };
+            if (hasText)
+                message.sections.push_back({ SectionName("judging"), digestOf(text), compress(text) });
+            return message;
+        }
+        static size_t sectionRequests(const Actions& actions)
+        {
+            return static_cast<size_t>(std::count_if(actions.begin(), actions.end(), [](const Action& action) {
+                const auto* send = std::get_if<Send>(&action);
+                const auto* request = send ? std::get_if<FetchRequest>(&send->message) : nullptr;
+                return request && !request->sections.empty();
+            }));
+        }
+
+        const TimePoint start { std::chrono::hours(1) };
+        const InstanceRecord peer { recordForTest("zone-0", 1) };
+        std::unique_ptr<Distributor> node;
+    };
+
+    TEST_F(SingleNodeTest, LostSectionsAreAskedForAgain)
+    {
+        EXPECT_EQ(sectionRequests(handle(push(1, false), start)), 1U);
+        EXPECT_EQ(sectionRequests(node->tick(start + milliseconds(400))), 0U);
+        EXPECT_EQ(sectionRequests(node->tick(start + milliseconds(600))), 1U);
+    }
+
+    TEST_F(SingleNodeTest, DoesNotServeWhileAPeerHoldsANewerVersion)
+    {
+        handle(push(1, true), start);
+        const FreshnessMark mark { .zone = ZoneName("zone-0"), .reader = peer.id, .sourceRevision = Revision(5) };
+        handle(Summary { .version = VersionNumber(5), .manifestRevision = Revision(5), .marks = { mark } }, start);
+        EXPECT_EQ(node->versions().currentOrder().version, VersionNumber(1));
+        EXPECT_FALSE(node->isServing());
+        handle(push(5, true), start + milliseconds(50));
+        EXPECT_TRUE(node->isServing());
+    }
+
     TEST_F(DistributorTest, LeavingIsBelievedFromTheInstanceItselfOnly)
     {
         Fleet fleet(1, 4, 22, true);
