Read the lists of the zones that the settings name

Cause: DistributorOptions::zones was declared and not used. Change: a starting node without a list reads the lists of these zones with that of its own zone; zones that are not named come from peers.

--- a/src/distribution/Distributor.h
+++ b/src/distribution/Distributor.h
@@ -39,7 +39,8 @@
     InstanceRecord self;
     // Peers to ask at the start, before any list is held; may be empty.
     std::vector<Endpoint> seedPeers;
-    // Zones whose lists are read from the source at the start, when no peer gave them.
+    // Zones whose lists a starting node reads from the source besides its own, when no peer gave them. Lists of
+    // zones that are not named come from peers, or from the zone's reader once it watches the source.
     std::vector<ZoneName> zones;
     // Throws Error for an unusable manifest.
     std::function<Manifest(std::string_view)> parseManifest;
--- a/src/distribution/DistributorSource.cpp
+++ b/src/distribution/DistributorSource.cpp
@@ -45,7 +45,10 @@
     const std::string& key, Revision revision, const absl::btree_set<std::string>& sections) const
 {
     const std::optional<ZoneName> zone = zoneOfKey(key);
-    const bool isBootstrap = zone == m_options.self.zone && m_table.listRevision(*zone) == Revision();
+    const auto& zones = m_options.zones;
+    const bool isWanted
+        = zone && (*zone == m_options.self.zone || std::find(zones.begin(), zones.end(), *zone) != zones.end());
+    const bool isBootstrap = isWanted && m_table.listRevision(*zone) == Revision();
     if (isBootstrap)
         return true;
     if (!m_isReader)
@@ -69,8 +72,11 @@
 
     const ZoneName& own = m_options.self.zone;
     const bool hasList = m_table.listRevision(own) != Revision();
-    if (!hasList && !m_isListRead && now >= m_bootstrapDue)
+    if (!hasList && !m_isListRead && now >= m_bootstrapDue) {
         m_source.want(instancesKey(own), Revision(), now);
+        for (const ZoneName& zone : m_options.zones)
+            m_source.want(instancesKey(zone), Revision(), now);
+    }
     m_isReader = (hasList || m_isListRead) && m_selector.shouldWatch(now);
     if (!m_isReader)
         m_watchAfter.reset();
--- a/src/distribution/tests/DistributorTest.cpp
+++ b/src/distribution/tests/DistributorTest.cpp
@@ -312,6 +312,19 @@
         EXPECT_TRUE(node->isServing());
     }
 
+    TEST_F(SingleNodeTest, BootstrapReadsTheListsOfTheNamedZones)
+    {
+        DistributorOptions options = optionsForTest(recordForTest("zone-0", 0));
+        options.zones = { ZoneName("zone-0"), ZoneName("zone-3") };
+        Distributor lone(std::move(options), start);
+        lone.start(start);
+        std::set<std::string> keys;
+        for (const Action& action : lone.tick(start + milliseconds(500)))
+            if (const auto* read = std::get_if<ReadKey>(&action))
+                keys.insert(read->key);
+        EXPECT_EQ(keys, (std::set<std::string> { "skylarkbay/instances/zone-0", "skylarkbay/instances/zone-3" }));
+    }
+
     TEST_F(DistributorTest, LeavingIsBelievedFromTheInstanceItselfOnly)
     {
         Fleet fleet(1, 4, 22, true);
