--- a/src/node/ControlLoop.cpp
+++ b/src/node/ControlLoop.cpp
@@ -84,8 +84,6 @@
     });
 }
 
-void ControlLoop::noteUnreachable(const Endpoint& peer) { noteSendFailed(peer); }
-
 void ControlLoop::noteCallFailed(const InstanceId& instance, Incarnation incarnation)
 {
     post([instance, incarnation](Distributor& distributor, TimePoint now) {
--- a/src/node/ControlLoop.h
+++ b/src/node/ControlLoop.h
@@ -53,8 +53,8 @@
 
     // From any thread; none blocks.
     void receive(Message message, const PeerInfo& from);
+    // Also for a peer that a probe could not reach.
     void noteSendFailed(const Endpoint& peer);
-    void noteUnreachable(const Endpoint& peer);
     void noteCallFailed(const InstanceId& instance, Incarnation incarnation);
     void post(Event event);
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -133,7 +133,7 @@
                     { { "peer", peer.toString() }, { "isPeerReachable", isReachable ? "true" : "false" } });
                 ControlLoop* control = m_controlForHandlers.load();
                 if (control && !isReachable)
-                    control->noteUnreachable(peer);
+                    control->noteSendFailed(peer);
             } };
 }
 
