--- a/src/distribution/Compression.cpp
+++ b/src/base/Compression.cpp
@@ -1,4 +1,4 @@
-#include "distribution/Compression.h"
+#include "base/Compression.h"
 
 #include "base/Error.h"
 
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -12,6 +13,8 @@
 
 namespace {
 
+    constexpr int mostBufferedLines = 2048;
+
     LogOptions logOptions;
 
     log4cxx::LoggerPtr logger()
@@ -62,12 +65,24 @@
     const std::string pattern = options.format == LogFormat::Json ? "{\"time\":\"%d{ISO8601}\",\"level\":\"%p\",%m}%n"
                                                                   : "%d{ISO8601} %-5p %m%n";
     const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const bool isBuffered = options.output == LogOutput::BufferedStandardOutput;
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout,
+        isBuffered ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::Logger::getRootLogger()->removeAllAppenders();
-    log4cxx::BasicConfigurator::configure(appender);
+    if (!isBuffered) {
+        log4cxx::BasicConfigurator::configure(console);
+    } else {
+        const auto buffer = std::make_shared<log4cxx::AsyncAppender>();
+        buffer->setBufferSize(mostBufferedLines);
+        buffer->setBlocking(false);
+        buffer->addAppender(console);
+        log4cxx::BasicConfigurator::configure(buffer);
+    }
     logger()->setLevel(nativeLevel(options.level));
 }
 
+void flushLogs() { log4cxx::Logger::getRootLogger()->removeAllAppenders(); }
+
 void logEvent(LogLevel level, const std::string& event, const LogFields& fields)
 {
     const log4cxx::LevelPtr native = nativeLevel(level);
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -19,17 +19,26 @@
 
 enum class LogFormat { Text, Json };
 
+enum class LogOutput {
+    StandardError,
+    // A thread writes the lines; when its buffer is full, lines are dropped and their number is logged.
+    BufferedStandardOutput,
+};
+
 struct LogOptions {
     LogLevel level { LogLevel::Info };
     LogFormat format { LogFormat::Text };
+    LogOutput output { LogOutput::StandardError };
     // Named in every line.
     std::string instance;
 };
 
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
-// Sends log lines to standard error. Called once, before other threads start.
+// Called once, before other threads start.
 void configureLogs(const LogOptions& options);
+// Writes what is buffered; the logs end.
+void flushLogs();
 void logEvent(LogLevel level, const std::string& event, const LogFields& fields = {});
 
 // Throws Error for an unknown name.
--- a/src/distribution/DistributorMessages.cpp
+++ b/src/distribution/DistributorMessages.cpp
@@ -1,6 +1,6 @@
 #include "base/Error.h"
 #include "base/Invariant.h"
-#include "distribution/Compression.h"
+#include "base/Compression.h"
 #include "distribution/Distributor.h"
 
 #include <algorithm>
--- a/src/distribution/Snapshot.cpp
+++ b/src/distribution/Snapshot.cpp
@@ -2,7 +2,7 @@
 
 #include "base/Error.h"
 #include "base/Invariant.h"
-#include "distribution/Compression.h"
+#include "base/Compression.h"
 
 #include <algorithm>
 #include <msgpack.hpp>
--- a/src/distribution/tests/DistributorTest.cpp
+++ b/src/distribution/tests/DistributorTest.cpp
@@ -1,7 +1,7 @@
 // The rows of the design page's failure table that concern distribution, on a small fleet without random
 // faults.
 #include "Fleet.h"
-#include "distribution/Compression.h"
+#include "base/Compression.h"
 
 #include <gtest/gtest.h>
 
--- a/src/distribution/tests/SnapshotTest.cpp
+++ b/src/distribution/tests/SnapshotTest.cpp
@@ -2,7 +2,7 @@
 
 #include "Fleet.h"
 #include "base/Error.h"
-#include "distribution/Compression.h"
+#include "base/Compression.h"
 
 #include <gtest/gtest.h>
 
--- a/src/document/Configuration.cpp
+++ b/src/document/Configuration.cpp
@@ -18,11 +18,12 @@
 }
 
 Configuration::Configuration(Manifest manifest, std::vector<RankPolicy> ranks,
-    std::map<ServiceName, ServicePolicy> services, std::vector<Route> routes)
+    std::map<ServiceName, ServicePolicy> services, std::vector<Route> routes, CallerLimits limits)
     : m_manifest(std::move(manifest))
     , m_ranks(std::move(ranks))
     , m_services(std::move(services))
     , m_routes(std::move(routes))
+    , m_limits(limits)
     , m_table(std::make_unique<const RouteTable>(m_routes))
 {
 }
--- a/src/document/Configuration.h
+++ b/src/document/Configuration.h
@@ -64,6 +64,25 @@
     bool operator==(const ServicePolicy&) const = default;
 };
 
+// One part of a weighted split of a route's requests.
+struct WeightedService {
+    ServiceName service;
+    uint32_t weight { 1 };
+
+    bool operator==(const WeightedService&) const = default;
+};
+
+// What a caller may send, and how long it may take or stay idle.
+struct CallerLimits {
+    uint32_t headerBytes { 64 * 1024 };
+    uint64_t bodyBytes { 16 * 1024 * 1024 };
+    // From a request's first byte to the end of its headers.
+    Duration headerTimeout { std::chrono::seconds(5) };
+    Duration idleTimeout { std::chrono::seconds(60) };
+
+    bool operator==(const CallerLimits&) const = default;
+};
+
 struct Route {
     std::string name;
     SectionName section;
@@ -73,12 +92,16 @@
     // Empty matches every method.
     std::vector<std::string> methods;
     ServiceName service;
+    // Empty: all requests go to `service`.
+    std::vector<WeightedService> split {};
     int rank { 0 };
     Duration deadline {};
     double worth { 1 };
     bool isIdempotent { false };
     int retries { 0 };
     ByteCount maxBodyBytes;
+    // Only paths below the prefix and a slash match, and not the prefix itself.
+    bool isSubtreeOnly { false };
 
     bool operator==(const Route&) const = default;
 };
@@ -89,7 +112,7 @@
 public:
     // Prefer buildConfiguration(), which validates. The parts must be consistent.
     Configuration(Manifest manifest, std::vector<RankPolicy> ranks, std::map<ServiceName, ServicePolicy> services,
-        std::vector<Route> routes);
+        std::vector<Route> routes, CallerLimits limits = {});
     ~Configuration();
     Configuration(const Configuration&) = delete;
     Configuration& operator=(const Configuration&) = delete;
@@ -98,6 +121,7 @@
     const std::vector<RankPolicy>& ranks() const { return m_ranks; }
     const std::map<ServiceName, ServicePolicy>& services() const { return m_services; }
     const std::vector<Route>& routes() const { return m_routes; }
+    const CallerLimits& limits() const { return m_limits; }
 
     // Null where there is no such service.
     const ServicePolicy* service(const ServiceName& name) const;
@@ -111,6 +135,7 @@
     std::vector<RankPolicy> m_ranks;
     std::map<ServiceName, ServicePolicy> m_services;
     std::vector<Route> m_routes;
+    CallerLimits m_limits;
     std::unique_ptr<const RouteTable> m_table;
 };
 
--- a/src/document/RouteTable.cpp
+++ b/src/document/RouteTable.cpp
@@ -80,13 +80,16 @@
     return entry == m_hosts.end() ? std::nullopt : std::optional(entry->second);
 }
 
-const Route* RouteTable::matchPrefix(HostNumber host, std::string_view prefix, std::string_view method) const
+const Route* RouteTable::matchPrefix(
+    HostNumber host, std::string_view prefix, std::string_view path, std::string_view method) const
 {
     const auto entry = m_ranges.find(Key { .host = host, .prefix = toAbsl(prefix) });
     if (entry == m_ranges.end())
         return nullptr;
     const auto first = m_ordered.begin() + entry->second.first;
     const auto found = std::find_if(first, first + entry->second.count, [&](const Route* route) {
+        if (route->isSubtreeOnly && path.size() == prefix.size())
+            return false;
         return route->methods.empty()
             || std::find(route->methods.begin(), route->methods.end(), method) != route->methods.end();
     });
@@ -112,9 +115,9 @@
         const std::string_view prefix = path.substr(0, ends[count]);
         if (prefix.size() > mostPrefixBytes)
             continue;
-        if (const Route* route = number ? matchPrefix(*number, prefix, method) : nullptr)
+        if (const Route* route = number ? matchPrefix(*number, prefix, path, method) : nullptr)
             return route;
-        if (const Route* route = m_hasAnyHost ? matchPrefix(anyHost, prefix, method) : nullptr)
+        if (const Route* route = m_hasAnyHost ? matchPrefix(anyHost, prefix, path, method) : nullptr)
             return route;
     }
     return nullptr;
--- a/src/document/RouteTable.h
+++ b/src/document/RouteTable.h
@@ -42,7 +42,8 @@
     };
 
     std::optional<HostNumber> hostNumber(std::string_view host) const;
-    const Route* matchPrefix(HostNumber host, std::string_view prefix, std::string_view method) const;
+    const Route* matchPrefix(
+        HostNumber host, std::string_view prefix, std::string_view path, std::string_view method) const;
 
     absl::flat_hash_map<absl::string_view, HostNumber> m_hosts;
     absl::flat_hash_map<Key, Range> m_ranges;
--- /dev/null
+++ b/src/eventloop/EventLoop.cpp
@@ -0,0 +1,130 @@
+#include "eventloop/EventLoop.h"
+
+#include "base/Error.h"
+
+#include <utility>
+
+namespace skylark {
+
+namespace {
+
+    void check(int result, const char* step)
+    {
+        if (result < 0)
+            throw Error({ .step = step, .message = uv_strerror(result) });
+    }
+
+    uint64_t toMilliseconds(Duration wait)
+    {
+        return static_cast<uint64_t>(
+            std::max<int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(wait).count()));
+    }
+
+} // namespace
+
+EventLoop::EventLoop(const Clock& clock)
+    : m_clock(clock)
+{
+    check(uv_loop_init(&m_loop), "start-event-loop");
+    check(uv_async_init(
+              &m_loop, &m_wakeup, [](uv_async_t* handle) { static_cast<EventLoop*>(handle->data)->runPosted(); }),
+        "start-event-loop");
+    m_wakeup.data = this;
+}
+
+EventLoop::~EventLoop()
+{
+    uv_close(reinterpret_cast<uv_handle_t*>(&m_wakeup), nullptr);
+    // Runs the close callbacks of handles whose owners are gone.
+    uv_run(&m_loop, UV_RUN_NOWAIT);
+    uv_run(&m_loop, UV_RUN_NOWAIT);
+    uv_loop_close(&m_loop);
+}
+
+void EventLoop::run() { uv_run(&m_loop, UV_RUN_DEFAULT); }
+
+void EventLoop::stop() { uv_stop(&m_loop); }
+
+void EventLoop::post(std::function<void()> task)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_posted.push_back(std::move(task));
+    }
+    uv_async_send(&m_wakeup);
+}
+
+void EventLoop::runPosted()
+{
+    std::vector<std::function<void()>> tasks;
+    {
+        const std::lock_guard lock(m_mutex);
+        tasks.swap(m_posted);
+    }
+    for (const auto& task : tasks)
+        task();
+}
+
+struct Timer::Handle {
+    uv_timer_t native {};
+    std::function<void()> callback;
+};
+
+Timer::Timer(EventLoop& loop, std::function<void()> callback)
+    : m_loop(loop)
+    , m_handle(new Handle { .callback = std::move(callback) })
+{
+    check(uv_timer_init(loop.native(), &m_handle->native), "start-timer");
+    m_handle->native.data = m_handle;
+}
+
+Timer::~Timer()
+{
+    uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->native),
+        [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+}
+
+void Timer::start(Duration wait)
+{
+    // The loop's own time stands still during a callback, and the wait counts from now.
+    uv_update_time(m_loop.native());
+    uv_timer_start(
+        &m_handle->native, [](uv_timer_t* timer) { static_cast<Handle*>(timer->data)->callback(); },
+        toMilliseconds(wait), 0);
+}
+
+void Timer::startRepeating(Duration interval)
+{
+    uv_update_time(m_loop.native());
+    uv_timer_start(
+        &m_handle->native, [](uv_timer_t* timer) { static_cast<Handle*>(timer->data)->callback(); },
+        toMilliseconds(interval), toMilliseconds(interval));
+}
+
+void Timer::stop() { uv_timer_stop(&m_handle->native); }
+
+bool Timer::isActive() const { return uv_is_active(reinterpret_cast<const uv_handle_t*>(&m_handle->native)) != 0; }
+
+struct SignalWatcher::Handle {
+    uv_signal_t native {};
+    std::function<void()> callback;
+};
+
+SignalWatcher::SignalWatcher(EventLoop& loop, int signalNumber, std::function<void()> callback)
+    : m_handle(new Handle { .callback = std::move(callback) })
+{
+    check(uv_signal_init(loop.native(), &m_handle->native), "watch-signal");
+    m_handle->native.data = m_handle;
+    check(uv_signal_start(
+              &m_handle->native,
+              [](uv_signal_t* signal, int) { static_cast<Handle*>(signal->data)->callback(); }, signalNumber),
+        "watch-signal");
+}
+
+SignalWatcher::~SignalWatcher()
+{
+    uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->native),
+        [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/eventloop/EventLoop.h
@@ -0,0 +1,76 @@
+// One thread's loop of sockets and timers, over libuv.
+//
+// All objects of this library belong to the loop's thread; post() alone may be called from others. Destroying a
+// Timer, TcpStream or TcpListener closes it at once: no callback follows, even when its own callback destroys it.
+// The loop frees the library's handle afterwards.
+#pragma once
+
+#include "base/Clock.h"
+
+#include <functional>
+#include <mutex>
+#include <uv.h>
+#include <vector>
+
+namespace skylark {
+
+class EventLoop {
+public:
+    explicit EventLoop(const Clock& clock);
+    ~EventLoop();
+    EventLoop(const EventLoop&) = delete;
+    EventLoop& operator=(const EventLoop&) = delete;
+
+    // Until stop(). Callbacks run on the calling thread.
+    void run();
+    void stop();
+    // Runs the task on the loop's thread; from any thread.
+    void post(std::function<void()> task);
+
+    TimePoint now() const { return m_clock.now(); }
+    const Clock& clock() const { return m_clock; }
+    uv_loop_t* native() { return &m_loop; }
+
+private:
+    void runPosted();
+
+    const Clock& m_clock;
+    uv_loop_t m_loop {};
+    uv_async_t m_wakeup {};
+    std::mutex m_mutex;
+    std::vector<std::function<void()>> m_posted;
+};
+
+class Timer {
+public:
+    Timer(EventLoop& loop, std::function<void()> callback);
+    ~Timer();
+    Timer(const Timer&) = delete;
+    Timer& operator=(const Timer&) = delete;
+
+    // Replaces what was set before. Waits are rounded up to milliseconds.
+    void start(Duration wait);
+    void startRepeating(Duration interval);
+    void stop();
+    bool isActive() const;
+
+private:
+    struct Handle;
+    EventLoop& m_loop;
+    Handle* m_handle;
+};
+
+// Calls the callback on the loop's thread at each delivery of the signal.
+class SignalWatcher {
+public:
+    SignalWatcher(EventLoop& loop, int signalNumber, std::function<void()> callback);
+    ~SignalWatcher();
+    SignalWatcher(const SignalWatcher&) = delete;
+    SignalWatcher& operator=(const SignalWatcher&) = delete;
+
+private:
+    struct Handle;
+    Handle* m_handle;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/eventloop/TcpStream.cpp
@@ -0,0 +1,311 @@
+#include "eventloop/TcpStream.h"
+
+#include "base/Error.h"
+
+#include <array>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace skylark {
+
+namespace {
+
+    constexpr int listenBacklog = 1024;
+    constexpr size_t readBufferBytes = 64 * 1024;
+    constexpr Duration lingerTimeout = std::chrono::seconds(1);
+    constexpr size_t mostEndpointText = 64;
+
+    // One buffer serves all streams of the thread: each read is handed on before the next one starts.
+    char* sharedReadBuffer()
+    {
+        thread_local std::unique_ptr<char[]> buffer(new char[readBufferBytes]);
+        return buffer.get();
+    }
+
+    void throwSocketError(int result, const char* step, const Endpoint& peer)
+    {
+        throw Error({ .step = step, .peer = peer.toString(), .message = uv_strerror(result) });
+    }
+
+    sockaddr_in addressOf(const Endpoint& endpoint)
+    {
+        sockaddr_in address {};
+        if (const int result = uv_ip4_addr(endpoint.host.c_str(), endpoint.port, &address); result < 0)
+            throwSocketError(result, "parse-address", endpoint);
+        return address;
+    }
+
+    void setUnacknowledgedTimeout(uv_tcp_t& socket, Duration timeout)
+    {
+        uv_os_fd_t descriptor = -1;
+        if (uv_fileno(reinterpret_cast<uv_handle_t*>(&socket), &descriptor) != 0)
+            return;
+        const auto milliseconds
+            = static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
+        setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+    }
+
+} // namespace
+
+struct TcpStream::Handle {
+    uv_tcp_t socket {};
+    uv_connect_t connectRequest {};
+    uv_timer_t timer {};
+    uv_shutdown_t shutdownRequest {};
+    StreamHandler* handler { nullptr };
+    Duration unacknowledgedTimeout { std::chrono::seconds(2) };
+    // The socket's and, when it was used, the timer's close callback.
+    int openHandles { 1 };
+    bool hasTimer { false };
+    bool isConnected { false };
+    bool hasEnded { false };
+    bool isClosing { false };
+
+    uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket); }
+
+    static Handle& of(void* data) { return *static_cast<Handle*>(data); }
+
+    void startTimer(uv_loop_t* loop, Duration wait, uv_timer_cb callback)
+    {
+        if (!hasTimer) {
+            uv_timer_init(loop, &timer);
+            timer.data = this;
+            hasTimer = true;
+            ++openHandles;
+        }
+        uv_timer_start(&timer, callback,
+            static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count()), 0);
+    }
+
+    void close()
+    {
+        if (std::exchange(isClosing, true))
+            return;
+        handler = nullptr;
+        const auto onClosed = [](uv_handle_t* closed) {
+            Handle& handle = of(closed->data);
+            if (--handle.openHandles == 0)
+                delete &handle;
+        };
+        uv_close(reinterpret_cast<uv_handle_t*>(&socket), onClosed);
+        if (hasTimer)
+            uv_close(reinterpret_cast<uv_handle_t*>(&timer), onClosed);
+    }
+
+    void end(StreamEnd reason)
+    {
+        if (std::exchange(hasEnded, true) || isClosing)
+            return;
+        if (isConnected)
+            uv_read_stop(stream());
+        if (handler)
+            handler->onEnd(reason);
+    }
+
+    void startReading()
+    {
+        if (isClosing || hasEnded || !isConnected)
+            return;
+        uv_read_start(
+            stream(),
+            [](uv_handle_t*, size_t, uv_buf_t* buffer) { *buffer = uv_buf_init(sharedReadBuffer(), readBufferBytes); },
+            [](uv_stream_t* source, ssize_t count, const uv_buf_t* buffer) {
+                Handle& handle = of(source->data);
+                if (count > 0 && handle.handler)
+                    handle.handler->onData({ buffer->base, static_cast<size_t>(count) });
+                else if (count < 0)
+                    handle.end(count == UV_EOF ? StreamEnd::Closed : StreamEnd::Failed);
+            });
+    }
+
+    void onConnectResult(int status)
+    {
+        if (isClosing || hasEnded)
+            return;
+        uv_timer_stop(&timer);
+        if (status < 0) {
+            end(StreamEnd::NotConnected);
+            return;
+        }
+        isConnected = true;
+        uv_tcp_nodelay(&socket, 1);
+        setUnacknowledgedTimeout(socket, unacknowledgedTimeout);
+        startReading();
+        if (handler)
+            handler->onConnected();
+    }
+
+    void write(std::string bytes)
+    {
+        if (isClosing || hasEnded || !isConnected)
+            return;
+        size_t sent = 0;
+        if (uv_stream_get_write_queue_size(stream()) == 0) {
+            uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+            const int result = uv_try_write(stream(), &buffer, 1);
+            if (result < 0 && result != UV_EAGAIN)
+                return;
+            sent = result < 0 ? 0 : static_cast<size_t>(result);
+        }
+        if (sent < bytes.size())
+            writeLater(std::move(bytes), sent);
+    }
+
+    void writeLater(std::string bytes, size_t offset)
+    {
+        struct Pending {
+            uv_write_t request {};
+            std::string bytes;
+        };
+        auto pending = std::make_unique<Pending>();
+        pending->bytes = std::move(bytes);
+        pending->request.data = pending.get();
+        uv_buf_t buffer
+            = uv_buf_init(pending->bytes.data() + offset, static_cast<unsigned>(pending->bytes.size() - offset));
+        const int result = uv_write(&pending->request, stream(), &buffer, 1,
+            [](uv_write_t* request, int) { delete static_cast<Pending*>(request->data); });
+        if (result == 0)
+            pending.release();
+    }
+};
+
+TcpStream::TcpStream(EventLoop& loop, Handle* handle)
+    : m_loop(loop)
+    , m_handle(handle)
+{
+}
+
+std::unique_ptr<TcpStream> TcpStream::connect(
+    EventLoop& loop, const Endpoint& peer, StreamHandler& handler, const ConnectOptions& options)
+{
+    const sockaddr_in address = addressOf(peer);
+    auto* handle = new Handle;
+    uv_tcp_init(loop.native(), &handle->socket);
+    handle->socket.data = handle;
+    handle->handler = &handler;
+    handle->unacknowledgedTimeout = options.unacknowledgedTimeout;
+    handle->connectRequest.data = handle;
+    std::unique_ptr<TcpStream> stream(new TcpStream(loop, handle));
+    handle->startTimer(loop.native(), options.connectTimeout,
+        [](uv_timer_t* timer) { Handle::of(timer->data).end(StreamEnd::NotConnected); });
+    const int result = uv_tcp_connect(&handle->connectRequest, &handle->socket,
+        reinterpret_cast<const sockaddr*>(&address),
+        [](uv_connect_t* request, int status) { Handle::of(request->data).onConnectResult(status); });
+    if (result < 0)
+        throwSocketError(result, "connect", peer);
+    return stream;
+}
+
+TcpStream::~TcpStream()
+{
+    if (m_handle)
+        m_handle->close();
+}
+
+void TcpStream::setHandler(StreamHandler& handler) { m_handle->handler = &handler; }
+
+void TcpStream::startReading() { m_handle->startReading(); }
+
+void TcpStream::stopReading()
+{
+    if (m_handle->isConnected)
+        uv_read_stop(m_handle->stream());
+}
+
+void TcpStream::write(std::string bytes) { m_handle->write(std::move(bytes)); }
+
+size_t TcpStream::pendingBytes() const { return uv_stream_get_write_queue_size(m_handle->stream()); }
+
+bool TcpStream::isConnected() const { return m_handle->isConnected && !m_handle->hasEnded; }
+
+std::string TcpStream::peerHost() const
+{
+    sockaddr_storage address {};
+    int length = sizeof(address);
+    std::array<char, mostEndpointText> text {};
+    if (uv_tcp_getpeername(&m_handle->socket, reinterpret_cast<sockaddr*>(&address), &length) != 0
+        || uv_ip4_name(reinterpret_cast<const sockaddr_in*>(&address), text.data(), text.size()) != 0)
+        return {};
+    return text.data();
+}
+
+void TcpStream::closeAfterFlush(std::unique_ptr<TcpStream> stream)
+{
+    // Owns itself until the peer closes or the time is over.
+    class Lingering final : public StreamHandler {
+    public:
+        explicit Lingering(std::unique_ptr<TcpStream> stream)
+            : m_stream(std::move(stream))
+            , m_timer(m_stream->m_loop, [this] { delete this; })
+        {
+            m_stream->setHandler(*this);
+            Handle& handle = *m_stream->m_handle;
+            uv_shutdown(&handle.shutdownRequest, handle.stream(), [](uv_shutdown_t*, int) { });
+            m_stream->startReading();
+            m_timer.start(lingerTimeout);
+        }
+        void onData(std::string_view) override { }
+        void onEnd(StreamEnd) override { delete this; }
+
+    private:
+        std::unique_ptr<TcpStream> m_stream;
+        Timer m_timer;
+    };
+    if (stream->isConnected())
+        new Lingering(std::move(stream));
+}
+
+struct TcpListener::Handle {
+    uv_tcp_t socket {};
+    EventLoop* loop { nullptr };
+    AcceptCallback onAccept;
+};
+
+TcpListener::TcpListener(EventLoop& loop, const Endpoint& address, AcceptCallback onAccept)
+    : m_loop(loop)
+    , m_handle(new Handle { .loop = &loop, .onAccept = std::move(onAccept) })
+{
+    uv_tcp_init(loop.native(), &m_handle->socket);
+    m_handle->socket.data = m_handle;
+    const sockaddr_in native = addressOf(address);
+    int result = uv_tcp_bind(&m_handle->socket, reinterpret_cast<const sockaddr*>(&native), 0);
+    if (result == 0) {
+        result = uv_listen(
+            reinterpret_cast<uv_stream_t*>(&m_handle->socket), listenBacklog, [](uv_stream_t* server, int status) {
+                if (status < 0)
+                    return;
+                auto& listener = *static_cast<Handle*>(server->data);
+                auto* accepted = new TcpStream::Handle;
+                uv_tcp_init(listener.loop->native(), &accepted->socket);
+                accepted->socket.data = accepted;
+                std::unique_ptr<TcpStream> stream(new TcpStream(*listener.loop, accepted));
+                if (uv_accept(server, accepted->stream()) != 0)
+                    return;
+                accepted->isConnected = true;
+                uv_tcp_nodelay(&accepted->socket, 1);
+                listener.onAccept(std::move(stream));
+            });
+    }
+    if (result < 0) {
+        uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->socket),
+            [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+        throwSocketError(result, "listen", address);
+    }
+}
+
+TcpListener::~TcpListener()
+{
+    uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->socket),
+        [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+}
+
+uint16_t TcpListener::port() const
+{
+    sockaddr_in address {};
+    int length = sizeof(address);
+    uv_tcp_getsockname(&m_handle->socket, reinterpret_cast<sockaddr*>(&address), &length);
+    return ntohs(address.sin_port);
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/http/HttpMessage.cpp
@@ -0,0 +1,107 @@
+#include "http/HttpMessage.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/status.hpp>
+
+namespace skylark {
+
+namespace {
+
+    constexpr std::array<std::string_view, 9> connectionHeaders { "Connection", "Keep-Alive", "Transfer-Encoding", "TE",
+        "Trailer", "Upgrade", "Proxy-Connection", "Expect", "Content-Length" };
+
+    absl::string_view toAbsl(std::string_view text) { return { text.data(), text.size() }; }
+
+    bool isNamed(const HttpHeader& header, std::string_view name)
+    {
+        return absl::EqualsIgnoreCase(header.name, toAbsl(name));
+    }
+
+    void appendHeaders(std::string& text, const HttpHeaders& headers)
+    {
+        for (const HttpHeader& header : headers) {
+            text += header.name;
+            text += ": ";
+            text += header.value;
+            text += "\r\n";
+        }
+    }
+
+    bool hasNoBodyByDefault(std::string_view method) { return method == "GET" || method == "HEAD"; }
+
+    bool forbidsBody(int status) { return status < 200 || status == 204 || status == 304; }
+
+} // namespace
+
+const std::string* findHeader(const HttpHeaders& headers, std::string_view name)
+{
+    const auto found = std::find_if(
+        headers.begin(), headers.end(), [name](const HttpHeader& header) { return isNamed(header, name); });
+    return found == headers.end() ? nullptr : &found->value;
+}
+
+void setHeader(HttpHeaders& headers, std::string_view name, std::string value)
+{
+    removeHeader(headers, name);
+    headers.push_back({ std::string(name), std::move(value) });
+}
+
+void removeHeader(HttpHeaders& headers, std::string_view name)
+{
+    std::erase_if(headers, [name](const HttpHeader& header) { return isNamed(header, name); });
+}
+
+void removeConnectionHeaders(HttpHeaders& headers)
+{
+    std::vector<std::string> named;
+    for (const HttpHeader& header : headers) {
+        if (!isNamed(header, "Connection"))
+            continue;
+        for (absl::string_view part : absl::StrSplit(header.value, ','))
+            named.emplace_back(absl::StripAsciiWhitespace(part));
+    }
+    std::erase_if(headers, [&named](const HttpHeader& header) {
+        const auto matches = [&header](std::string_view name) { return isNamed(header, name); };
+        return std::any_of(connectionHeaders.begin(), connectionHeaders.end(), matches)
+            || std::any_of(named.begin(), named.end(), matches);
+    });
+}
+
+std::string serialize(const HttpRequest& request)
+{
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    text.reserve(text.size() + 512 + request.body.size());
+    appendHeaders(text, request.headers);
+    if (!request.body.empty() || !hasNoBodyByDefault(request.method))
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
+std::string serialize(const HttpResponse& response)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(response.status) + " "
+        + (response.reason.empty() ? reasonPhrase(response.status) : response.reason) + "\r\n";
+    text.reserve(text.size() + 512 + response.body.size());
+    appendHeaders(text, response.headers);
+    if (!forbidsBody(response.status))
+        text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+    if (!response.keepsAlive)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    if (!forbidsBody(response.status))
+        text += response.body;
+    return text;
+}
+
+const char* reasonPhrase(int status)
+{
+    return boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status)).data();
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/http/MessageParser.cpp
@@ -0,0 +1,228 @@
+#include "http/MessageParser.h"
+
+#include <absl/strings/match.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <optional>
+
+namespace skylark {
+
+namespace {
+
+    namespace http = boost::beast::http;
+    using ErrorCode = boost::beast::error_code;
+    using Text = boost::beast::string_view;
+
+    constexpr int statusBadRequest = 400;
+    constexpr int statusTooLarge = 413;
+    constexpr int statusHeadersTooLarge = 431;
+
+    std::string toString(Text text) { return { text.data(), text.size() }; }
+
+    int statusOf(const ErrorCode& error)
+    {
+        if (error == http::error::header_limit)
+            return statusHeadersTooLarge;
+        if (error == http::error::body_limit)
+            return statusTooLarge;
+        return statusBadRequest;
+    }
+
+    // Collects the parts of one message as Beast finds them.
+    template <bool isRequest> class Collector final : public http::basic_parser<isRequest> {
+    public:
+        using Message = std::conditional_t<isRequest, HttpRequest, HttpResponse>;
+
+        explicit Collector(const HttpLimits& limits)
+        {
+            this->eager(true);
+            this->header_limit(limits.headerBytes);
+            this->body_limit(boost::optional<uint64_t>(limits.bodyBytes));
+        }
+
+        Message message;
+        int lengthHeaders { 0 };
+        int hostHeaders { 0 };
+        bool hasUnknownEncoding { false };
+        bool wantsContinue { false };
+
+    private:
+        void on_request_impl(http::verb, Text method, Text target, int, ErrorCode&) override
+        {
+            if constexpr (isRequest) {
+                message.method = toString(method);
+                message.target = toString(target);
+            }
+        }
+        void on_response_impl(int code, Text reason, int, ErrorCode&) override
+        {
+            if constexpr (!isRequest) {
+                message.status = code;
+                message.reason = toString(reason);
+            }
+        }
+        void on_field_impl(http::field field, Text name, Text value, ErrorCode&) override
+        {
+            if (field == http::field::content_length)
+                ++lengthHeaders;
+            if (field == http::field::host)
+                ++hostHeaders;
+            if (field == http::field::transfer_encoding)
+                hasUnknownEncoding |= !boost::beast::iequals(value, "chunked");
+            if (field == http::field::expect)
+                wantsContinue = boost::beast::iequals(value, "100-continue");
+            message.headers.push_back({ toString(name), toString(value) });
+        }
+        void on_header_impl(ErrorCode&) override { message.keepsAlive = this->keep_alive(); }
+        void on_body_init_impl(const boost::optional<uint64_t>&, ErrorCode&) override { }
+        size_t on_body_impl(Text body, ErrorCode&) override
+        {
+            message.body.append(body.data(), body.size());
+            return body.size();
+        }
+        void on_chunk_header_impl(uint64_t, Text, ErrorCode&) override { }
+        size_t on_chunk_body_impl(uint64_t, Text body, ErrorCode& error) override { return on_body_impl(body, error); }
+        void on_finish_impl(ErrorCode&) override { }
+    };
+
+    // What request and response parsing share: the buffer and the message in progress.
+    template <bool isRequest> struct Engine {
+        using Message = typename Collector<isRequest>::Message;
+
+        HttpLimits limits;
+        std::string buffer;
+        std::optional<Collector<isRequest>> collector;
+
+        Collector<isRequest>& current()
+        {
+            if (!collector)
+                collector.emplace(limits);
+            return *collector;
+        }
+
+        // True when the message is whole.
+        bool parse()
+        {
+            Collector<isRequest>& parser = current();
+            size_t used = 0;
+            while (used < buffer.size() && !parser.is_done()) {
+                ErrorCode error;
+                const size_t count
+                    = parser.put(boost::asio::const_buffer(buffer.data() + used, buffer.size() - used), error);
+                used += count;
+                if (error == http::error::need_more)
+                    break;
+                if (error)
+                    throw HttpError(statusOf(error), error.message());
+                if (count == 0)
+                    break;
+            }
+            buffer.erase(0, used);
+            if (parser.is_header_done())
+                checkFraming(parser);
+            return parser.is_done();
+        }
+
+        static void checkFraming(const Collector<isRequest>& parser)
+        {
+            if (parser.lengthHeaders > 1)
+                throw HttpError(statusBadRequest, "several Content-Length headers");
+            if (parser.hasUnknownEncoding)
+                throw HttpError(statusBadRequest, "a transfer encoding other than chunked");
+            if (isRequest && parser.hostHeaders != 1)
+                throw HttpError(statusBadRequest, "not exactly one Host header");
+        }
+
+        Message take()
+        {
+            Message message = std::move(collector->message);
+            collector.reset();
+            return message;
+        }
+
+        bool isWithinMessage() const { return !buffer.empty() || (collector && collector->got_some()); }
+    };
+
+} // namespace
+
+HttpError::HttpError(int status, const std::string& message)
+    : Error({ .step = "parse-http", .message = message })
+    , m_status(status)
+{
+}
+
+struct RequestParser::State : Engine<true> { };
+
+RequestParser::RequestParser(HttpLimits limits)
+    : m_state(std::make_unique<State>())
+{
+    m_state->limits = limits;
+}
+
+RequestParser::~RequestParser() = default;
+
+void RequestParser::setLimits(HttpLimits limits) { m_state->limits = limits; }
+
+void RequestParser::append(std::string_view bytes) { m_state->buffer.append(bytes); }
+
+std::optional<HttpRequest> RequestParser::next()
+{
+    if (m_state->buffer.empty() || !m_state->parse())
+        return std::nullopt;
+    return m_state->take();
+}
+
+bool RequestParser::isWithinMessage() const { return m_state->isWithinMessage(); }
+
+bool RequestParser::takeContinueWish()
+{
+    return m_state->collector && m_state->collector->is_header_done()
+        && std::exchange(m_state->collector->wantsContinue, false);
+}
+
+struct ResponseParser::State : Engine<false> {
+    std::optional<HttpResponse> takeFinal()
+    {
+        constexpr int firstFinalStatus = 200;
+        HttpResponse response = take();
+        if (response.status < firstFinalStatus)
+            return std::nullopt;
+        return response;
+    }
+};
+
+ResponseParser::ResponseParser(HttpLimits limits)
+    : m_state(std::make_unique<State>())
+{
+    m_state->limits = limits;
+}
+
+ResponseParser::~ResponseParser() = default;
+
+void ResponseParser::expectNoBody() { m_state->current().skip(true); }
+
+void ResponseParser::append(std::string_view bytes) { m_state->buffer.append(bytes); }
+
+std::optional<HttpResponse> ResponseParser::next()
+{
+    while (!m_state->buffer.empty() && m_state->parse()) {
+        if (auto response = m_state->takeFinal())
+            return response;
+    }
+    return std::nullopt;
+}
+
+std::optional<HttpResponse> ResponseParser::finish()
+{
+    if (!m_state->collector || !m_state->collector->got_some())
+        return std::nullopt;
+    ErrorCode error;
+    m_state->collector->put_eof(error);
+    if (error || !m_state->collector->is_done())
+        return std::nullopt;
+    return m_state->takeFinal();
+}
+
+bool ResponseParser::isWithinMessage() const { return m_state->isWithinMessage(); }
+
+} // namespace skylark
--- /dev/null
+++ b/src/membership/ServerDirectory.cpp
@@ -0,0 +1,178 @@
+#include "membership/ServerDirectory.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    // Long enough that no peer without the source asks from an earlier revision and misses the deletion.
+    constexpr Duration deletionMemory = std::chrono::seconds(60);
+    // For the router a server that is not cold has been there for ever.
+    constexpr Duration longAgo = std::chrono::hours(1);
+
+    // Heartbeats change the revision only, which no router acts on.
+    bool isSameForRouting(const ServerRecord& left, const ServerRecord& right)
+    {
+        return left.incarnation == right.incarnation && left.service == right.service && left.zone == right.zone
+            && left.address == right.address && left.slots == right.slots && left.isDraining == right.isDraining;
+    }
+
+} // namespace
+
+ServerDirectory::ServerDirectory(ServerDirectoryOptions options)
+    : m_options(std::move(options))
+{
+}
+
+bool ServerDirectory::apply(const ServerEntry& entry, TimePoint now)
+{
+    m_revision = std::max(m_revision, entry.revision);
+    if (!entry.record)
+        return remove(entry.id, entry.revision, now);
+    if (const auto deleted = m_deletions.find(entry.id); deleted != m_deletions.end()) {
+        if (deleted->second.revision >= entry.revision)
+            return false;
+        m_deletions.erase(deleted);
+    }
+    const auto known = m_entries.find(entry.id);
+    const TimePoint firstSeen = entry.record->coldFor > Duration::zero() ? now : now - longAgo;
+    if (known == m_entries.end()) {
+        if (m_entries.size() >= m_options.mostEntries) {
+            ++m_refused;
+            return false;
+        }
+        m_entries.emplace(
+            entry.id, Entry { .record = *entry.record, .revision = entry.revision, .firstSeen = firstSeen });
+        return true;
+    }
+    Entry& old = known->second;
+    if (old.revision >= entry.revision || old.record.incarnation > entry.record->incarnation)
+        return false;
+    const bool isChanged = !isSameForRouting(old.record, *entry.record);
+    if (old.record.incarnation != entry.record->incarnation)
+        old.firstSeen = firstSeen;
+    old.record = *entry.record;
+    old.revision = entry.revision;
+    old.missingSince.reset();
+    return isChanged;
+}
+
+bool ServerDirectory::replaceAll(const std::vector<ServerEntry>& entries, Revision revision, TimePoint now)
+{
+    bool isChanged = false;
+    std::set<InstanceId> present;
+    for (const ServerEntry& entry : entries) {
+        present.insert(entry.id);
+        isChanged |= apply(entry, now);
+    }
+    std::vector<InstanceId> absent;
+    for (const auto& [id, entry] : m_entries) {
+        if (!present.contains(id))
+            absent.push_back(id);
+    }
+    for (const InstanceId& id : absent)
+        isChanged |= remove(id, revision, now);
+    m_revision = std::max(m_revision, revision);
+    return isChanged;
+}
+
+void ServerDirectory::noteSourceLost()
+{
+    m_isSourceLost = true;
+    m_sourceBackAt.reset();
+}
+
+void ServerDirectory::noteSourceBack(TimePoint now)
+{
+    if (!m_isSourceLost)
+        return;
+    m_isSourceLost = false;
+    m_sourceBackAt = now;
+}
+
+bool ServerDirectory::isGraceOver(TimePoint now) const
+{
+    return !m_isSourceLost && (!m_sourceBackAt || now >= *m_sourceBackAt + m_options.returnGrace);
+}
+
+bool ServerDirectory::remove(const InstanceId& id, Revision revision, TimePoint now)
+{
+    const auto known = m_entries.find(id);
+    if (known == m_entries.end() || known->second.revision > revision)
+        return false;
+    if (isGraceOver(now))
+        return drop(id, revision, now);
+    known->second.missingSince = revision;
+    return false;
+}
+
+bool ServerDirectory::drop(const InstanceId& id, Revision revision, TimePoint now)
+{
+    m_deletions[id] = { .revision = revision, .at = now };
+    return m_entries.erase(id) > 0;
+}
+
+bool ServerDirectory::advance(TimePoint now)
+{
+    std::erase_if(m_deletions, [now](const auto& deletion) { return now - deletion.second.at > deletionMemory; });
+    if (!isGraceOver(now))
+        return false;
+    std::vector<std::pair<InstanceId, Revision>> missing;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.missingSince)
+            missing.emplace_back(id, *entry.missingSince);
+    }
+    for (const auto& [id, revision] : missing)
+        drop(id, revision, now);
+    return !missing.empty();
+}
+
+const ServerRecord* ServerDirectory::atAddress(const Endpoint& address) const
+{
+    const ServerRecord* latest = nullptr;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.record.address == address && (!latest || latest->incarnation < entry.record.incarnation))
+            latest = &entry.record;
+    }
+    return latest;
+}
+
+std::shared_ptr<const MembershipView> ServerDirectory::view() const
+{
+    std::vector<InstanceState> instances;
+    instances.reserve(m_entries.size());
+    for (const auto& [id, entry] : m_entries) {
+        const ServerRecord& record = entry.record;
+        if (atAddress(record.address) != &record)
+            continue;
+        const auto region = m_options.regions.find(record.zone);
+        instances.push_back({ .record = { .id = id,
+                                  .incarnation = record.incarnation,
+                                  .peer = { record.address.host, m_options.peerPort },
+                                  .service = record.service,
+                                  .zone = record.zone,
+                                  .region = region == m_options.regions.end() ? RegionName() : region->second,
+                                  .isLeaving = record.isDraining },
+            .condition = record.isDraining ? Condition::Leaving : Condition::Live,
+            .since = entry.firstSeen,
+            .firstSeen = entry.firstSeen });
+    }
+    return std::make_shared<const MembershipView>(std::move(instances));
+}
+
+std::vector<ServerEntry> ServerDirectory::entriesSince(Revision revision) const
+{
+    std::vector<ServerEntry> entries;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.revision > revision)
+            entries.push_back({ .id = id, .revision = entry.revision, .record = entry.record });
+    }
+    for (const auto& [id, deletion] : m_deletions) {
+        if (deletion.revision > revision)
+            entries.push_back({ .id = id, .revision = deletion.revision });
+    }
+    return entries;
+}
+
+} // namespace skylark
--- a/src/node/Metrics.cpp
+++ b/src/metrics/Metrics.cpp
@@ -1,4 +1,4 @@
-#include "node/Metrics.h"
+#include "metrics/Metrics.h"
 
 #include "base/Invariant.h"
 
@@ -74,6 +74,8 @@
     m_instances.Add({ { "condition", condition } }).Set(static_cast<double>(count));
 }
 
+void Metrics::setValue(const std::string& name, double value) { m_gauges.Add({ { "value", name } }).Set(value); }
+
 void Metrics::setConcurrency(int limit, int inFlight, int queued)
 {
     m_gauges.Add({ { "value", "concurrency_limit" } }).Set(limit);
--- a/src/node/Metrics.h
+++ b/src/metrics/Metrics.h
@@ -36,6 +36,8 @@
     // Control traffic so far, by direction ("sent" or "received").
     void setControlBytes(const std::string& direction, uint64_t bytes);
     void setReader(bool isReader);
+    // A single value by its name in the family skylark_state.
+    void setValue(const std::string& name, double value);
 
     // Text exposition of all families.
     std::string exposition();
--- a/src/node/CallDispatcher.h
+++ b/src/node/CallDispatcher.h
@@ -12,7 +12,7 @@
 #include "base/Clock.h"
 #include "base/RcuCell.h"
 #include "document/Configuration.h"
-#include "node/Metrics.h"
+#include "metrics/Metrics.h"
 #include "retry/RetryPolicy.h"
 #include "routing/Router.h"
 #include "transport/PeerNetwork.h"
--- a/src/node/CallerServer.h
+++ b/src/node/CallerServer.h
@@ -10,7 +10,7 @@
 
 #include "node/CallDispatcher.h"
 #include "node/HttpServer.h"
-#include "node/Metrics.h"
+#include "metrics/Metrics.h"
 
 #include <thread>
 
--- a/src/node/ControlLoop.h
+++ b/src/node/ControlLoop.h
@@ -11,7 +11,7 @@
 #include "distribution/Distributor.h"
 #include "node/CallDispatcher.h"
 #include "node/Gate.h"
-#include "node/Metrics.h"
+#include "metrics/Metrics.h"
 #include "node/SourceWorker.h"
 #include "transport/PeerNetwork.h"
 
--- a/src/node/Gate.h
+++ b/src/node/Gate.h
@@ -14,7 +14,7 @@
 #include "base/Guarded.h"
 #include "document/Configuration.h"
 #include "node/BackendClient.h"
-#include "node/Metrics.h"
+#include "metrics/Metrics.h"
 #include "retry/ExecutionRecord.h"
 #include "transport/CallStream.h"
 
--- a/src/node/SourceWorker.h
+++ b/src/node/SourceWorker.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "distribution/Action.h"
-#include "node/Metrics.h"
+#include "metrics/Metrics.h"
 #include "source/PlatformClient.h"
 
 #include <condition_variable>
--- /dev/null
+++ b/src/proxy/BackendConnection.cpp
@@ -0,0 +1,134 @@
+#include "proxy/BackendConnection.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+
+namespace skylark {
+
+namespace {
+
+    constexpr int statusMisdirected = 421;
+    // The server is on the same instance.
+    constexpr ConnectOptions connectOptions { .connectTimeout = std::chrono::milliseconds(1000) };
+
+} // namespace
+
+BackendConnection::BackendConnection(
+    EventLoop& loop, const Endpoint& server, const Dialect& dialect, ClosedCallback onIdleClosed)
+    : m_loop(loop)
+    , m_dialect(dialect)
+    , m_onIdleClosed(std::move(onIdleClosed))
+    , m_stream(TcpStream::connect(loop, server, *this, connectOptions))
+    , m_parser({})
+{
+}
+
+void BackendConnection::send(BackendRequest request, ResultCallback onResult)
+{
+    m_request = std::move(request);
+    m_onResult = std::move(onResult);
+    m_isReusable = false;
+    if (m_request.isHead)
+        m_parser.expectNoBody();
+    if (m_stream->isConnected())
+        m_stream->write(std::move(m_request.bytes));
+}
+
+void BackendConnection::close()
+{
+    m_onResult = nullptr;
+    m_isReusable = false;
+    m_stream.reset();
+}
+
+void BackendConnection::onConnected()
+{
+    if (m_onResult)
+        m_stream->write(std::move(m_request.bytes));
+}
+
+void BackendConnection::onData(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    if (!m_onResult) {
+        close();
+        m_onIdleClosed(self);
+        return;
+    }
+    m_parser.append(bytes);
+    try {
+        while (m_onResult) {
+            auto response = m_parser.next();
+            if (!response)
+                return;
+            if (isOwnAnswer(*response))
+                takeAnswer(std::move(*response));
+        }
+    } catch (const HttpError& error) {
+        finish(BackendBroken { error.message() });
+    }
+}
+
+void BackendConnection::onEnd(StreamEnd end)
+{
+    const auto self = shared_from_this();
+    if (!m_onResult) {
+        close();
+        m_onIdleClosed(self);
+        return;
+    }
+    if (end == StreamEnd::NotConnected) {
+        finish(BackendNotReached {});
+        return;
+    }
+    // An answer without a length is whole only after an orderly close.
+    auto response = end == StreamEnd::Closed ? m_parser.finish() : std::nullopt;
+    if (response && isOwnAnswer(*response)) {
+        response->keepsAlive = false;
+        takeAnswer(std::move(*response));
+        return;
+    }
+    finish(BackendBroken { end == StreamEnd::Closed ? "the server closed the connection"
+                                                    : "the server reset the connection" });
+}
+
+bool BackendConnection::isOwnAnswer(const HttpResponse& response) const
+{
+    if (const std::string* id = findHeader(response.headers, m_dialect.requestId))
+        return *id == m_request.requestId;
+    // A server that turns a request away need not have read its id.
+    return response.status == statusMisdirected || findHeader(response.headers, m_dialect.notExecuted);
+}
+
+void BackendConnection::takeAnswer(HttpResponse response)
+{
+    noteKeepAlive(response);
+    m_isReusable = response.keepsAlive && !m_parser.isWithinMessage() && m_stream->pendingBytes() == 0;
+    m_idleSince = m_loop.now();
+    finish(BackendAnswered { std::move(response) });
+}
+
+void BackendConnection::noteKeepAlive(const HttpResponse& response)
+{
+    const std::string* parameters = findHeader(response.headers, "Keep-Alive");
+    if (!parameters)
+        return;
+    for (absl::string_view part : absl::StrSplit(*parameters, ',')) {
+        part = absl::StripAsciiWhitespace(part);
+        int seconds = 0;
+        if (absl::ConsumePrefix(&part, "timeout=") && absl::SimpleAtoi(part, &seconds) && seconds > 0)
+            m_keepAliveTimeout = std::chrono::seconds(seconds);
+    }
+}
+
+void BackendConnection::finish(BackendResult result)
+{
+    const auto self = shared_from_this();
+    if (!m_isReusable)
+        m_stream.reset();
+    const ResultCallback onResult = std::exchange(m_onResult, nullptr);
+    onResult(self, std::move(result));
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/BackendGate.cpp
@@ -0,0 +1,359 @@
+#include "proxy/BackendGate.h"
+
+#include "base/Error.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    constexpr const char* step = "gate";
+    constexpr int statusMisdirected = 421;
+    // After a pause, buffered calls are read within this time.
+    constexpr Duration pauseSettle = std::chrono::milliseconds(100);
+    constexpr double shareOfKeepAlive = 0.8;
+
+    std::string inMilliseconds(Duration duration)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    }
+
+} // namespace
+
+BackendGate::BackendGate(EventLoop& loop, GateOptions options, const Dialect& dialect)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_dialect(dialect)
+    , m_ledger(m_options.ledger)
+    , m_admission(admissionOptions(), loop.now())
+    , m_lastSeen(loop.now())
+    , m_sweepTimer(loop, [this] { sweep(); })
+{
+}
+
+BackendGate::~BackendGate()
+{
+    for (const auto& [key, call] : m_calls) {
+        if (call->connection)
+            call->connection->close();
+    }
+    for (const auto& connection : m_idle)
+        connection->close();
+}
+
+AdmissionOptions BackendGate::admissionOptions() const
+{
+    return { .ranks = m_ranks,
+        .slots = m_server ? std::max(1, m_server->slots) : m_options.defaultSlots,
+        .maxQueue = m_options.mostQueued };
+}
+
+void BackendGate::setRanks(std::vector<RankPolicy> ranks)
+{
+    m_ranks = std::move(ranks);
+    m_admission.reconfigure(admissionOptions(), m_loop.now());
+}
+
+void BackendGate::setServer(const std::optional<ServerRecord>& server)
+{
+    const bool isNewProcess = server && (!m_server || m_server->incarnation != server->incarnation);
+    const bool hasLeft = m_server && !m_server->isDraining && (!server || server->isDraining);
+    m_server = server;
+    if (isNewProcess) {
+        for (const auto& connection : m_idle)
+            connection->close();
+        m_idle.clear();
+    }
+    if (server)
+        m_admission.reconfigure(admissionOptions(), m_loop.now());
+    if (isNewProcess || hasLeft)
+        logEvent(LogLevel::Info, "server-state",
+            { { "server", server ? server->id.value() : "" },
+                { "state", !server ? "absent" : (server->isDraining ? "draining" : "ready") },
+                { "slots", std::to_string(server ? server->slots : 0) },
+                { "waiting", std::to_string(m_admission.queued()) } });
+    if (hasLeft)
+        refuseWaiting("the backend server leaves");
+}
+
+void BackendGate::drain()
+{
+    m_isDraining = true;
+    refuseWaiting("the node stops");
+}
+
+LoadHint BackendGate::load() const
+{
+    return { .inFlight = static_cast<uint32_t>(m_admission.inFlight()),
+        .queued = static_cast<uint32_t>(m_admission.queued()),
+        .limit = static_cast<uint32_t>(m_admission.limit()),
+        .isLeaving = m_isDraining || (m_server && m_server->isDraining) };
+}
+
+const char* BackendGate::refusalCause(const GateCall& call) const
+{
+    if (m_isDraining)
+        return "the node stops";
+    if (!m_server)
+        return "the backend server has no entry";
+    if (m_server->isDraining)
+        return "the backend server leaves";
+    if (m_server->service != call.service)
+        return "the backend server runs another service";
+    if (m_loop.now() < m_refuseUntil)
+        return "the call waited while the process was paused";
+    return nullptr;
+}
+
+void BackendGate::submit(GateCall call, ReplyCallback onReply)
+{
+    const TimePoint now = m_loop.now();
+    noticePause(now);
+    switch (m_ledger.begin(call.key, call.deadline, now)) {
+    case CallArrival::Running:
+        ++m_counters.joined;
+        m_calls.at(call.key)->callbacks = { std::move(onReply) };
+        return;
+    case CallArrival::Ended:
+        ++m_counters.joined;
+        onReply(m_ledger.reply(call.key));
+        return;
+    case CallArrival::NoRoom:
+        onReply(makeRefusal(CallOutcome::NotRun, step, "the ledger of calls is full", load()));
+        return;
+    case CallArrival::New:
+        break;
+    }
+    auto entry = std::make_shared<Call>();
+    entry->call = std::move(call);
+    entry->callbacks.push_back(std::move(onReply));
+    entry->receivedAt = now;
+    entry->ticket = TicketId(++m_lastTicket);
+    m_calls.emplace(entry->call.key, entry);
+    if (!m_sweepTimer.isActive())
+        m_sweepTimer.startRepeating(m_options.sweepInterval);
+    if (const char* cause = refusalCause(entry->call))
+        refuse(entry, cause);
+    else
+        admit(entry);
+}
+
+void BackendGate::admit(const CallPtr& call)
+{
+    m_byTicket.emplace(call->ticket, call);
+    const AdmitResult result = m_admission.offer(
+        { .id = call->ticket, .rank = call->call.rank, .deadline = call->call.deadline }, m_loop.now());
+    for (const RefusedTicket& displaced : result.displaced)
+        refuse(m_byTicket.at(displaced.ticket.id), refusalReasonName(displaced.reason));
+    if (result.admission == Admission::Admitted)
+        run(call);
+    else if (result.admission == Admission::Refused)
+        refuse(call, refusalReasonName(result.reason));
+}
+
+void BackendGate::run(const CallPtr& call)
+{
+    call->isRunning = true;
+    call->startedAt = m_loop.now();
+    try {
+        call->connection = takeConnection(call->call);
+        call->connection->send({ .bytes = requestBytes(call->call),
+                                   .requestId = call->call.requestId.value(),
+                                   .isHead = call->call.request->method == "HEAD" },
+            [this, call](const std::shared_ptr<BackendConnection>& connection, BackendResult result) {
+                handleResult(call, connection, std::move(result));
+            });
+    } catch (const Error& error) {
+        logEvent(LogLevel::Warning, "server-connect-failed",
+            { { "server", m_options.server.toString() }, { "reason", error.message() } });
+        release(call, ServiceResult::Failed);
+        refuse(call, "the backend server cannot be reached");
+    }
+}
+
+void BackendGate::handleResult(
+    const CallPtr& call, const std::shared_ptr<BackendConnection>& connection, BackendResult result)
+{
+    call->connection.reset();
+    if (connection->isReusable())
+        keepIdle(connection);
+    if (auto* answered = std::get_if<BackendAnswered>(&result)) {
+        HttpResponse& response = answered->response;
+        const bool isNotRun
+            = response.status == statusMisdirected || findHeader(response.headers, m_dialect.notExecuted);
+        release(call, isNotRun ? ServiceResult::Shed : ServiceResult::Answered);
+        if (isNotRun) {
+            end(call,
+                makeRefusal(CallOutcome::NotRun, "backend-server",
+                    "the server refused the call with " + std::to_string(response.status), load()));
+            return;
+        }
+        removeConnectionHeaders(response.headers);
+        end(call,
+            std::make_shared<const GateReply>(GateAnswer { .response = std::move(response), .load = load() }));
+        return;
+    }
+    release(call, ServiceResult::Failed);
+    if (std::holds_alternative<BackendNotReached>(result)) {
+        refuse(call, "the backend server cannot be reached");
+        return;
+    }
+    end(call,
+        makeRefusal(CallOutcome::Unknown, "backend-server", std::get<BackendBroken>(result).reason, load()));
+}
+
+bool BackendGate::isFresh(const BackendConnection& connection, const GateCall& call) const
+{
+    Duration most = call.isIdempotent ? m_options.mostIdleTime : m_options.mostIdleTimeNonIdempotent;
+    if (connection.keepAliveTimeout() > Duration::zero()) {
+        most = std::min(most,
+            std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double>(connection.keepAliveTimeout()) * shareOfKeepAlive));
+    }
+    return m_loop.now() - connection.idleSince() < most;
+}
+
+std::shared_ptr<BackendConnection> BackendGate::takeConnection(const GateCall& call)
+{
+    if (!m_idle.empty() && isFresh(*m_idle.back(), call)) {
+        auto connection = m_idle.back();
+        m_idle.pop_back();
+        return connection;
+    }
+    return openConnection();
+}
+
+std::shared_ptr<BackendConnection> BackendGate::openConnection()
+{
+    ++m_counters.connectionsOpened;
+    return std::make_shared<BackendConnection>(m_loop, m_options.server, m_dialect,
+        [this](const std::shared_ptr<BackendConnection>& closed) { std::erase(m_idle, closed); });
+}
+
+void BackendGate::keepIdle(const std::shared_ptr<BackendConnection>& connection)
+{
+    if (m_idle.size() < m_options.mostIdle)
+        m_idle.push_back(connection);
+    else
+        connection->close();
+}
+
+std::string BackendGate::requestBytes(const GateCall& call) const
+{
+    HttpRequest request = *call.request;
+    removeConnectionHeaders(request.headers);
+    setHeader(request.headers, m_dialect.deadline, inMilliseconds(call.deadline - m_loop.now()));
+    setHeader(request.headers, m_dialect.expectedInstance, m_server ? m_server->id.value() : "");
+    return serialize(request);
+}
+
+void BackendGate::release(const CallPtr& call, ServiceResult result)
+{
+    const TimePoint now = m_loop.now();
+    call->isRunning = false;
+    m_byTicket.erase(call->ticket);
+    const Dispatch dispatch = m_admission.release(call->ticket, result, now - call->startedAt, now);
+    if (!dispatch.started.empty() || !dispatch.refused.empty())
+        apply(dispatch);
+}
+
+void BackendGate::apply(const Dispatch& dispatch)
+{
+    for (const RefusedTicket& refused : dispatch.refused)
+        refuse(m_byTicket.at(refused.ticket.id), refusalReasonName(refused.reason));
+    for (const Ticket& started : dispatch.started)
+        run(m_byTicket.at(started.id));
+}
+
+void BackendGate::refuse(const CallPtr& call, const std::string& reason)
+{
+    m_byTicket.erase(call->ticket);
+    end(call, makeRefusal(CallOutcome::NotRun, step, reason, load()));
+}
+
+void BackendGate::refuseWaiting(const std::string& reason)
+{
+    std::vector<CallPtr> waiting;
+    for (const auto& [ticket, call] : m_byTicket) {
+        if (!call->isRunning)
+            waiting.push_back(call);
+    }
+    for (const CallPtr& call : waiting) {
+        if (m_admission.cancel(call->ticket))
+            refuse(call, reason);
+    }
+}
+
+void BackendGate::end(const CallPtr& call, const GateReplyPtr& reply)
+{
+    if (const auto* refusal = std::get_if<GateRefusal>(reply.get()))
+        ++(refusal->outcome == CallOutcome::NotRun ? m_counters.refused : m_counters.unknown);
+    else
+        ++m_counters.answered;
+    m_ledger.end(call->call.key, reply, m_loop.now());
+    m_calls.erase(call->call.key);
+    const std::vector<ReplyCallback> callbacks = std::move(call->callbacks);
+    for (const ReplyCallback& callback : callbacks)
+        callback(reply);
+}
+
+void BackendGate::cancel(const CallKey& key)
+{
+    const auto found = m_calls.find(key);
+    if (found == m_calls.end())
+        return;
+    const CallPtr call = found->second;
+    // Nobody waits for the reply; the ledger keeps it, so that a late copy of the call does not run.
+    call->callbacks.clear();
+    if (!call->isRunning) {
+        if (m_admission.cancel(call->ticket)) {
+            ++m_counters.cancelled;
+            refuse(call, "the caller left");
+        }
+        return;
+    }
+    if (!call->call.isIdempotent)
+        return;
+    ++m_counters.cancelled;
+    if (call->connection)
+        call->connection->close();
+    call->connection.reset();
+    release(call, ServiceResult::Failed);
+    end(call, makeRefusal(CallOutcome::Unknown, step, "the caller left", load()));
+}
+
+void BackendGate::noticePause(TimePoint now)
+{
+    if (m_sweepTimer.isActive() && now - m_lastSeen > m_options.pauseGap) {
+        m_refuseUntil = now + pauseSettle;
+        logEvent(LogLevel::Warning, "process-paused", { { "for_ms", inMilliseconds(now - m_lastSeen) } });
+    }
+    m_lastSeen = now;
+}
+
+void BackendGate::sweep()
+{
+    const TimePoint now = m_loop.now();
+    noticePause(now);
+    m_ledger.advance(now);
+    std::vector<CallPtr> late;
+    for (const auto& [ticket, call] : m_byTicket) {
+        if (call->isRunning && now >= call->call.deadline)
+            late.push_back(call);
+    }
+    for (const CallPtr& call : late) {
+        if (!call->isRunning)
+            continue;
+        if (call->connection)
+            call->connection->close();
+        call->connection.reset();
+        release(call, ServiceResult::Failed);
+        end(call, makeRefusal(CallOutcome::Unknown, "backend-server", "the deadline passed", load()));
+    }
+    apply(m_admission.advance(now));
+    if (m_calls.empty())
+        m_sweepTimer.stop();
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/BackendGate.h
@@ -0,0 +1,121 @@
+// The gate beside one backend server: the only way to it.
+//
+// submit() takes a call from this node or from a peer. The ledger joins repeated arrivals, AdmissionController
+// decides when the call runs, and a kept connection carries it. The reply is one of
+//   * the server's whole answer, whatever its status;
+//   * NotRun: refused before it was written to a connection, or the server said that it did not run it;
+//   * Unknown: it was written and no whole answer came.
+//
+// A server that leaves gets no new calls: what waits is refused, what runs is finished. After a pause of the process
+// (`pauseGap` between two looks at the clock) the calls that came in meanwhile are refused, since their age is unknown.
+//
+// Bounds: mostQueued waiting calls, the ledger's capacity, and one connection a running call with mostIdle kept.
+#pragma once
+
+#include "admission/AdmissionController.h"
+#include "base/Log.h"
+#include "membership/ServerDirectory.h"
+#include "proxy/BackendConnection.h"
+#include "proxy/CallLedger.h"
+
+#include <deque>
+#include <list>
+
+namespace skylark {
+
+struct GateOptions {
+    Endpoint server;
+    // Calls for which no slot count is known yet.
+    int defaultSlots { 8 };
+    int mostQueued { 256 };
+    size_t mostIdle { 64 };
+    // A connection that was idle for longer is not used again: the server may be about to close it.
+    Duration mostIdleTime { std::chrono::seconds(8) };
+    // As mostIdleTime, for calls that must not be sent again.
+    Duration mostIdleTimeNonIdempotent { std::chrono::seconds(4) };
+    Duration sweepInterval { std::chrono::milliseconds(25) };
+    Duration pauseGap { std::chrono::milliseconds(1500) };
+    CallLedgerOptions ledger {};
+};
+
+struct GateCounters {
+    uint64_t answered { 0 };
+    uint64_t refused { 0 };
+    uint64_t unknown { 0 };
+    uint64_t joined { 0 };
+    uint64_t cancelled { 0 };
+    uint64_t connectionsOpened { 0 };
+};
+
+class BackendGate {
+public:
+    BackendGate(EventLoop& loop, GateOptions options, const Dialect& dialect);
+    ~BackendGate();
+
+    void submit(GateCall call, ReplyCallback onReply);
+    // The caller no longer waits. A call that waits will not run; an idempotent one that runs is stopped.
+    void cancel(const CallKey& key);
+
+    // The server as its entry describes it; absent when it has none.
+    void setServer(const std::optional<ServerRecord>& server);
+    void setRanks(std::vector<RankPolicy> ranks);
+    // No new calls from now on.
+    void drain();
+    bool isIdle() const { return m_calls.empty(); }
+
+    LoadHint load() const;
+    const GateCounters& counters() const { return m_counters; }
+    const std::optional<ServerRecord>& server() const { return m_server; }
+    size_t idleConnections() const { return m_idle.size(); }
+
+private:
+    struct Call {
+        GateCall call;
+        std::vector<ReplyCallback> callbacks;
+        TicketId ticket;
+        TimePoint receivedAt;
+        TimePoint startedAt;
+        std::shared_ptr<BackendConnection> connection;
+        // Written to a connection, or about to be as soon as that opens.
+        bool isRunning { false };
+    };
+    using CallPtr = std::shared_ptr<Call>;
+
+    const char* refusalCause(const GateCall& call) const;
+    void admit(const CallPtr& call);
+    void run(const CallPtr& call);
+    void handleResult(const CallPtr& call, const std::shared_ptr<BackendConnection>& connection, BackendResult result);
+    std::shared_ptr<BackendConnection> takeConnection(const GateCall& call);
+    std::shared_ptr<BackendConnection> openConnection();
+    void keepIdle(const std::shared_ptr<BackendConnection>& connection);
+    bool isFresh(const BackendConnection& connection, const GateCall& call) const;
+    std::string requestBytes(const GateCall& call) const;
+    void release(const CallPtr& call, ServiceResult result);
+    void apply(const Dispatch& dispatch);
+    void refuse(const CallPtr& call, const std::string& reason);
+    void refuseWaiting(const std::string& reason);
+    void end(const CallPtr& call, const GateReplyPtr& reply);
+    void sweep();
+    void noticePause(TimePoint now);
+    AdmissionOptions admissionOptions() const;
+
+    EventLoop& m_loop;
+    const GateOptions m_options;
+    const Dialect& m_dialect;
+    CallLedger m_ledger;
+    std::vector<RankPolicy> m_ranks;
+    std::optional<ServerRecord> m_server;
+    AdmissionController m_admission;
+    absl::flat_hash_map<CallKey, CallPtr> m_calls;
+    absl::flat_hash_map<TicketId, CallPtr> m_byTicket;
+    uint64_t m_lastTicket { 0 };
+    // The connection used last is at the back.
+    std::deque<std::shared_ptr<BackendConnection>> m_idle;
+    bool m_isDraining { false };
+    TimePoint m_lastSeen;
+    TimePoint m_refuseUntil;
+    GateCounters m_counters;
+    Timer m_sweepTimer;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/CallForwarder.cpp
@@ -0,0 +1,354 @@
+#include "proxy/CallForwarder.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_format.h>
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    constexpr int statusNotFound = 404;
+    constexpr int statusServerError = 500;
+    constexpr int statusBadGateway = 502;
+    constexpr int statusUnavailable = 503;
+    constexpr int statusTimeout = 504;
+    constexpr int firstSuccess = 200;
+    constexpr int firstRedirect = 300;
+
+    constexpr Duration leastRetryAfter = std::chrono::milliseconds(50);
+    constexpr Duration mostRetryAfter = std::chrono::seconds(1);
+    // For callers that were refused where nothing is known of the load.
+    constexpr Duration usualRetryAfter = std::chrono::milliseconds(300);
+    // Spreads the return of callers that were refused together.
+    constexpr double leastSpread = 0.8;
+    constexpr double spreadWidth = 0.8;
+    // A repeat needs this many mean latencies of the remaining time.
+    constexpr double latenciesForRepeat = 1.2;
+    constexpr Duration leastTimeForRepeat = std::chrono::milliseconds(10);
+
+    std::string inMilliseconds(Duration duration)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    }
+
+} // namespace
+
+CallForwarder::CallForwarder(EventLoop& loop, CallForwarderOptions options, const Dialect& dialect, Router& router,
+    BackendGate& gate, PeerLookup peers, RequestLog& log, Metrics& metrics)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_dialect(dialect)
+    , m_router(router)
+    , m_gate(gate)
+    , m_peers(std::move(peers))
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_retryBudget(m_options.retryBudget)
+    , m_random(m_options.self.value())
+{
+}
+
+void CallForwarder::setConfiguration(std::shared_ptr<const Configuration> configuration)
+{
+    m_configuration = std::move(configuration);
+    m_splits.reconfigure(*m_configuration);
+}
+
+void CallForwarder::handle(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
+{
+    const CallPtr call = makeCall(std::move(request), caller);
+    if (!call->configuration) {
+        call->lastReason = "no configuration is held yet";
+        finish(call, refusal(*call), "not-run");
+        return;
+    }
+    const HttpRequest& received = *call->request;
+    const std::string* host = findHeader(received.headers, "Host");
+    call->route = call->configuration->match(host ? *host : "", received.method, received.target);
+    if (!call->route) {
+        finish(call, failure(statusNotFound, "no route"), "no-route");
+        return;
+    }
+    call->service = m_splits.choose(*call->route);
+    call->deadline = deadlineOf(received, *call->route, call->receivedAt);
+    m_retryBudget.noteRequest(call->service, call->receivedAt);
+    m_calls.emplace(call->number, call);
+    caller->setGoneCallback([this, number = call->number] {
+        if (const auto found = m_calls.find(number); found != m_calls.end())
+            handleCallerGone(CallPtr(found->second));
+    });
+    call->timer.start(call->deadline - call->receivedAt);
+    attempt(call);
+}
+
+CallForwarder::CallPtr CallForwarder::makeCall(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
+{
+    const uint64_t number = ++m_lastNumber;
+    auto call = std::make_shared<Call>(m_loop, [this, number] {
+        if (const auto found = m_calls.find(number); found != m_calls.end())
+            handleTimeout(CallPtr(found->second));
+    });
+    call->number = number;
+    call->caller = caller;
+    call->receivedAt = m_loop.now();
+    call->configuration = m_configuration;
+    if (const std::string* id = findHeader(request.headers, m_dialect.requestId))
+        call->requestId = RequestId(*id);
+    removeHeader(request.headers, m_dialect.expectedInstance);
+    setHeader(request.headers, m_dialect.callerService, m_options.callerService.value());
+    call->request = std::make_shared<const HttpRequest>(std::move(request));
+    return call;
+}
+
+TimePoint CallForwarder::deadlineOf(const HttpRequest& request, const Route& route, TimePoint now) const
+{
+    Duration wait = m_options.defaultDeadline;
+    int64_t milliseconds = 0;
+    if (const std::string* text = findHeader(request.headers, m_dialect.deadline);
+        text && absl::SimpleAtoi(*text, &milliseconds) && milliseconds >= 0)
+        wait = std::min<Duration>(std::chrono::hours(1), std::chrono::milliseconds(milliseconds));
+    if (route.deadline > Duration::zero())
+        wait = std::min(wait, route.deadline);
+    return now + wait;
+}
+
+std::optional<Choice> CallForwarder::chooseInstance(Call& call)
+{
+    constexpr int mostUnusable = 8;
+    std::vector<InstanceId> excluded = call.tried;
+    std::optional<Choice> fallback;
+    for (int round = 0; round < mostUnusable; ++round) {
+        auto choice = m_router.choose(
+            { .service = call.service, .excluded = excluded, .isIdempotent = call.route->isIdempotent }, m_random,
+            m_loop.now());
+        if (!choice)
+            break;
+        const bool isTried = std::find(excluded.begin(), excluded.end(), choice->instance) != excluded.end();
+        if (isTried)
+            break;
+        if (choice->peer.host == m_options.host || m_peers(choice->peer).isUsable())
+            return choice;
+        if (!fallback && !m_peers(choice->peer).isLeaving())
+            fallback = choice;
+        excluded.push_back(choice->instance);
+    }
+    return fallback;
+}
+
+void CallForwarder::attempt(const CallPtr& call)
+{
+    const auto choice = chooseInstance(*call);
+    if (!choice) {
+        if (call->lastReason.empty())
+            call->lastReason = "no instance of the service can be used";
+        giveUp(call);
+        return;
+    }
+    call->tried.push_back(choice->instance);
+    send(call, *choice);
+}
+
+void CallForwarder::send(const CallPtr& call, const Choice& choice)
+{
+    call->choice = choice;
+    call->stream = StreamId(++m_lastStream);
+    call->sentAt = m_loop.now();
+    m_router.began(choice);
+    m_metrics.countAttempt(call->attempts > 0);
+    GateCall gateCall { .key = { .sender = m_options.self, .stream = call->stream },
+        .requestId = call->requestId,
+        .service = call->service,
+        .request = call->request,
+        .rank = call->route->rank,
+        .deadline = call->deadline,
+        .isIdempotent = call->route->isIdempotent,
+        .attempt = call->attempts + 1 };
+    const auto onReply = [this, call, stream = call->stream](const GateReplyPtr& reply) {
+        if (call->choice && call->stream == stream)
+            handleReply(call, reply);
+    };
+    if (choice.peer.host == m_options.host)
+        m_gate.submit(std::move(gateCall), onReply);
+    else
+        m_peers(choice.peer).submit(std::move(gateCall), onReply);
+}
+
+void CallForwarder::report(Call& call, CallOutcome outcome, bool isFault, const std::optional<LoadHint>& load)
+{
+    if (!call.choice)
+        return;
+    m_router.finished(*call.choice,
+        { .outcome = outcome, .isFault = isFault, .latency = m_loop.now() - call.sentAt, .load = load }, m_loop.now());
+    call.choice.reset();
+}
+
+void CallForwarder::handleReply(const CallPtr& call, const GateReplyPtr& reply)
+{
+    if (const auto* answer = std::get_if<GateAnswer>(reply.get()))
+        handleAnswer(call, *answer);
+    else
+        handleRefusal(call, std::get<GateRefusal>(*reply));
+}
+
+bool CallForwarder::isProven(const HttpResponse& response) const
+{
+    return findHeader(response.headers, m_dialect.proof) != nullptr;
+}
+
+void CallForwarder::handleAnswer(const CallPtr& call, const GateAnswer& answer)
+{
+    const HttpResponse& response = answer.response;
+    const bool isSuccess = response.status >= firstSuccess && response.status < firstRedirect;
+    const bool isFailed = response.status >= statusServerError || (isSuccess && !isProven(response));
+    report(*call, CallOutcome::Answered, isFailed, answer.load);
+    ++call->attempts;
+    call->mayHaveRun = true;
+    if (!isFailed) {
+        finish(call, response, "answered");
+        return;
+    }
+    call->lastReason = isSuccess ? "the server's answer bears no proof"
+                                 : "the server answered " + std::to_string(response.status);
+    if (mayRepeat(*call)) {
+        attempt(call);
+        return;
+    }
+    if (isSuccess)
+        giveUp(call);
+    else
+        finish(call, response, "answered");
+}
+
+void CallForwarder::handleRefusal(const CallPtr& call, const GateRefusal& refusal)
+{
+    const bool isUnknown = refusal.outcome == CallOutcome::Unknown;
+    const bool isFromServer = refusal.step == "backend-server";
+    report(*call, refusal.outcome, isUnknown,
+        refusal.load.limit > 0 ? std::optional(refusal.load) : std::nullopt);
+    call->lastLoad = refusal.load;
+    call->lastReason = refusal.step + ": " + refusal.reason;
+    m_log.failure("attempt-failed",
+        { { "id", call->requestId.value() }, { "route", call->route->name },
+            { "instance", call->tried.back().value() }, { "outcome", isUnknown ? "unknown" : "not-run" },
+            { "step", refusal.step }, { "reason", refusal.reason },
+            { "queued", std::to_string(refusal.load.queued) }, { "limit", std::to_string(refusal.load.limit) },
+            { "remaining_ms", inMilliseconds(call->deadline - m_loop.now()) } });
+    if (isUnknown || isFromServer)
+        ++call->attempts;
+    call->mayHaveRun |= isUnknown;
+    if (!isUnknown && !isFromServer) {
+        if (++call->refusals < m_options.mostRefusals)
+            attempt(call);
+        else
+            giveUp(call);
+        return;
+    }
+    if ((!isUnknown || call->route->isIdempotent) && mayRepeat(*call))
+        attempt(call);
+    else
+        giveUp(call);
+}
+
+// Takes a repeat from the budget, so it must be used.
+bool CallForwarder::mayRepeat(const Call& call)
+{
+    if (call.mayHaveRun && !call.route->isIdempotent)
+        return false;
+    if (call.attempts > static_cast<uint32_t>(std::max(0, call.route->retries)))
+        return false;
+    const TimePoint now = m_loop.now();
+    const Duration needed = std::chrono::duration_cast<Duration>((now - call.sentAt) * latenciesForRepeat);
+    if (call.deadline - now < std::max(needed, leastTimeForRepeat))
+        return false;
+    return m_retryBudget.tryTake(call.service, m_fleetSize, now);
+}
+
+Duration CallForwarder::retryAfter(const Call& call)
+{
+    Duration wait = usualRetryAfter;
+    if (call.lastLoad.limit > 0 && call.lastLoad.queued > 0) {
+        const Duration inSystem = m_loop.now() - call.receivedAt;
+        wait = std::max(inSystem, usualRetryAfter / 3) * (call.lastLoad.queued + 1) / call.lastLoad.limit;
+    }
+    const double spread = leastSpread + spreadWidth * m_random.unit();
+    const auto spreadWait = std::chrono::duration_cast<Duration>(wait * spread);
+    return std::clamp<Duration>(spreadWait, leastRetryAfter, mostRetryAfter);
+}
+
+HttpResponse CallForwarder::refusal(const Call& call)
+{
+    HttpResponse response = failure(statusUnavailable, call.lastReason);
+    const double seconds = std::chrono::duration<double>(retryAfter(call)).count();
+    response.headers.push_back({ "Retry-After", absl::StrFormat("%.3f", seconds) });
+    return response;
+}
+
+HttpResponse CallForwarder::failure(int status, const std::string& reason)
+{
+    return { .status = status, .headers = { { "Content-Type", "text/plain" } }, .body = reason + "\n" };
+}
+
+void CallForwarder::giveUp(const CallPtr& call)
+{
+    if (call->mayHaveRun)
+        finish(call, failure(statusBadGateway, call->lastReason), "unknown");
+    else
+        finish(call, refusal(*call), "not-run");
+}
+
+void CallForwarder::cancelAttempt(Call& call)
+{
+    if (!call.choice)
+        return;
+    const Choice choice = *call.choice;
+    report(call, CallOutcome::Unknown, false, std::nullopt);
+    if (choice.peer.host == m_options.host)
+        m_gate.cancel({ .sender = m_options.self, .stream = call.stream });
+    else
+        m_peers(choice.peer).cancel(call.stream);
+}
+
+void CallForwarder::handleTimeout(const CallPtr& call)
+{
+    const bool isOutstanding = call->choice.has_value();
+    cancelAttempt(*call);
+    call->lastReason = "the timeout passed" + (call->lastReason.empty() ? "" : "; " + call->lastReason);
+    if (isOutstanding || call->mayHaveRun)
+        finish(call, failure(statusTimeout, call->lastReason), "timeout");
+    else
+        giveUp(call);
+}
+
+void CallForwarder::handleCallerGone(const CallPtr& call)
+{
+    cancelAttempt(*call);
+    call->lastReason = "the caller left";
+    finish(call, failure(statusBadGateway, call->lastReason), "cancelled");
+}
+
+void CallForwarder::finish(const CallPtr& call, HttpResponse response, const char* outcome)
+{
+    m_calls.erase(call->number);
+    call->timer.stop();
+    const Duration latency = m_loop.now() - call->receivedAt;
+    const std::string rank = call->route ? std::to_string(call->route->rank) : "none";
+    m_metrics.countRequest(rank, outcome, latency);
+    LogFields fields { { "id", call->requestId.value() }, { "route", call->route ? call->route->name : "" },
+        { "service", call->service.value() }, { "rank", rank }, { "outcome", outcome },
+        { "status", std::to_string(response.status) }, { "ms", inMilliseconds(latency) },
+        { "attempts", std::to_string(call->attempts) }, { "refusals", std::to_string(call->refusals) },
+        { "instance", call->tried.empty() ? "" : call->tried.back().value() },
+        { "version",
+            call->configuration ? std::to_string(call->configuration->manifest().version.value()) : "none" } };
+    const bool isSuccess = response.status < statusServerError;
+    if (!isSuccess)
+        fields.emplace_back("reason", call->lastReason);
+    if (isSuccess)
+        m_log.success("request-answered", fields);
+    else
+        m_log.failure("request-failed", std::move(fields));
+    call->caller->respond(std::move(response));
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/HttpListener.cpp
@@ -0,0 +1,190 @@
+#include "proxy/HttpListener.h"
+
+#include <utility>
+#include <vector>
+
+namespace skylark {
+
+namespace {
+
+    constexpr int statusRequestTimeout = 408;
+    // Bytes that a caller may send ahead while its request is answered.
+    constexpr size_t mostBytesAhead = 64 * 1024;
+
+} // namespace
+
+HttpConnection::HttpConnection(HttpListener& listener, std::unique_ptr<TcpStream> stream)
+    : m_listener(listener)
+    , m_stream(std::move(stream))
+    , m_parser(listener.m_options.limits)
+    , m_timer(listener.m_loop, [this] { handleTimeout(); })
+{
+}
+
+void HttpConnection::start()
+{
+    m_stream->setHandler(*this);
+    startTimeout();
+    m_stream->startReading();
+}
+
+void HttpConnection::onData(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    const bool isFirst = !m_isBusy && !m_parser.isWithinMessage();
+    m_parser.append(bytes);
+    if (m_isBusy) {
+        if (m_parser.isWithinMessage() && bytes.size() >= mostBytesAhead)
+            m_stream->stopReading();
+        return;
+    }
+    readNext();
+    if (isFirst && !m_isBusy && m_stream)
+        startTimeout();
+}
+
+void HttpConnection::readNext()
+{
+    try {
+        auto request = m_parser.next();
+        if (!request) {
+            if (m_parser.takeContinueWish())
+                m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+            return;
+        }
+        m_timer.stop();
+        m_isBusy = true;
+        m_keepsAlive = request->keepsAlive;
+        m_isHead = request->method == "HEAD";
+        m_listener.m_handler(std::move(*request), shared_from_this());
+    } catch (const HttpError& error) {
+        refuse(error.status());
+    }
+}
+
+void HttpConnection::respond(HttpResponse response)
+{
+    if (!m_stream || !m_isBusy)
+        return;
+    const auto self = shared_from_this();
+    m_isBusy = false;
+    m_onGone = nullptr;
+    response.keepsAlive = m_keepsAlive && !m_listener.m_isDraining;
+    std::string text = serialize(response);
+    if (m_isHead)
+        text.resize(text.size() - response.body.size());
+    m_stream->write(std::move(text));
+    if (!response.keepsAlive) {
+        close(true);
+        return;
+    }
+    startTimeout();
+    m_stream->startReading();
+    if (m_parser.isWithinMessage()) {
+        // Not from within the handler of the request that was just answered.
+        m_listener.m_loop.post([weak = weak_from_this()] {
+            const auto connection = weak.lock();
+            if (connection && connection->m_stream && !connection->m_isBusy)
+                connection->readNext();
+        });
+    }
+}
+
+void HttpConnection::abort()
+{
+    const auto self = shared_from_this();
+    m_onGone = nullptr;
+    close(false);
+}
+
+void HttpConnection::onEnd(StreamEnd)
+{
+    const auto self = shared_from_this();
+    const auto onGone = std::exchange(m_onGone, nullptr);
+    close(false);
+    if (onGone)
+        onGone();
+}
+
+void HttpConnection::startTimeout()
+{
+    const HttpListenerOptions& options = m_listener.m_options;
+    m_timer.start(m_parser.isWithinMessage() ? options.headerTimeout : options.idleTimeout);
+}
+
+void HttpConnection::handleTimeout()
+{
+    const auto self = shared_from_this();
+    if (m_isBusy)
+        return;
+    if (m_parser.isWithinMessage())
+        refuse(statusRequestTimeout);
+    else
+        close(true);
+}
+
+void HttpConnection::refuse(int status)
+{
+    HttpResponse response { .status = status, .keepsAlive = false };
+    m_stream->write(serialize(response));
+    close(true);
+}
+
+void HttpConnection::close(bool isFlushed)
+{
+    if (!m_stream)
+        return;
+    m_timer.stop();
+    m_isBusy = false;
+    if (isFlushed)
+        TcpStream::closeAfterFlush(std::move(m_stream));
+    m_stream.reset();
+    m_listener.m_connections.erase(shared_from_this());
+}
+
+HttpListener::HttpListener(EventLoop& loop, HttpListenerOptions options, Handler handler)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_handler(std::move(handler))
+    , m_listener(loop, m_options.address, [this](std::unique_ptr<TcpStream> stream) { accept(std::move(stream)); })
+{
+}
+
+HttpListener::~HttpListener() = default;
+
+void HttpListener::accept(std::unique_ptr<TcpStream> stream)
+{
+    if (m_connections.size() >= m_options.mostConnections)
+        return;
+    const auto connection = std::make_shared<HttpConnection>(*this, std::move(stream));
+    m_connections.insert(connection);
+    connection->start();
+}
+
+void HttpListener::setLimits(HttpLimits limits, Duration headerTimeout, Duration idleTimeout)
+{
+    m_options.limits = limits;
+    m_options.headerTimeout = headerTimeout;
+    m_options.idleTimeout = idleTimeout;
+}
+
+void HttpListener::closeIdle()
+{
+    std::vector<std::shared_ptr<HttpConnection>> idle;
+    for (const auto& connection : m_connections) {
+        if (!connection->isBusy())
+            idle.push_back(connection);
+    }
+    for (const auto& connection : idle)
+        connection->abort();
+}
+
+size_t HttpListener::busyCount() const
+{
+    size_t count = 0;
+    for (const auto& connection : m_connections)
+        count += connection->isBusy() ? 1 : 0;
+    return count;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/HttpListener.h
@@ -0,0 +1,93 @@
+// An HTTP/1.1 server on an event loop, one request at a time on each connection.
+//
+// The handler gets each whole request with the connection that it must answer by respond(), now or later. When the
+// peer leaves first, the connection's onGone callback runs and respond() has no effect.
+//
+// Bounds: mostConnections at a time (further ones are closed at once), and each connection buffers one message within
+// the limits and 64 KiB more.
+#pragma once
+
+#include "base/Random.h"
+#include "eventloop/TcpStream.h"
+#include "http/MessageParser.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <functional>
+#include <memory>
+
+namespace skylark {
+
+struct HttpListenerOptions {
+    Endpoint address;
+    HttpLimits limits {};
+    Duration headerTimeout { std::chrono::seconds(5) };
+    Duration idleTimeout { std::chrono::seconds(60) };
+    size_t mostConnections { 3000 };
+};
+
+class HttpListener;
+
+class HttpConnection final : public StreamHandler, public std::enable_shared_from_this<HttpConnection> {
+public:
+    HttpConnection(HttpListener& listener, std::unique_ptr<TcpStream> stream);
+
+    void start();
+    void respond(HttpResponse response);
+    // Ends the connection without an answer.
+    void abort();
+    // Runs once if the peer leaves before the answer.
+    void setGoneCallback(std::function<void()> onGone) { m_onGone = std::move(onGone); }
+    bool isBusy() const { return m_isBusy; }
+    std::string peerHost() const { return m_stream ? m_stream->peerHost() : std::string(); }
+
+    void onData(std::string_view bytes) override;
+    void onEnd(StreamEnd end) override;
+
+private:
+    void readNext();
+    void startTimeout();
+    void handleTimeout();
+    void refuse(int status);
+    void close(bool isFlushed);
+
+    HttpListener& m_listener;
+    std::unique_ptr<TcpStream> m_stream;
+    RequestParser m_parser;
+    Timer m_timer;
+    std::function<void()> m_onGone;
+    bool m_isBusy { false };
+    bool m_keepsAlive { true };
+    bool m_isHead { false };
+};
+
+class HttpListener {
+public:
+    using Handler = std::function<void(HttpRequest, const std::shared_ptr<HttpConnection>&)>;
+
+    // Throws Error when the address cannot be bound.
+    HttpListener(EventLoop& loop, HttpListenerOptions options, Handler handler);
+    ~HttpListener();
+
+    // For connections and messages from now on.
+    void setLimits(HttpLimits limits, Duration headerTimeout, Duration idleTimeout);
+    // From now on each answer closes its connection.
+    void beginDrain() { m_isDraining = true; }
+    // Closes the connections that wait for a request.
+    void closeIdle();
+    size_t busyCount() const;
+    size_t connectionCount() const { return m_connections.size(); }
+    uint16_t port() const { return m_listener.port(); }
+
+private:
+    friend class HttpConnection;
+    void accept(std::unique_ptr<TcpStream> stream);
+
+    EventLoop& m_loop;
+    HttpListenerOptions m_options;
+    Handler m_handler;
+    bool m_isDraining { false };
+    absl::flat_hash_set<std::shared_ptr<HttpConnection>> m_connections;
+    TcpListener m_listener;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/PeerClient.cpp
@@ -0,0 +1,300 @@
+#include "proxy/PeerClient.h"
+
+#include "base/Error.h"
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    constexpr const char* step = "peer-connection";
+    constexpr Duration silenceCheckInterval = std::chrono::milliseconds(50);
+
+} // namespace
+
+PeerClient::PeerClient(EventLoop& loop, Endpoint peer, Hello self, PeerClientOptions options, Callbacks callbacks)
+    : m_loop(loop)
+    , m_peer(std::move(peer))
+    , m_self(std::move(self))
+    , m_options(options)
+    , m_callbacks(std::move(callbacks))
+    , m_assembler(options.mostBodyBytes)
+    , m_random(m_self.incarnation.value() ^ std::hash<std::string>()(m_peer.toString()))
+    , m_backoff(options.reconnect)
+    , m_silenceTimer(loop, [this] { checkSilence(); })
+    , m_reconnectTimer(loop, [this] { open(); })
+{
+}
+
+PeerClient::~PeerClient() = default;
+
+bool PeerClient::isUsable() const
+{
+    if (m_isUnreachable || m_isLeaving)
+        return false;
+    return !m_pingSentAt || m_loop.now() - *m_pingSentAt < m_options.suspectAfter;
+}
+
+const char* PeerClient::stateName() const
+{
+    if (m_isLeaving)
+        return "leaving";
+    if (m_isUnreachable)
+        return "unreachable";
+    if (m_isReady)
+        return isUsable() ? "connected" : "suspect";
+    return m_channel ? "connecting" : "not connected";
+}
+
+void PeerClient::connect()
+{
+    if (!m_channel && !m_reconnectTimer.isActive())
+        open();
+}
+
+void PeerClient::open()
+{
+    m_isReady = false;
+    m_openedAt = m_loop.now();
+    try {
+        m_channel = std::make_unique<FrameChannel>(m_loop, m_peer,
+            ConnectOptions { .connectTimeout = m_options.connectTimeout },
+            FrameChannel::Callbacks { .onConnected = [this] { m_channel->send(m_self); },
+                .onMessage = [this](Message message) { handle(std::move(message)); },
+                .onEnd = [this](StreamEnd end) { handleEnd(end); } });
+    } catch (const Error& error) {
+        logEvent(LogLevel::Warning, "peer-connect-failed",
+            { { "peer", m_peer.toString() }, { "reason", error.message() } });
+        handleEnd(StreamEnd::NotConnected);
+        return;
+    }
+    m_silenceTimer.startRepeating(silenceCheckInterval);
+}
+
+void PeerClient::submit(GateCall call, ReplyCallback onReply)
+{
+    if (m_isUnreachable) {
+        onReply(makeRefusal(CallOutcome::NotRun, step, "the peer cannot be reached"));
+        return;
+    }
+    if (m_channel && m_isReady && m_channel->pendingBytes() > m_options.mostPendingBytes) {
+        onReply(makeRefusal(CallOutcome::NotRun, step, "too many bytes wait for the peer"));
+        return;
+    }
+    const StreamId stream = call.key.stream;
+    Outstanding& outstanding
+        = m_calls.emplace(stream, Outstanding { .call = std::move(call), .onReply = std::move(onReply) }).first->second;
+    if (!m_channel)
+        open();
+    else if (m_isReady)
+        write(outstanding);
+    if (m_channel && !m_silenceTimer.isActive())
+        m_silenceTimer.startRepeating(silenceCheckInterval);
+}
+
+void PeerClient::write(Outstanding& outstanding)
+{
+    const GateCall& call = outstanding.call;
+    const HttpRequest& request = *call.request;
+    const bool isResend = outstanding.sentTo != Incarnation();
+    outstanding.sentTo = m_gate;
+    m_channel->sendWithBody(CallStart { .stream = call.key.stream,
+                                .requestId = call.requestId,
+                                .gateIncarnation = m_gate,
+                                .service = call.service,
+                                .method = request.method,
+                                .target = request.target,
+                                .headers = toHeaderList(request.headers),
+                                .rank = static_cast<uint32_t>(std::max(0, call.rank)),
+                                .remainingDeadline = std::max(Duration(0), call.deadline - m_loop.now()),
+                                .isIdempotent = call.isIdempotent,
+                                .isResend = isResend,
+                                .attempt = call.attempt,
+                                .hasBody = !request.body.empty() },
+        call.key.stream, request.body);
+}
+
+void PeerClient::cancel(StreamId stream)
+{
+    const auto found = m_calls.find(stream);
+    if (found == m_calls.end())
+        return;
+    if (m_isReady && found->second.sentTo != Incarnation())
+        m_channel->send(Cancel { .stream = stream });
+    m_calls.erase(found);
+}
+
+bool PeerClient::requestSourceState(const SourceStateRequest& request)
+{
+    if (!m_isReady) {
+        connect();
+        return false;
+    }
+    m_channel->send(request);
+    return true;
+}
+
+void PeerClient::handle(Message message)
+{
+    std::visit([this](auto&& each) { on(std::forward<decltype(each)>(each)); }, std::move(message));
+}
+
+void PeerClient::on(const Hello& hello)
+{
+    const bool isNewProcess = m_gate != hello.incarnation;
+    m_gate = hello.incarnation;
+    m_isReady = true;
+    m_isLeaving = m_isLeaving && !isNewProcess;
+    if (m_isUnreachable || isNewProcess)
+        logEvent(LogLevel::Info, "peer-connected",
+            { { "peer", m_peer.toString() }, { "incarnation", std::to_string(m_gate.value()) },
+                { "outstanding", std::to_string(m_calls.size()) } });
+    m_isUnreachable = false;
+    m_pingSentAt.reset();
+    m_backoff.reset();
+    std::vector<StreamId> lost;
+    for (auto& [stream, outstanding] : m_calls) {
+        outstanding.head.reset();
+        outstanding.body.clear();
+        if (outstanding.sentTo == Incarnation() || outstanding.sentTo == m_gate)
+            write(outstanding);
+        else
+            lost.push_back(stream);
+    }
+    for (const StreamId stream : lost)
+        reply(stream, makeRefusal(CallOutcome::Unknown, step, "the peer's process was replaced"));
+}
+
+void PeerClient::on(const Pong&) { m_pingSentAt.reset(); }
+
+void PeerClient::on(AnswerStart answer)
+{
+    const auto found = m_calls.find(answer.stream);
+    if (found == m_calls.end())
+        return;
+    const StreamId stream = answer.stream;
+    const bool hasBody = answer.hasBody;
+    found->second.head = std::move(answer);
+    found->second.body.clear();
+    if (!hasBody)
+        completeAnswer(stream, found->second);
+}
+
+void PeerClient::on(BodyChunk chunk)
+{
+    const auto found = m_calls.find(chunk.stream);
+    if (found == m_calls.end() || !found->second.head)
+        return;
+    const StreamId stream = chunk.stream;
+    if (m_assembler.add(found->second.body, std::move(chunk)))
+        completeAnswer(stream, found->second);
+}
+
+void PeerClient::completeAnswer(StreamId stream, Outstanding& outstanding)
+{
+    AnswerStart& head = *outstanding.head;
+    auto answer = std::make_shared<const GateReply>(
+        GateAnswer { .response = { .status = static_cast<int>(head.status),
+                         .headers = toHttpHeaders(std::move(head.headers)),
+                         .body = std::move(outstanding.body) },
+            .load = head.load });
+    reply(stream, answer);
+}
+
+void PeerClient::on(Refusal refusal)
+{
+    reply(refusal.stream,
+        makeRefusal(refusal.outcome, std::move(refusal.step), std::move(refusal.reason), refusal.load));
+}
+
+void PeerClient::on(const Leaving&)
+{
+    if (std::exchange(m_isLeaving, true))
+        return;
+    logEvent(LogLevel::Info, "peer-leaving", { { "peer", m_peer.toString() } });
+    m_callbacks.onLeaving();
+}
+
+void PeerClient::on(const SourceState& state) { m_callbacks.onSourceState(state); }
+
+void PeerClient::reply(StreamId stream, const GateReplyPtr& reply)
+{
+    const auto found = m_calls.find(stream);
+    if (found == m_calls.end())
+        return;
+    const ReplyCallback onReply = std::move(found->second.onReply);
+    m_calls.erase(found);
+    onReply(reply);
+}
+
+void PeerClient::handleEnd(StreamEnd end)
+{
+    const bool wasReady = m_isReady;
+    m_isReady = false;
+    m_channel.reset();
+    m_silenceTimer.stop();
+    m_pingSentAt.reset();
+    if (wasReady && !m_calls.empty()) {
+        logEvent(LogLevel::Info, "peer-connection-lost",
+            { { "peer", m_peer.toString() }, { "outstanding", std::to_string(m_calls.size()) },
+                { "end", end == StreamEnd::Closed ? "closed" : "failed" } });
+        open();
+        return;
+    }
+    if (wasReady && end == StreamEnd::Closed && !m_isLeaving)
+        return;
+    if (!std::exchange(m_isUnreachable, true))
+        logEvent(LogLevel::Warning, "peer-unreachable",
+            { { "peer", m_peer.toString() }, { "outstanding", std::to_string(m_calls.size()) } });
+    failAll("the peer cannot be reached");
+    scheduleReconnect();
+}
+
+void PeerClient::failAll(const std::string& reason)
+{
+    std::map<StreamId, Outstanding> calls;
+    calls.swap(m_calls);
+    for (auto& [stream, outstanding] : calls) {
+        const bool isSent = outstanding.sentTo != Incarnation();
+        outstanding.onReply(makeRefusal(isSent ? CallOutcome::Unknown : CallOutcome::NotRun, step, reason));
+    }
+}
+
+void PeerClient::scheduleReconnect() { m_reconnectTimer.start(m_backoff.next(m_random)); }
+
+void PeerClient::checkSilence()
+{
+    const TimePoint now = m_loop.now();
+    if (!m_channel) {
+        m_silenceTimer.stop();
+        return;
+    }
+    if (!m_isReady) {
+        // The kernel of a frozen process accepts connections that the process never greets.
+        if (now - m_openedAt > m_options.connectTimeout + m_options.pongTimeout)
+            handleEnd(StreamEnd::NotConnected);
+        return;
+    }
+    if (m_pingSentAt && m_channel->lastReceived() > *m_pingSentAt)
+        m_pingSentAt.reset();
+    if (m_pingSentAt) {
+        if (now - *m_pingSentAt > m_options.pongTimeout) {
+            logEvent(LogLevel::Warning, "peer-silent",
+                { { "peer", m_peer.toString() }, { "outstanding", std::to_string(m_calls.size()) } });
+            handleEnd(StreamEnd::Failed);
+        }
+        return;
+    }
+    if (m_calls.empty()) {
+        m_silenceTimer.stop();
+        return;
+    }
+    if (now - m_channel->lastReceived() > m_options.pingAfter) {
+        m_channel->send(Ping { .nonce = ++m_pingNonce });
+        m_pingSentAt = now;
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/PeerServer.h
@@ -0,0 +1,48 @@
+// Takes the connections of peers and passes their calls to this node's gate.
+//
+// A peer's connection may be lost while its calls wait or run. They go on: the peer sends them again over a new
+// connection and joins them there. Bound: mostBodyBytes a call, and the gate's own bounds.
+#pragma once
+
+#include "proxy/FrameChannel.h"
+#include "proxy/BackendGate.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+namespace skylark {
+
+struct PeerServerOptions {
+    Hello self;
+    size_t mostBodyBytes { 16 * 1024 * 1024 };
+};
+
+class PeerServer {
+public:
+    struct Callbacks {
+        // A peer said who it is.
+        std::function<void(const Hello&)> onPeer;
+        std::function<SourceState(const SourceStateRequest&)> onSourceStateRequest;
+    };
+
+    // Listens on the address in `self`; throws Error when it cannot be bound.
+    PeerServer(EventLoop& loop, PeerServerOptions options, BackendGate& gate, Callbacks callbacks);
+    ~PeerServer();
+
+    // Tells all connected peers that this node stops.
+    void announceLeaving();
+    size_t connectionCount() const { return m_sessions.size(); }
+
+private:
+    class Session;
+
+    EventLoop& m_loop;
+    PeerServerOptions m_options;
+    BackendGate& m_gate;
+    Callbacks m_callbacks;
+    bool m_isLeaving { false };
+    absl::flat_hash_set<std::shared_ptr<Session>> m_sessions;
+    TcpListener m_listener;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/ProxyNode.cpp
@@ -0,0 +1,440 @@
+#include "proxy/ProxyNode.h"
+
+#include "base/Compression.h"
+#include "base/Error.h"
+#include "base/Invariant.h"
+
+#include <algorithm>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace skylark {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration tickInterval = 250ms;
+    // Time without the source after which peers are asked, and between two such questions.
+    constexpr Duration peerQuestionAfter = 600ms;
+    constexpr Duration peerQuestionInterval = 500ms;
+    // Peers that have not heard of the stop yet still send calls.
+    constexpr Duration peerGrace = 700ms;
+    // Callers go elsewhere after two ready questions without success, a second apart.
+    constexpr Duration callerGrace = 2600ms;
+    // Kept free at the end of stopGrace for the exit itself.
+    constexpr Duration stopMargin = 400ms;
+    constexpr Duration stopCheckInterval = 50ms;
+    constexpr size_t mostConfigurationBytes = 16 * 1024 * 1024;
+
+    Incarnation newIncarnation()
+    {
+        std::random_device device;
+        // Above zero, and within what JSON readers take for a whole number.
+        return Incarnation((static_cast<uint64_t>(device()) << 20 | (device() & 0xfffff)) + 1);
+    }
+
+    ListedServer toListed(const ServerEntry& entry)
+    {
+        ListedServer listed { .id = entry.id, .revision = entry.revision, .isDeleted = !entry.record };
+        if (!entry.record)
+            return listed;
+        const ServerRecord& record = *entry.record;
+        listed.incarnation = record.incarnation;
+        listed.service = record.service;
+        listed.zone = record.zone;
+        listed.address = record.address;
+        listed.slots = static_cast<uint32_t>(std::max(0, record.slots));
+        listed.isDraining = record.isDraining;
+        listed.coldFor = record.coldFor;
+        return listed;
+    }
+
+    ServerEntry fromListed(const ListedServer& listed)
+    {
+        ServerEntry entry { .id = listed.id, .revision = listed.revision };
+        if (!listed.isDeleted) {
+            entry.record = ServerRecord { .id = listed.id,
+                .incarnation = listed.incarnation,
+                .service = listed.service,
+                .zone = listed.zone,
+                .address = listed.address,
+                .slots = static_cast<int>(listed.slots),
+                .isDraining = listed.isDraining,
+                .coldFor = listed.coldFor };
+        }
+        return entry;
+    }
+
+} // namespace
+
+// Decodes on the watcher's thread and posts the results to the loop.
+class ProxyNode::Consumer final : public SourceConsumer {
+public:
+    explicit Consumer(ProxyNode& node)
+        : m_node(node)
+    {
+    }
+
+    void onListing(SourceItems items) override { deliver(std::move(items), true); }
+    void onChanges(SourceItems changes) override { deliver(std::move(changes), false); }
+    void onLost(const std::string& reason) override
+    {
+        m_node.m_loop.post([this, reason] { m_node.noteSource(true, reason); });
+    }
+    void onBack() override
+    {
+        m_node.m_loop.post([this] { m_node.noteSource(false, ""); });
+    }
+    void onCall(const char* kind, bool isAnswered) override { m_node.m_metrics.countSourceCall(kind, isAnswered); }
+
+private:
+    void deliver(SourceItems items, bool isListing)
+    {
+        std::vector<ServerEntry> servers;
+        const SourceItem* configuration = nullptr;
+        for (const SourceItem& item : items.items) {
+            if (m_node.m_adapter.isServer(item))
+                servers.push_back(m_node.m_adapter.decodeServer(item));
+            else if (m_node.m_adapter.isConfiguration(item) && !item.isDeleted)
+                configuration = &item;
+        }
+        if (configuration)
+            deliverConfiguration(*configuration);
+        m_node.m_loop.post([this, servers = std::move(servers), revision = items.revision, isListing] {
+            if (isListing)
+                m_node.applyListing(servers, revision);
+            else
+                m_node.applyServers(servers);
+        });
+    }
+
+    void deliverConfiguration(const SourceItem& item)
+    {
+        try {
+            ConfigurationUpdate update { .configuration
+                = m_node.m_adapter.decodeConfiguration(item.value, item.revision),
+                .text = item.value };
+            m_node.m_loop.post(
+                [this, update = std::move(update)] { m_node.applyConfiguration(update, "source"); });
+        } catch (const Error& error) {
+            logEvent(LogLevel::Error, "configuration-refused",
+                { { "revision", std::to_string(item.revision.value()) }, { "reason", error.what() } });
+        }
+    }
+
+    ProxyNode& m_node;
+};
+
+ProxyNode::ProxyNode(ProxySettings settings, PlatformAdapter adapter, const Clock& clock)
+    : m_settings(std::move(settings))
+    , m_adapter(std::move(adapter))
+    , m_clock(clock)
+    , m_loop(clock)
+    , m_self { .instance = InstanceId(m_settings.instance),
+        .incarnation = newIncarnation(),
+        .zone = m_settings.zone,
+        .listenAddress = m_settings.peerAddress,
+        .purpose = ConnectionPurpose::Calls }
+    , m_log(clock, m_settings.logLinesPerSecond)
+    , m_random(m_self.incarnation.value())
+    , m_router({ .zone = m_settings.zone })
+    , m_directory({ .peerPort = m_settings.peerAddress.port, .regions = m_settings.regions })
+    , m_gate(m_loop, { .server = m_settings.serverAddress }, m_adapter.dialect)
+    , m_forwarder(m_loop,
+          { .self = m_self.incarnation,
+              .host = m_settings.peerAddress.host,
+              .callerService = m_settings.service,
+              .retryBudget = { .ratio = m_settings.retryRatio,
+                  .slack = m_settings.retrySlack,
+                  .window = m_settings.retryWindow } },
+          m_adapter.dialect, m_router, m_gate, [this](const Endpoint& endpoint) -> PeerClient& { return peer(endpoint); },
+          m_log, m_metrics)
+    , m_peerServer(m_loop, { .self = m_self }, m_gate,
+          { .onPeer = [this](const Hello& hello) { peer(hello.listenAddress); },
+              .onSourceStateRequest = [this](const SourceStateRequest& request) { return sourceStateFor(request); } })
+    , m_callers(m_loop, { .address = m_settings.callerAddress },
+          [this](HttpRequest request, const std::shared_ptr<HttpConnection>& connection) {
+              m_forwarder.handle(std::move(request), connection);
+          })
+    , m_readyPage(m_loop, { .address = m_settings.readyAddress },
+          [this](const HttpRequest&, const std::shared_ptr<HttpConnection>& connection) { handleReady(connection); })
+    , m_admin(m_loop, { .address = m_settings.metricsAddress },
+          [this](const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection) {
+              handleAdmin(request, connection);
+          })
+    , m_ticker(m_loop, [this] { tick(); })
+    , m_stopTimer(m_loop, [this] { advanceStop(); })
+    , m_terminate(m_loop, SIGTERM, [this] { beginStop(); })
+    , m_interrupt(m_loop, SIGINT, [this] { beginStop(); })
+    , m_reload(m_loop, SIGHUP, [this] { reloadSettings(); })
+    , m_consumer(std::make_unique<Consumer>(*this))
+{
+}
+
+ProxyNode::~ProxyNode() { m_watcher.reset(); }
+
+void ProxyNode::run()
+{
+    logEvent(LogLevel::Info, "started",
+        { { "callers", m_settings.callerAddress.toString() }, { "peers", m_settings.peerAddress.toString() },
+            { "incarnation", std::to_string(m_self.incarnation.value()) },
+            { "service", m_settings.service.value() }, { "zone", m_settings.zone.value() } });
+    SourceWatcherOptions options = m_adapter.watcher;
+    options.leastInterval = m_settings.sourceInterval;
+    options.seed = m_self.incarnation.value();
+    m_watcher = std::make_unique<SourceWatcher>(*m_adapter.source, *m_consumer, options, m_clock);
+    m_ticker.startRepeating(tickInterval);
+    m_loop.run();
+    m_watcher.reset();
+    logEvent(LogLevel::Info, "stopped", {});
+}
+
+void ProxyNode::applyConfiguration(const ConfigurationUpdate& update, const char* origin)
+{
+    const Configuration& offered = *update.configuration;
+    const auto& held = m_forwarder.configuration();
+    if (held && offered.manifest().version <= held->manifest().version)
+        return;
+    m_forwarder.setConfiguration(update.configuration);
+    m_gate.setRanks(offered.ranks());
+    const CallerLimits& limits = offered.limits();
+    m_callers.setLimits({ .headerBytes = limits.headerBytes, .bodyBytes = std::min(HttpLimits().bodyBytes, limits.bodyBytes) },
+        limits.headerTimeout, limits.idleTimeout);
+    m_configurationText = update.text;
+    m_metrics.setVersion(offered.manifest().version);
+    logEvent(LogLevel::Info, "configuration-applied",
+        { { "version", std::to_string(offered.manifest().version.value()) },
+            { "revision", std::to_string(offered.manifest().revision.value()) },
+            { "routes", std::to_string(offered.routes().size()) }, { "origin", origin } });
+}
+
+void ProxyNode::applyListing(const std::vector<ServerEntry>& entries, Revision revision)
+{
+    const bool isFirst = !std::exchange(m_hasServers, true);
+    if (m_directory.replaceAll(entries, revision, m_loop.now()) || isFirst)
+        publishServers();
+}
+
+void ProxyNode::applyServers(const std::vector<ServerEntry>& entries)
+{
+    bool isChanged = false;
+    for (const ServerEntry& entry : entries)
+        isChanged |= m_directory.apply(entry, m_loop.now());
+    if (isChanged)
+        publishServers();
+}
+
+void ProxyNode::publishServers()
+{
+    const auto view = m_directory.view();
+    m_router.update(view, m_loop.now());
+    const ServerRecord* own = m_directory.atAddress(m_settings.serverAddress);
+    m_gate.setServer(own ? std::optional(*own) : std::nullopt);
+    m_forwarder.setFleetSize(view->instances().size());
+    m_metrics.setInstances("listed", view->instances().size());
+    logEvent(LogLevel::Info, "servers-changed",
+        { { "servers", std::to_string(view->instances().size()) },
+            { "revision", std::to_string(m_directory.revision().value()) }, { "own", own ? own->id.value() : "" } });
+}
+
+void ProxyNode::noteSource(bool isLost, const std::string& reason)
+{
+    const TimePoint now = m_loop.now();
+    m_isSourceLost = isLost;
+    if (isLost) {
+        m_sourceLostAt = now;
+        m_directory.noteSourceLost();
+        logEvent(LogLevel::Warning, "source-lost", { { "reason", reason } });
+    } else {
+        m_directory.noteSourceBack(now);
+        logEvent(LogLevel::Info, "source-back",
+            { { "after_ms",
+                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sourceLostAt).count()) } });
+    }
+}
+
+bool ProxyNode::isReady() const
+{
+    return !m_stoppingSince && m_forwarder.configuration() && m_directory.size() > 0;
+}
+
+PeerClient& ProxyNode::peer(const Endpoint& endpoint)
+{
+    auto& client = m_peers[endpoint];
+    if (!client) {
+        client = std::make_unique<PeerClient>(m_loop, endpoint, m_self, PeerClientOptions {},
+            PeerClient::Callbacks { .onSourceState = [this](const SourceState& state) { applyPeerState(state); },
+                .onLeaving = [] { } });
+    }
+    return *client;
+}
+
+// Peers without a server in the directory and without calls are dropped, so that the map follows the fleet.
+void ProxyNode::forgetPeers()
+{
+    const auto view = m_directory.view();
+    std::erase_if(m_peers, [&view](const auto& entry) {
+        const auto& instances = view->instances();
+        const bool isListed = std::any_of(instances.begin(), instances.end(),
+            [&entry](const InstanceState& state) { return state.record.peer == entry.first; });
+        return !isListed && entry.second->outstanding() == 0 && !entry.second->isConnected();
+    });
+}
+
+void ProxyNode::tick()
+{
+    const TimePoint now = m_loop.now();
+    if (m_directory.advance(now))
+        publishServers();
+    m_router.advance(now);
+    const LoadHint load = m_gate.load();
+    m_metrics.setConcurrency(static_cast<int>(load.limit), static_cast<int>(load.inFlight), static_cast<int>(load.queued));
+    if (!m_isSourceLost)
+        forgetPeers();
+    else if (now - m_sourceLostAt > peerQuestionAfter && now - m_askedPeersAt > peerQuestionInterval)
+        askPeerForSource();
+}
+
+void ProxyNode::askPeerForSource()
+{
+    std::vector<PeerClient*> candidates;
+    for (const InstanceState& state : m_directory.view()->instances())
+        if (state.record.peer != m_settings.peerAddress)
+            candidates.push_back(&peer(state.record.peer));
+    for (const auto& [endpoint, client] : m_peers) {
+        if (std::find(candidates.begin(), candidates.end(), client.get()) == candidates.end())
+            candidates.push_back(client.get());
+    }
+    std::erase_if(candidates, [](const PeerClient* client) { return !client->isUsable(); });
+    if (candidates.empty())
+        return;
+    m_askedPeersAt = m_loop.now();
+    const auto& held = m_forwarder.configuration();
+    candidates[m_random.below(candidates.size())]->requestSourceState(
+        { .version = held ? held->manifest().version : VersionNumber(), .revision = m_directory.revision() });
+}
+
+SourceState ProxyNode::sourceStateFor(const SourceStateRequest& request) const
+{
+    SourceState state;
+    if (const auto& held = m_forwarder.configuration(); held && held->manifest().version > request.version) {
+        state.version = held->manifest().version;
+        state.configuration = compress(m_configurationText);
+    }
+    state.revision = m_directory.revision();
+    for (const ServerEntry& entry : m_directory.entriesSince(request.revision))
+        state.servers.push_back(toListed(entry));
+    return state;
+}
+
+void ProxyNode::applyPeerState(const SourceState& state)
+{
+    if (!state.configuration.empty()) {
+        const auto text = decompress(state.configuration, mostConfigurationBytes);
+        try {
+            if (text)
+                applyConfiguration(
+                    { .configuration = m_adapter.decodeConfiguration(*text, state.revision), .text = *text }, "peer");
+        } catch (const Error& error) {
+            logEvent(LogLevel::Error, "configuration-refused", { { "origin", "peer" }, { "reason", error.what() } });
+        }
+    }
+    std::vector<ServerEntry> entries;
+    for (const ListedServer& listed : state.servers)
+        entries.push_back(fromListed(listed));
+    m_hasServers |= !entries.empty();
+    applyServers(entries);
+}
+
+void ProxyNode::handleReady(const std::shared_ptr<HttpConnection>& connection)
+{
+    constexpr int statusReady = 200;
+    constexpr int statusNotReady = 503;
+    connection->respond({ .status = isReady() ? statusReady : statusNotReady });
+}
+
+void ProxyNode::handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection)
+{
+    constexpr int statusFound = 200;
+    constexpr int statusNotFound = 404;
+    if (request.target == "/metrics")
+        connection->respond({ .status = statusFound,
+            .headers = { { "Content-Type", "text/plain; version=0.0.4" } },
+            .body = metricsText() });
+    else if (request.target == "/state")
+        connection->respond(
+            { .status = statusFound, .headers = { { "Content-Type", "application/json" } }, .body = stateText() });
+    else
+        connection->respond({ .status = statusNotFound });
+}
+
+std::string ProxyNode::metricsText()
+{
+    const GateCounters& counters = m_gate.counters();
+    m_metrics.setValue("gate_answered", static_cast<double>(counters.answered));
+    m_metrics.setValue("gate_refused", static_cast<double>(counters.refused));
+    m_metrics.setValue("gate_unknown", static_cast<double>(counters.unknown));
+    m_metrics.setValue("gate_joined", static_cast<double>(counters.joined));
+    m_metrics.setValue("gate_cancelled", static_cast<double>(counters.cancelled));
+    m_metrics.setValue("server_connections_opened", static_cast<double>(counters.connectionsOpened));
+    m_metrics.setValue("caller_connections", static_cast<double>(m_callers.connectionCount()));
+    m_metrics.setValue("calls_in_progress", static_cast<double>(m_forwarder.callsInProgress()));
+    m_metrics.setValue("log_lines_suppressed", static_cast<double>(m_log.suppressedCount()));
+    m_metrics.setValue("source_lost", m_isSourceLost ? 1 : 0);
+    return m_metrics.exposition();
+}
+
+std::string ProxyNode::stateText()
+{
+    nlohmann::json peers = nlohmann::json::object();
+    for (const auto& [endpoint, client] : m_peers)
+        peers[endpoint.toString()]
+            = { { "state", client->stateName() }, { "outstanding", client->outstanding() } };
+    const auto& held = m_forwarder.configuration();
+    const LoadHint load = m_gate.load();
+    nlohmann::json servers = nlohmann::json::array();
+    for (const InstanceState& state : m_directory.view()->instances())
+        servers.push_back({ { "id", state.record.id.value() }, { "service", state.record.service.value() },
+            { "zone", state.record.zone.value() }, { "peer", state.record.peer.toString() },
+            { "condition", conditionName(state.condition) } });
+    return nlohmann::json { { "instance", m_settings.instance }, { "ready", isReady() },
+        { "version", held ? held->manifest().version.value() : 0 }, { "sourceLost", m_isSourceLost },
+        { "sourceRevision", m_directory.revision().value() }, { "peers", peers }, { "servers", servers },
+        { "gate", { { "running", load.inFlight }, { "queued", load.queued }, { "limit", load.limit } } },
+        { "callsInProgress", m_forwarder.callsInProgress() } }
+        .dump(2)
+        + "\n";
+}
+
+// The addresses and bounds of a process hold until it ends; what changes is logged so that an operator can see it.
+void ProxyNode::reloadSettings() { logEvent(LogLevel::Info, "reload-requested", {}); }
+
+void ProxyNode::beginStop()
+{
+    if (m_stoppingSince)
+        return;
+    m_stoppingSince = m_loop.now();
+    logEvent(LogLevel::Info, "stopping",
+        { { "calls", std::to_string(m_forwarder.callsInProgress()) },
+            { "callers", std::to_string(m_callers.connectionCount()) } });
+    m_callers.beginDrain();
+    m_peerServer.announceLeaving();
+    m_stopTimer.startRepeating(stopCheckInterval);
+}
+
+void ProxyNode::advanceStop()
+{
+    const Duration elapsed = m_loop.now() - *m_stoppingSince;
+    if (elapsed > peerGrace)
+        m_gate.drain();
+    const bool isIdle = m_gate.isIdle() && m_forwarder.callsInProgress() == 0;
+    const Duration latest = m_settings.stopGrace - stopMargin;
+    if (elapsed < latest && (elapsed < callerGrace || !isIdle))
+        return;
+    m_callers.closeIdle();
+    m_loop.stop();
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/ProxyNode.h
@@ -0,0 +1,110 @@
+// skylark-node: the whole node on one event loop.
+//
+// It holds the callers' listener, the gate beside the backend server, the connections of peers, what the source says,
+// and the pages for readiness, metrics and state. The source is read by a SourceWatcher on its own thread; what it
+// decodes is posted to the loop. While the source is out of reach the node asks peers for what they hold of it.
+//
+// The way of a stop: the ready page says no and peers are told; callers' connections close with their answers; new
+// calls of peers are refused after `peerGrace`; the process ends when nothing is in progress and callers had time to
+// go elsewhere, and before stopGrace is over in any case.
+#pragma once
+
+#include "eventloop/EventLoop.h"
+#include "proxy/CallForwarder.h"
+#include "proxy/PeerServer.h"
+#include "proxy/ProxySettings.h"
+#include "source/SourceWatcher.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace skylark {
+
+// A version of the configuration with the text that it was decoded from.
+struct ConfigurationUpdate {
+    std::shared_ptr<const Configuration> configuration;
+    std::string text;
+};
+
+// What the platform's adapter gives the node. The functions are called on the loop's and the watcher's thread.
+struct PlatformAdapter {
+    std::unique_ptr<KeyValueSource> source;
+    SourceWatcherOptions watcher;
+    Dialect dialect;
+    std::function<bool(const SourceItem&)> isConfiguration;
+    // Throws Error for a text that is not a whole, consistent configuration.
+    std::function<std::shared_ptr<const Configuration>(const std::string& text, Revision revision)>
+        decodeConfiguration;
+    std::function<bool(const SourceItem&)> isServer;
+    // A record that names no server that can be used is absent from the entry; the reason is logged by the adapter.
+    std::function<ServerEntry(const SourceItem&)> decodeServer;
+};
+
+class ProxyNode {
+public:
+    ProxyNode(ProxySettings settings, PlatformAdapter adapter, const Clock& clock);
+    ~ProxyNode();
+
+    // Until SIGTERM or SIGINT and the graceful stop after it.
+    void run();
+
+private:
+    class Consumer;
+
+    void applyConfiguration(const ConfigurationUpdate& update, const char* origin);
+    void applyListing(const std::vector<ServerEntry>& entries, Revision revision);
+    void applyServers(const std::vector<ServerEntry>& entries);
+    void publishServers();
+    void noteSource(bool isLost, const std::string& reason);
+    bool isReady() const;
+
+    PeerClient& peer(const Endpoint& endpoint);
+    void forgetPeers();
+    void tick();
+    void askPeerForSource();
+    SourceState sourceStateFor(const SourceStateRequest& request) const;
+    void applyPeerState(const SourceState& state);
+
+    void handleReady(const std::shared_ptr<HttpConnection>& connection);
+    void handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection);
+    std::string metricsText();
+    std::string stateText();
+    void reloadSettings();
+    void beginStop();
+    void advanceStop();
+
+    const ProxySettings m_settings;
+    PlatformAdapter m_adapter;
+    const Clock& m_clock;
+    EventLoop m_loop;
+    const Hello m_self;
+    Metrics m_metrics;
+    RequestLog m_log;
+    Random m_random;
+    Router m_router;
+    ServerDirectory m_directory;
+    BackendGate m_gate;
+    std::map<Endpoint, std::unique_ptr<PeerClient>> m_peers;
+    CallForwarder m_forwarder;
+    PeerServer m_peerServer;
+    HttpListener m_callers;
+    HttpListener m_readyPage;
+    HttpListener m_admin;
+    // As the source holds it, for peers without the source.
+    std::string m_configurationText;
+    bool m_hasServers { false };
+    bool m_isSourceLost { false };
+    TimePoint m_sourceLostAt;
+    TimePoint m_askedPeersAt;
+    std::optional<TimePoint> m_stoppingSince;
+    Timer m_ticker;
+    Timer m_stopTimer;
+    SignalWatcher m_terminate;
+    SignalWatcher m_interrupt;
+    SignalWatcher m_reload;
+    std::unique_ptr<Consumer> m_consumer;
+    std::unique_ptr<SourceWatcher> m_watcher;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/ProxySettings.cpp
@@ -0,0 +1,67 @@
+#include "proxy/ProxySettings.h"
+
+#include "base/Error.h"
+#include "base/Settings.h"
+
+namespace skylark {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    std::map<ZoneName, RegionName> readRegions(SettingsReader& reader)
+    {
+        std::map<ZoneName, RegionName> regions;
+        const nlohmann::json& zones = reader.value("regions");
+        if (zones.is_null())
+            return regions;
+        if (!zones.is_object())
+            reader.refuse("regions", "an object with a region's name for each zone");
+        for (const auto& [zone, region] : zones.items()) {
+            if (!region.is_string())
+                reader.refuse("regions", "an object with a region's name for each zone");
+            regions.emplace(ZoneName(zone), RegionName(region.get<std::string>()));
+        }
+        return regions;
+    }
+
+} // namespace
+
+ProxySettings proxySettingsFromJson(const nlohmann::json& json)
+{
+    constexpr double mostRatio = 10;
+    constexpr double mostSlack = 1e6;
+    constexpr double mostLines = 1e5;
+    ProxySettings settings;
+    SettingsReader reader(json, "");
+    settings.instance = reader.text("instance");
+    settings.zone = ZoneName(reader.text("zone"));
+    settings.regions = readRegions(reader);
+    settings.service = ServiceName(reader.text("service"));
+    settings.callerAddress = reader.endpoint("callerAddress");
+    settings.readyAddress = reader.endpoint("readyAddress");
+    settings.peerAddress = reader.endpoint("peerAddress");
+    settings.metricsAddress = reader.endpoint("metricsAddress");
+    settings.serverAddress = reader.endpoint("serverAddress");
+    settings.sourceAddress = reader.endpoint("sourceAddress");
+    settings.stopGrace = reader.duration("stopGrace", settings.stopGrace, 500ms, 10min);
+    settings.retryRatio = reader.number("retryRatio", settings.retryRatio, 0, mostRatio);
+    settings.retrySlack = reader.number("retrySlack", settings.retrySlack, 0, mostSlack);
+    settings.retryWindow = reader.duration("retryWindow", settings.retryWindow, 1s, 10min);
+    settings.sourceInterval = reader.duration("sourceInterval", settings.sourceInterval, 10ms, 1min);
+    settings.logLinesPerSecond = reader.number("logLinesPerSecond", settings.logLinesPerSecond, 1, mostLines);
+    settings.logLevel = logLevelFromName(reader.text("logLevel", "info"));
+    reader.finish();
+    return settings;
+}
+
+ProxySettings proxySettingsFromFile(const std::string& path)
+{
+    try {
+        return proxySettingsFromJson(nlohmann::json::parse(readFile(path)));
+    } catch (const nlohmann::json::parse_error& error) {
+        throw Error({ .step = "read-settings", .message = path + " is not JSON: " + error.what() });
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/RequestLog.h
@@ -0,0 +1,32 @@
+// Log lines and metrics of requests, bounded in number.
+//
+// At most linesPerSecond lines are written (with a burst of as many); further ones are counted and the count goes
+// into the next line. Failures go before successes: a success takes a line only while half of the burst is left.
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Log.h"
+#include "base/TokenBucket.h"
+
+namespace skylark {
+
+class RequestLog {
+public:
+    RequestLog(const Clock& clock, double linesPerSecond);
+
+    void success(const std::string& event, const LogFields& fields);
+    void failure(const std::string& event, LogFields fields);
+    uint64_t suppressedCount() const { return m_suppressedTotal; }
+
+private:
+    void write(LogLevel level, const std::string& event, LogFields fields);
+    void suppress();
+
+    const Clock& m_clock;
+    TokenBucketOptions m_options;
+    TokenBucket m_bucket;
+    uint64_t m_suppressed { 0 };
+    uint64_t m_suppressedTotal { 0 };
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/retry/FleetRetryBudget.cpp
@@ -0,0 +1,48 @@
+#include "retry/FleetRetryBudget.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+FleetRetryBudget::FleetRetryBudget(FleetRetryBudgetOptions options)
+    : m_options(options)
+{
+}
+
+int64_t FleetRetryBudget::sliceNumber(TimePoint now) const
+{
+    return now.time_since_epoch().count() / std::max<int64_t>(1, m_options.window.count() / slices);
+}
+
+FleetRetryBudget::Slice& FleetRetryBudget::sliceAt(const ServiceName& service, TimePoint now)
+{
+    const int64_t number = sliceNumber(now);
+    Slice& slice = m_windows[service][static_cast<size_t>(number % (slices + 1))];
+    if (slice.number != number)
+        slice = { .number = number };
+    return slice;
+}
+
+void FleetRetryBudget::noteRequest(const ServiceName& service, TimePoint now) { ++sliceAt(service, now).requests; }
+
+bool FleetRetryBudget::tryTake(const ServiceName& service, size_t nodes, TimePoint now)
+{
+    Slice& current = sliceAt(service, now);
+    double requests = 0;
+    double repeats = 1;
+    for (const Slice& slice : m_windows[service]) {
+        if (slice.number < 0 || current.number - slice.number > slices)
+            continue;
+        repeats += slice.repeats;
+        // The oldest slice reaches out of the window, so its requests are left out and its repeats counted.
+        requests += current.number - slice.number < slices ? slice.requests : 0;
+    }
+    const double bound
+        = m_options.ratio * requests + m_options.slack / static_cast<double>(std::max<size_t>(1, nodes));
+    if (repeats > m_options.safety * bound)
+        return false;
+    ++current.repeats;
+    return true;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/retry/FleetRetryBudget.h
@@ -0,0 +1,49 @@
+// Bounds the repeats that one node sends to a service, so that all nodes together keep to a bound in any window.
+//
+// The fleet's bound is ratio x requests + slack in each window. Nodes write nothing that others read, so each takes
+// the ratio of its own requests and an equal part of the slack, both times `safety`, since the nodes' views of the
+// fleet differ. Requests and repeats are counted in slices of a tenth of the window; a repeat is allowed only if it
+// keeps the bound in the window that ends now. Not thread-safe. Memory: about 200 bytes a service.
+#pragma once
+
+#include "base/Types.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <array>
+
+namespace skylark {
+
+struct FleetRetryBudgetOptions {
+    double ratio { 0.1 };
+    double slack { 10 };
+    Duration window { std::chrono::seconds(10) };
+    // Share of the bound that this node plans with.
+    double safety { 0.6 };
+};
+
+class FleetRetryBudget {
+public:
+    explicit FleetRetryBudget(FleetRetryBudgetOptions options);
+
+    // A caller's request for the service, counted once however often it is sent.
+    void noteRequest(const ServiceName& service, TimePoint now);
+    // Counts one repeat if it is allowed. `nodes` share the slack.
+    bool tryTake(const ServiceName& service, size_t nodes, TimePoint now);
+
+private:
+    static constexpr int64_t slices = 10;
+    struct Slice {
+        int64_t number { -1 };
+        uint32_t requests { 0 };
+        uint32_t repeats { 0 };
+    };
+    using Window = std::array<Slice, slices + 1>;
+
+    int64_t sliceNumber(TimePoint now) const;
+    Slice& sliceAt(const ServiceName& service, TimePoint now);
+
+    FleetRetryBudgetOptions m_options;
+    absl::flat_hash_map<ServiceName, Window> m_windows;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/source/SourceWatcher.cpp
@@ -0,0 +1,110 @@
+#include "source/SourceWatcher.h"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <utility>
+
+namespace skylark {
+
+SourceWatcher::SourceWatcher(
+    KeyValueSource& source, SourceConsumer& consumer, SourceWatcherOptions options, const Clock& clock)
+    : m_source(source)
+    , m_consumer(consumer)
+    , m_options(std::move(options))
+    , m_clock(clock)
+    , m_random(m_options.seed)
+    , m_backoff(m_options.retry)
+    , m_lastChange(clock.now())
+    , m_thread([this] { run(); })
+{
+}
+
+SourceWatcher::~SourceWatcher()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_wakeup.notify_all();
+    m_source.interrupt();
+    m_thread.join();
+}
+
+bool SourceWatcher::pause(Duration wait)
+{
+    std::unique_lock lock(m_mutex);
+    m_wakeup.wait_for(lock, wait, [this] { return m_isStopping; });
+    return !m_isStopping;
+}
+
+void SourceWatcher::run()
+{
+    Duration wait {};
+    while (pause(wait)) {
+        const TimePoint began = m_clock.now();
+        try {
+            if (m_needsListing)
+                listAll();
+            else
+                watchOnce();
+            wait = std::max(Duration(0), m_options.leastInterval - (m_clock.now() - began));
+        } catch (const HistoryLost&) {
+            m_needsListing = true;
+            m_consumer.onCall("watch", true);
+            wait = m_random.upTo(m_options.leastInterval / 2);
+        } catch (const Error& error) {
+            m_consumer.onCall(m_needsListing ? "list" : "watch", false);
+            noteFailure(error.what());
+            wait = m_backoff.next(m_random);
+        }
+    }
+}
+
+void SourceWatcher::listAll()
+{
+    SourceItems all;
+    std::optional<Revision> oldest;
+    for (const std::string& prefix : m_options.prefixes) {
+        SourceItems listed = m_source.list(prefix);
+        m_consumer.onCall("list", true);
+        oldest = oldest ? std::min(*oldest, listed.revision) : listed.revision;
+        std::move(listed.items.begin(), listed.items.end(), std::back_inserter(all.items));
+    }
+    noteSuccess();
+    all.revision = oldest.value_or(Revision());
+    m_revision = all.revision;
+    m_needsListing = false;
+    m_lastChange = m_clock.now();
+    m_consumer.onListing(std::move(all));
+}
+
+void SourceWatcher::watchOnce()
+{
+    SourceItems changes = m_source.watch(m_options.watchPrefix, m_revision, m_options.watchWait);
+    m_consumer.onCall("watch", true);
+    noteSuccess();
+    m_revision = std::max(m_revision, changes.revision);
+    const TimePoint now = m_clock.now();
+    if (!changes.items.empty()) {
+        m_lastChange = now;
+        m_consumer.onChanges(std::move(changes));
+    } else if (now - m_lastChange > m_options.silenceLimit) {
+        m_needsListing = true;
+    }
+}
+
+void SourceWatcher::noteFailure(const std::string& reason)
+{
+    if (!std::exchange(m_isLost, true))
+        m_consumer.onLost(reason);
+}
+
+void SourceWatcher::noteSuccess()
+{
+    m_backoff.reset();
+    if (std::exchange(m_isLost, false))
+        m_consumer.onBack();
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/source/SourceWatcher.h
@@ -0,0 +1,77 @@
+// Follows the source on a thread of its own: lists the prefixes once, then watches for changes.
+//
+// The consumer is called on that thread. A watch that ends with a change is followed by the next one no sooner than
+// leastInterval after it began, since each call is counted and servers' heartbeats would end each watch at once.
+// After a failure the thread waits with backoff and goes on from the revision that it holds; when the history is lost
+// it lists again. Silence of silenceLimit while heartbeats should come makes it list again too.
+#pragma once
+
+#include "base/Backoff.h"
+#include "base/Clock.h"
+#include "source/KeyValueSource.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace skylark {
+
+class SourceConsumer {
+public:
+    virtual ~SourceConsumer() = default;
+    // Everything under all prefixes; the revision is that of the oldest listing among them.
+    virtual void onListing(SourceItems items) = 0;
+    virtual void onChanges(SourceItems changes) = 0;
+    virtual void onLost(const std::string& reason) = 0;
+    virtual void onBack() = 0;
+    // For metrics.
+    virtual void onCall(const char* kind, bool isAnswered) = 0;
+};
+
+struct SourceWatcherOptions {
+    std::vector<std::string> prefixes;
+    // The prefix of the one watch, which covers all the others.
+    std::string watchPrefix;
+    Duration watchWait { std::chrono::seconds(2) };
+    Duration leastInterval { std::chrono::milliseconds(400) };
+    Duration silenceLimit { std::chrono::seconds(6) };
+    BackoffOptions retry { .initial = std::chrono::milliseconds(200), .maximum = std::chrono::milliseconds(800) };
+    uint64_t seed { 1 };
+};
+
+class SourceWatcher {
+public:
+    // Starts the thread. The source, the consumer and the clock must outlive the watcher.
+    SourceWatcher(KeyValueSource& source, SourceConsumer& consumer, SourceWatcherOptions options, const Clock& clock);
+    // Ends a blocked call and the thread.
+    ~SourceWatcher();
+
+private:
+    void run();
+    void listAll();
+    void watchOnce();
+    void noteFailure(const std::string& reason);
+    void noteSuccess();
+    // False when the watcher ends.
+    bool pause(Duration wait);
+
+    KeyValueSource& m_source;
+    SourceConsumer& m_consumer;
+    const SourceWatcherOptions m_options;
+    const Clock& m_clock;
+    Random m_random;
+    Backoff m_backoff;
+    bool m_needsListing { true };
+    bool m_isLost { false };
+    Revision m_revision;
+    TimePoint m_lastChange;
+    std::mutex m_mutex;
+    std::condition_variable m_wakeup;
+    bool m_isStopping { false };
+    std::thread m_thread;
+};
+
+} // namespace skylark
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -66,6 +66,13 @@
 auto fieldsOf(Like<AnswerStart> auto& m) { return std::tie(m.stream, m.status, m.headers, m.hasBody, m.load); }
 auto fieldsOf(Like<Refusal> auto& m) { return std::tie(m.stream, m.outcome, m.step, m.reason, m.load); }
 auto fieldsOf(Like<Cancel> auto& m) { return std::tie(m.stream); }
+auto fieldsOf(Like<SourceStateRequest> auto& m) { return std::tie(m.version, m.revision); }
+auto fieldsOf(Like<ListedServer> auto& m)
+{
+    return std::tie(m.id, m.revision, m.isDeleted, m.incarnation, m.service, m.zone, m.address, m.slots, m.isDraining,
+        m.coldFor);
+}
+auto fieldsOf(Like<SourceState> auto& m) { return std::tie(m.version, m.configuration, m.revision, m.servers); }
 
 template <typename T>
 concept HasFields = requires(T& value)
@@ -90,6 +97,7 @@
 template <> inline constexpr size_t maximumCount<InstanceRecord> = 32768;
 template <> inline constexpr size_t maximumCount<InstanceId> = 32768;
 template <> inline constexpr size_t maximumCount<Hearsay> = 64;
+template <> inline constexpr size_t maximumCount<ListedServer> = 32768;
 template <> inline constexpr size_t maximumCount<std::pair<std::string, std::string>> = 256;
 
 } // namespace skylark
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -255,8 +255,41 @@
     bool operator==(const Cancel&) const = default;
 };
 
+// Asks a peer for what it holds of the source beyond this, while the sender cannot read the source itself.
+struct SourceStateRequest {
+    VersionNumber version;
+    Revision revision;
+    bool operator==(const SourceStateRequest&) const = default;
+};
+
+// An entry of a backend server, or its deletion, at a revision of the source.
+struct ListedServer {
+    InstanceId id;
+    Revision revision;
+    bool isDeleted { false };
+    // What follows is empty for a deletion.
+    Incarnation incarnation;
+    ServiceName service;
+    ZoneName zone;
+    Endpoint address;
+    uint32_t slots { 0 };
+    bool isDraining { false };
+    Duration coldFor {};
+    bool operator==(const ListedServer&) const = default;
+};
+
+struct SourceState {
+    VersionNumber version;
+    // zstd frame of the configuration's text as the source holds it; empty when the asking node has this version.
+    std::string configuration;
+    Revision revision;
+    std::vector<ListedServer> servers;
+    bool operator==(const SourceState&) const = default;
+};
+
 // The order of the alternatives is the type number on the wire; new ones go at the end.
 using Message = std::variant<Hello, Ping, Pong, Summary, PushVersion, PushAck, FetchRequest, SnapshotPart, SectionBatch,
-    ListUpdate, HearsayBatch, Leaving, CallStart, BodyChunk, WindowUpdate, AnswerStart, Refusal, Cancel>;
+    ListUpdate, HearsayBatch, Leaving, CallStart, BodyChunk, WindowUpdate, AnswerStart, Refusal, Cancel, SourceStateRequest,
+    SourceState>;
 
 } // namespace skylark
