Tell a server's own refusals from a full server, and end a stop without cuts

Answers without a length were passed on with one, so a cut one looked whole. Ruled out: too little room at the servers (nothing queued before the refusals).

--- a/src/admission/AdmissionController.cpp
+++ b/src/admission/AdmissionController.cpp
@@ -98,7 +98,7 @@
     if (result == ServiceResult::Answered) {
         m_ranks[rank].serviceTime.add(serviceTime, now);
         m_limit.noteAnswer(rank, serviceTime, inFlight(), now);
-    } else if (result == ServiceResult::Shed) {
+    } else if (result == ServiceResult::Shed && inFlight() >= m_options.slots) {
         m_limit.noteShed(now);
     }
     settle(rank, now);
--- a/src/admission/AdmissionController.h
+++ b/src/admission/AdmissionController.h
@@ -86,7 +86,8 @@
 
 enum class ServiceResult : uint8_t {
     Answered,
-    // The backend server refused the call for lack of capacity.
+    // The backend server refused the call. Taken for a lack of capacity only when its slots were in use: the gate
+    // is the only way to it, and a server that refuses with slots free is at fault in another way.
     Shed,
     // No answer: says nothing about latency.
     Failed,
--- a/src/http/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -89,9 +89,9 @@
         + (response.reason.empty() ? reasonPhrase(response.status) : response.reason) + "\r\n";
     text.reserve(text.size() + 512 + response.body.size());
     appendHeaders(text, response.headers);
-    if (!forbidsBody(response.status))
+    if (!forbidsBody(response.status) && !response.endsWithClose)
         text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-    if (!response.keepsAlive)
+    if (!response.keepsAlive || response.endsWithClose)
         text += "Connection: close\r\n";
     text += "\r\n";
     if (!forbidsBody(response.status))
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -49,6 +49,9 @@
     HttpHeaders headers;
     std::string body;
     bool keepsAlive { true };
+    // Without a length: the body ends where the connection does. A body that was received so may have been cut by an
+    // orderly close, and is passed on so as not to claim more than is known.
+    bool endsWithClose { false };
 };
 
 // Both add Content-Length; a request without body of a method that has none stays without.
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -220,7 +220,10 @@
     m_state->collector->put_eof(error);
     if (error || !m_state->collector->is_done())
         return std::nullopt;
-    return m_state->takeFinal();
+    auto response = m_state->takeFinal();
+    if (response)
+        response->endsWithClose = true;
+    return response;
 }
 
 bool ResponseParser::isWithinMessage() const { return m_state->isWithinMessage(); }
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -58,8 +58,8 @@
 void CallForwarder::handle(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
 {
     const CallPtr call = makeCall(std::move(request), caller);
-    if (!call->configuration) {
-        call->lastReason = "no configuration is held yet";
+    if (!call->configuration || m_isDraining) {
+        call->lastReason = m_isDraining ? "the node stops" : "no configuration is held yet";
         finish(call, refusal(*call), "not-run");
         return;
     }
@@ -227,6 +227,7 @@
     report(*call, refusal.outcome, isUnknown,
         refusal.load.limit > 0 ? std::optional(refusal.load) : std::nullopt);
     call->lastLoad = refusal.load;
+    call->wasRefusedByServer = isFromServer;
     call->lastReason = refusal.step + ": " + refusal.reason;
     m_log.failure("attempt-failed",
         { { "id", call->requestId.value() }, { "route", call->route->name },
@@ -267,7 +268,10 @@
 Duration CallForwarder::retryAfter(const Call& call)
 {
     Duration wait = usualRetryAfter;
-    if (call.lastLoad.limit > 0 && call.lastLoad.queued > 0) {
+    // A refusal by the server itself says nothing of its load: another try may succeed at once.
+    if (call.wasRefusedByServer)
+        wait = leastRetryAfter;
+    else if (call.lastLoad.limit > 0 && call.lastLoad.queued > 0) {
         const Duration inSystem = m_loop.now() - call.receivedAt;
         wait = std::max(inSystem, usualRetryAfter / 3) * (call.lastLoad.queued + 1) / call.lastLoad.limit;
     }
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -47,6 +47,8 @@
         PeerLookup peers, RequestLog& log, Metrics& metrics);
 
     void handle(HttpRequest request, const std::shared_ptr<HttpConnection>& caller);
+    // Refuses all new requests as not run from now on.
+    void drain() { m_isDraining = true; }
     void setConfiguration(std::shared_ptr<const Configuration> configuration);
     const std::shared_ptr<const Configuration>& configuration() const { return m_configuration; }
     // Nodes that share the retry budget.
@@ -79,6 +81,7 @@
         StreamId stream;
         TimePoint sentAt;
         LoadHint lastLoad;
+        bool wasRefusedByServer { false };
         Timer timer;
     };
     using CallPtr = std::shared_ptr<Call>;
@@ -117,6 +120,7 @@
     FleetRetryBudget m_retryBudget;
     Random m_random;
     size_t m_fleetSize { 1 };
+    bool m_isDraining { false };
     uint64_t m_lastNumber { 0 };
     uint64_t m_lastStream { 0 };
     absl::flat_hash_map<uint64_t, CallPtr> m_calls;
--- a/src/proxy/HttpListener.cpp
+++ b/src/proxy/HttpListener.cpp
@@ -69,7 +69,7 @@
     const auto self = shared_from_this();
     m_isBusy = false;
     m_onGone = nullptr;
-    response.keepsAlive = m_keepsAlive && !m_listener.m_isDraining;
+    response.keepsAlive = m_keepsAlive && !m_listener.m_isDraining && !response.endsWithClose;
     std::string text = serialize(response);
     if (m_isHead)
         text.resize(text.size() - response.body.size());
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -198,7 +198,8 @@
     auto answer = std::make_shared<const GateReply>(
         GateAnswer { .response = { .status = static_cast<int>(head.status),
                          .headers = toHttpHeaders(std::move(head.headers)),
-                         .body = std::move(outstanding.body) },
+                         .body = std::move(outstanding.body),
+                         .endsWithClose = head.endsWithClose },
             .load = head.load });
     reply(stream, answer);
 }
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -116,7 +116,8 @@
                                         .status = static_cast<uint32_t>(answer->response.status),
                                         .headers = toHeaderList(answer->response.headers),
                                         .hasBody = !answer->response.body.empty(),
-                                        .load = answer->load },
+                                        .load = answer->load,
+                                        .endsWithClose = answer->response.endsWithClose },
                 stream, answer->response.body);
             return;
         }
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -437,6 +437,8 @@
     const Duration elapsed = m_loop.now() - *m_stoppingSince;
     if (elapsed > peerGrace)
         m_gate.drain();
+    if (elapsed > callerGrace)
+        m_forwarder.drain();
     const bool isIdle = m_gate.isIdle() && m_forwarder.callsInProgress() == 0;
     const Duration latest = m_settings.stopGrace - stopMargin;
     if (elapsed < latest && (elapsed < callerGrace || !isIdle))
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -5,8 +5,8 @@
 // decodes is posted to the loop. While the source is out of reach the node asks peers for what they hold of it.
 //
 // The way of a stop: the ready page says no and peers are told; callers' connections close with their answers; new
-// calls of peers are refused after `peerGrace`; the process ends when nothing is in progress and callers had time to
-// go elsewhere, and before stopGrace is over in any case.
+// calls of peers are refused after `peerGrace`, new requests after `callerGrace`, when callers had time to go elsewhere;
+// then the process ends as soon as nothing is in progress, and before stopGrace is over in any case.
 #pragma once
 
 #include "eventloop/EventLoop.h"
--- a/src/retry/FleetRetryBudget.h
+++ b/src/retry/FleetRetryBudget.h
@@ -18,7 +18,7 @@
     double slack { 10 };
     Duration window { std::chrono::seconds(10) };
     // Share of the bound that this node plans with.
-    double safety { 0.6 };
+    double safety { 0.8 };
 };
 
 class FleetRetryBudget {
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -230,6 +230,8 @@
     HeaderList headers;
     bool hasBody { false };
     LoadHint load;
+    // The server ended its answer by closing, so whether it is whole is for the caller to find out.
+    bool endsWithClose { false };
     bool operator==(const AnswerStart&) const = default;
 };
 
