Place calls by the least expected time, the own zone first

Change: a policy that compares expected times (reported service time, load beyond the limit, cold start, success rate) over all instances, or 16 drawn ones, with 40 ms against another zone; gates report their mean service time. Ruled out: the zone shares with the region alone were not measured apart.

--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -88,7 +88,8 @@
     return { .inFlight = static_cast<uint32_t>(m_admission.inFlight()),
         .queued = static_cast<uint32_t>(m_admission.queued()),
         .limit = static_cast<uint32_t>(m_admission.limit()),
-        .isLeaving = m_isDraining || (m_server && m_server->isDraining) };
+        .isLeaving = m_isDraining || (m_server && m_server->isDraining),
+        .meanService = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceTime.mean())) };
 }
 
 const char* BackendGate::refusalCause(const GateCall& call) const
@@ -253,6 +254,8 @@
     const TimePoint now = m_loop.now();
     call->isRunning = false;
     m_byTicket.erase(call->ticket);
+    if (result == ServiceResult::Answered)
+        m_serviceTime.add(now - call->startedAt, now);
     const Dispatch dispatch = m_admission.release(call->ticket, result, now - call->startedAt, now);
     if (!dispatch.started.empty() || !dispatch.refused.empty())
         apply(dispatch);
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -107,6 +107,7 @@
     std::vector<RankPolicy> m_ranks;
     std::optional<ServerRecord> m_server;
     AdmissionController m_admission;
+    ServiceTimeEstimate m_serviceTime;
     absl::flat_hash_map<CallKey, CallPtr> m_calls;
     absl::flat_hash_map<TicketId, CallPtr> m_byTicket;
     uint64_t m_lastTicket { 0 };
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -16,6 +16,8 @@
     using namespace std::chrono_literals;
 
     constexpr Duration tickInterval = 250ms;
+    // A backend server is slow for some seconds after its start.
+    constexpr Duration coldTime = 3s;
     // Time without the source after which peers are asked, and between two such questions.
     constexpr Duration peerQuestionAfter = 600ms;
     constexpr Duration peerQuestionInterval = 500ms;
@@ -28,6 +30,15 @@
     constexpr Duration stopCheckInterval = 50ms;
     constexpr size_t mostConfigurationBytes = 16 * 1024 * 1024;
 
+    RouterOptions routerOptions(const ProxySettings& settings)
+    {
+        const auto region = settings.regions.find(settings.zone);
+        return { .zone = settings.zone,
+            .region = region == settings.regions.end() ? RegionName() : region->second,
+            .policy = LeastExpectedTime {},
+            .slowStart = coldTime };
+    }
+
     Incarnation newIncarnation()
     {
         std::random_device device;
@@ -139,7 +150,7 @@
         .purpose = ConnectionPurpose::Calls }
     , m_log(clock, m_settings.logLinesPerSecond)
     , m_random(m_self.incarnation.value())
-    , m_router({ .zone = m_settings.zone })
+    , m_router(routerOptions(m_settings))
     , m_directory({ .peerPort = m_settings.peerAddress.port, .regions = m_settings.regions })
     , m_gate(m_loop, { .server = m_settings.serverAddress }, m_adapter.dialect)
     , m_forwarder(m_loop,
--- a/src/routing/InstanceStatistics.cpp
+++ b/src/routing/InstanceStatistics.cpp
@@ -44,6 +44,7 @@
     invariant(before > 0, { .rule = "calls in flight are never negative", .step = "routing" });
     if (report.load) {
         m_hint.store(pack(*report.load), std::memory_order_relaxed);
+        m_hintService.store(report.load->meanService.count(), std::memory_order_relaxed);
         m_hintAt.store(count(now), std::memory_order_relaxed);
         if (report.load->isLeaving)
             m_isLeaving.store(true, std::memory_order_relaxed);
@@ -67,7 +68,21 @@
     return { .inFlight = static_cast<uint32_t>(bits >> 44),
         .queued = static_cast<uint32_t>(bits >> 20 & 0xffffff),
         .limit = static_cast<uint32_t>(bits & 0xfffff),
-        .isLeaving = isLeaving() };
+        .isLeaving = isLeaving(),
+        .meanService = Duration(m_hintService.load(std::memory_order_relaxed)) };
+}
+
+double InstanceStatistics::estimatedLoad(Duration lifetime, TimePoint now) const
+{
+    const uint64_t bits = m_hint.load(std::memory_order_relaxed);
+    const auto reported = static_cast<double>((bits >> 44) + (bits >> 20 & 0xffffff));
+    return std::max(static_cast<double>(inFlight()), reported * hintWeight(lifetime, now));
+}
+
+double InstanceStatistics::serviceSeconds(double fallback) const
+{
+    const Duration::rep service = m_hintService.load(std::memory_order_relaxed);
+    return service > 0 ? inSeconds(service) : fallback;
 }
 
 double InstanceStatistics::hintWeight(Duration lifetime, TimePoint now) const
--- a/src/routing/InstanceStatistics.h
+++ b/src/routing/InstanceStatistics.h
@@ -26,6 +26,10 @@
     // Sticky: a leaving process never comes back under the same incarnation.
     bool isLeaving() const { return m_isLeaving.load(std::memory_order_relaxed); }
     LoadHint hint() const;
+    // Calls at the gate as far as known: its last report, which fades, and at least this node's own.
+    double estimatedLoad(Duration lifetime, TimePoint now) const;
+    // The server's mean time for a call as its gate reports it; the fallback where it has not.
+    double serviceSeconds(double fallback) const;
     // From 1 for a new hint down to 0 at the end of the lifetime, or without a hint.
     double hintWeight(Duration lifetime, TimePoint now) const;
     // For a choice: the own calls in flight and the reported queue, which fades with its age and is bounded so
@@ -59,6 +63,8 @@
     std::atomic<uint64_t> m_hint { 0 };
     // Times are counts of the steady clock; 0 means never.
     std::atomic<TimePoint::rep> m_hintAt { 0 };
+    // Mean service time of the last hint, as a count of nanoseconds.
+    std::atomic<Duration::rep> m_hintService { 0 };
     std::atomic<double> m_latency { 0 };
     std::atomic<TimePoint::rep> m_latencyAt { 0 };
     std::atomic<uint32_t> m_failuresInRow { 0 };
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -135,8 +135,10 @@
     if (const Member* probe = findProbe(*table, request, now))
         return makeChoice(*probe, ChoiceReason::Probe, table, now);
 
-    const ZoneMembers& drawn = table->zoneFor(random.unit());
-    const Member* member = table->pick(m_options, drawn, request.excluded, random, now);
+    const auto* byTime = std::get_if<LeastExpectedTime>(&m_options.policy);
+    const Member* member = byTime
+        ? table->pickByExpectedTime(m_options, *byTime, request.excluded, random, now)
+        : table->pick(m_options, table->zoneFor(random.unit()), request.excluded, random, now);
     for (auto zone = table->zones().begin(); !member && zone != table->zones().end(); ++zone)
         member = table->pick(m_options, *zone, request.excluded, random, now);
     // An instance that was tried is better than one that looks unhealthy.
--- a/src/routing/ServiceTable.cpp
+++ b/src/routing/ServiceTable.cpp
@@ -162,12 +162,69 @@
         {
             return table.pickRandom(options, zone, excluded, random, now, nullptr);
         }
+        const Member* operator()(const LeastExpectedTime&) const
+        {
+            return table.pickOfTwo(options, zone, excluded, random, now);
+        }
         const Member* operator()(const BestScore&) const { return pickBest(zone, excluded); }
         const Member* operator()(const ScoreProportional&) const { return pickByScore(zone, excluded, random); }
     };
     return std::visit(Visitor { *this, options, zone, excluded, random, now }, options.policy);
 }
 
+double ServiceTable::expectedTime(const RouterOptions& options, const LeastExpectedTime& policy,
+    const ZoneMembers& zone, const Member& member, TimePoint now) const
+{
+    // Even below the limit a server slows down with its load.
+    constexpr double slowdownAtLimit = 0.3;
+    constexpr double leastSuccessRate = 0.1;
+    constexpr double assumedLimit = 8;
+    const InstanceStatistics& statistics = *member.statistics;
+    const double hintLimit = statistics.hint().limit;
+    const double limit = hintLimit > 0 ? hintLimit : assumedLimit;
+    // The call to be placed counts too.
+    const double load = statistics.estimatedLoad(options.hintLifetime, now) + 1;
+    const double coldFactor = 2 - slowStartWeight(options, zone, member, now);
+    const double service = statistics.serviceSeconds(m_meanLatency) * coldFactor;
+    const double wait = std::max(0.0, load - limit) / limit * service;
+    const double time = service * (1 + slowdownAtLimit * std::min(1.0, load / limit)) + wait
+        + (zone.tier > 0 ? policy.zonePenalty : 0);
+    // A failed call costs its time and the next attempt's.
+    return time / std::max(leastSuccessRate, statistics.successRate());
+}
+
+const Member* ServiceTable::pickByExpectedTime(const RouterOptions& options, const LeastExpectedTime& policy,
+    std::span<const InstanceId> excluded, Random& random, TimePoint now) const
+{
+    const Member* best = nullptr;
+    double least = 0;
+    uint64_t equals = 1;
+    const auto consider = [&](const ZoneMembers& zone, const Member& member) {
+        if (!member.isHealthy() || isExcluded(excluded, member))
+            return;
+        const double time = expectedTime(options, policy, zone, member, now);
+        // Equal ones are drawn evenly.
+        equals = best && time == least ? equals + 1 : 1;
+        if (best && (time > least || (time == least && random.below(equals) != 0)))
+            return;
+        best = &member;
+        least = time;
+    };
+    if (m_size <= policy.mostCandidates) {
+        for (const ZoneMembers& zone : m_zones) {
+            for (const Member& member : zone.members)
+                consider(zone, member);
+        }
+        return best;
+    }
+    for (size_t draw = 0; draw < policy.mostCandidates; ++draw) {
+        const bool isOwnZone = draw < policy.mostCandidates / 2;
+        const ZoneMembers& zone = isOwnZone ? m_zones.front() : m_zones[random.below(m_zones.size())];
+        consider(zone, zone.members[random.below(zone.members.size())]);
+    }
+    return best;
+}
+
 const ZoneMembers& ServiceTable::zoneFor(double unit) const
 {
     for (const ZoneMembers& zone : m_zones) {
--- a/src/routing/ServiceTable.h
+++ b/src/routing/ServiceTable.h
@@ -56,6 +56,9 @@
     // A healthy member of the zone by the policy, or null. Excluded instances are left out.
     const Member* pick(const RouterOptions& options, const ZoneMembers& zone, std::span<const InstanceId> excluded,
         Random& random, TimePoint now) const;
+    // The healthy member of any zone that LeastExpectedTime prefers, or null.
+    const Member* pickByExpectedTime(const RouterOptions& options, const LeastExpectedTime& policy,
+        std::span<const InstanceId> excluded, Random& random, TimePoint now) const;
     // The zone for a uniform number from [0, 1).
     const ZoneMembers& zoneFor(double unit) const;
     const Member* ownerOf(std::string_view key) const;
@@ -67,6 +70,9 @@
 private:
     friend class ZoneShares;
 
+    // In seconds; lower is better.
+    double expectedTime(const RouterOptions& options, const LeastExpectedTime& policy, const ZoneMembers& zone,
+        const Member& member, TimePoint now) const;
     void computeMeanLatency(TimePoint now);
     void computeScores(const RouterOptions& options, const ScoreCoefficients& coefficients, TimePoint now);
     const Member* pickOfTwo(const RouterOptions& options, const ZoneMembers& zone, std::span<const InstanceId> excluded,
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -62,7 +62,7 @@
 }
 auto fieldsOf(Like<BodyChunk> auto& m) { return std::tie(m.stream, m.offset, m.data, m.isLast); }
 auto fieldsOf(Like<WindowUpdate> auto& m) { return std::tie(m.stream, m.bytes); }
-auto fieldsOf(Like<LoadHint> auto& m) { return std::tie(m.inFlight, m.queued, m.limit, m.isLeaving); }
+auto fieldsOf(Like<LoadHint> auto& m) { return std::tie(m.inFlight, m.queued, m.limit, m.isLeaving, m.meanService); }
 auto fieldsOf(Like<AnswerStart> auto& m) { return std::tie(m.stream, m.status, m.headers, m.hasBody, m.load, m.endsWithClose); }
 auto fieldsOf(Like<Refusal> auto& m) { return std::tie(m.stream, m.outcome, m.step, m.reason, m.load); }
 auto fieldsOf(Like<Cancel> auto& m) { return std::tie(m.stream); }
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -221,6 +221,8 @@
     uint32_t queued { 0 };
     uint32_t limit { 0 };
     bool isLeaving { false };
+    // Mean time that the server takes for a call, without the time in the queue; zero when not known.
+    Duration meanService {};
     bool operator==(const LoadHint&) const = default;
 };
 
