Serve calls that can be on time before those that cannot

Callers that come back after a refusal are late already, but were taken for new ones. Ruled out: more throughput; the slots were in use all the time. Change: calls carry the time by which their answer is on time, corrected by what the caller has waited before (learned from the usual remaining time); late ones wait behind all others and only while the room left is expected to reach them. Own failures of a server are delivered and not repeated; repeats after a possible run may use 0.35 of the budget, the others 0.8.

--- a/src/admission/AdmissionController.cpp
+++ b/src/admission/AdmissionController.cpp
@@ -41,6 +41,8 @@
 
 bool AdmissionController::Order::operator()(const Waiting& left, const Waiting& right) const
 {
+    if (left.isLate != right.isLate)
+        return right.isLate;
     if (left.key != right.key)
         return left.key < right.key;
     if (left.ticket.worth != right.ticket.worth)
@@ -76,16 +78,17 @@
     if (m_isDraining)
         return { .reason = RefusalReason::Draining };
     const bool isStartable = mayStart(rank, now);
-    if (isTooLate(ticket, isStartable, now))
+    const bool isLateNow = !isStartable && isLate(ticket, now);
+    if (isTooLate(ticket, isStartable, isLateNow, now))
         return { .reason = RefusalReason::TooLate };
     if (isStartable) {
         start(ticket, now);
         return { .admission = Admission::Admitted };
     }
     AdmitResult result { .reason = RefusalReason::QueueFull };
-    if (!makeRoom(ticket, result.displaced))
+    if (!makeRoom(ticket, isLateNow, result.displaced))
         return result;
-    enqueue(ticket);
+    enqueue(ticket, isLateNow);
     result.admission = Admission::Queued;
     return result;
 }
@@ -178,7 +181,38 @@
     return std::min(byFloor, byOrder) + secondsToFreeSlot(0, rank);
 }
 
-bool AdmissionController::isTooLate(const Ticket& ticket, bool isStartable, TimePoint now) const
+double AdmissionController::lateWaitSeconds(size_t rank, TimePoint now) const
+{
+    double work = 0;
+    double left = 1;
+    for (size_t other = 0; other < m_ranks.size(); ++other) {
+        work += static_cast<double>(m_ranks[other].queue.size()) * serviceSeconds(other);
+        left -= demand(other, now);
+    }
+    return left > 0 ? work / (left * limit()) + secondsToFreeSlot(0, rank) : HUGE_VAL;
+}
+
+size_t AdmissionController::callsAhead(size_t rank, TimePoint key) const
+{
+    const auto& queue = m_ranks[rank].queue;
+    size_t ahead = queue.size();
+    for (auto later = queue.rbegin(); later != queue.rend() && (later->isLate || later->key > key); ++later)
+        --ahead;
+    return ahead;
+}
+
+bool AdmissionController::isLate(const Ticket& ticket, TimePoint now) const
+{
+    if (!isRanked() || ticket.onTimeBy == TimePoint())
+        return false;
+    const size_t rank = rankOf(ticket);
+    const ServiceTimeEstimate& estimate = m_ranks[rank].serviceTime;
+    const double service = serviceSeconds(rank, ticket.costHint) + estimate.deviation();
+    const double wait = waitSeconds(rank, callsAhead(rank, ticket.onTimeBy), now);
+    return wait + service > inSeconds(ticket.onTimeBy - now);
+}
+
+bool AdmissionController::isTooLate(const Ticket& ticket, bool isStartable, bool isLate, TimePoint now) const
 {
     const double remaining = inSeconds(ticket.deadline - now);
     if (remaining <= 0)
@@ -190,12 +224,13 @@
     // An estimate that no answer has confirmed for a while must not refuse the calls that would correct it.
     if (isStartable)
         return estimate.isFresh(now) && estimate.mean() > remaining;
-    const auto& queue = m_ranks[rank].queue;
-    size_t ahead = queue.size();
-    for (auto later = queue.rbegin(); later != queue.rend() && later->key > ticket.deadline; ++later)
-        --ahead;
     const double service = serviceSeconds(rank, ticket.costHint) + safeDeviations * estimate.deviation();
-    return waitSeconds(rank, ahead, now) + service > remaining;
+    if (isLate)
+        return lateWaitSeconds(rank, now) + service > remaining;
+    // A call that can be on time can be before its deadline.
+    if (ticket.onTimeBy != TimePoint())
+        return false;
+    return waitSeconds(rank, callsAhead(rank, ticket.deadline), now) + service > remaining;
 }
 
 void AdmissionController::settle(size_t rank, TimePoint now)
@@ -252,7 +287,7 @@
     if (!isRanked())
         return m_waiting.empty();
     for (size_t other = 0; other <= rank; ++other) {
-        if (!m_ranks[other].queue.empty())
+        if (hasOnTimeCalls(other))
             return false;
     }
     return isBelowFloor(rank, now) || maySpareSlot(rank, now);
@@ -279,11 +314,17 @@
     }
     if (neediest)
         return neediest;
+    std::optional<size_t> late;
     for (size_t rank = 0; rank < m_ranks.size(); ++rank) {
-        if (!m_ranks[rank].queue.empty())
+        const Queue& queue = m_ranks[rank].queue;
+        if (queue.empty())
+            continue;
+        if (hasOnTimeCalls(rank))
             return maySpareSlot(rank, now) ? std::optional(rank) : std::nullopt;
+        if (!late)
+            late = rank;
     }
-    return std::nullopt;
+    return late && maySpareSlot(*late, now) ? late : std::nullopt;
 }
 
 void AdmissionController::start(const Ticket& ticket, TimePoint now)
@@ -295,12 +336,19 @@
     ++m_ranks[rank].inFlight;
 }
 
-void AdmissionController::enqueue(const Ticket& ticket)
+AdmissionController::Waiting AdmissionController::entryOf(const Ticket& ticket, bool isLate) const
+{
+    const TimePoint arrival { Duration(m_sequence) };
+    const bool hasTarget = ticket.onTimeBy != TimePoint() && !isLate;
+    const TimePoint key = isRanked() ? (hasTarget ? ticket.onTimeBy : ticket.deadline) : arrival;
+    return { .ticket = ticket, .key = key, .sequence = m_sequence, .isLate = isLate };
+}
+
+void AdmissionController::enqueue(const Ticket& ticket, bool isLate)
 {
-    const uint64_t sequence = m_sequence++;
-    const TimePoint arrival { Duration(sequence) };
     const size_t queue = isRanked() ? rankOf(ticket) : 0;
-    const auto entry = m_ranks[queue].queue.insert({ ticket, isRanked() ? ticket.deadline : arrival, sequence }).first;
+    const auto entry = m_ranks[queue].queue.insert(entryOf(ticket, isLate)).first;
+    ++m_sequence;
     m_waiting.emplace(ticket.id, Place { queue, entry });
     invariant(m_waiting.size() <= static_cast<size_t>(std::max(1, m_options.maxQueue)),
         { .rule = "the queues keep to their bound", .step = step });
@@ -314,7 +362,7 @@
     return ticket;
 }
 
-bool AdmissionController::makeRoom(const Ticket& ticket, std::vector<RefusedTicket>& displaced)
+bool AdmissionController::makeRoom(const Ticket& ticket, bool isLate, std::vector<RefusedTicket>& displaced)
 {
     if (m_options.maxQueue <= 0)
         return false;
@@ -334,22 +382,44 @@
         }
         invariant(victim < m_ranks.size(), { .rule = "floors sum to at most 1", .step = step });
         const Queue& queue = m_ranks[victim].queue;
-        if (victim == own && (queue.empty() || queue.rbegin()->key <= ticket.deadline))
+        if (victim == own && (queue.empty() || !Order()(entryOf(ticket, isLate), *queue.rbegin())))
             return false;
         displaced.push_back({ take(victim, std::prev(queue.end())), RefusalReason::QueueFull });
     }
     return true;
 }
 
+void AdmissionController::demoteLate(size_t rank, TimePoint now, std::vector<RefusedTicket>& refused)
+{
+    Queue& queue = m_ranks[rank].queue;
+    const double service = serviceSeconds(rank);
+    while (!queue.empty() && !queue.begin()->isLate && queue.begin()->ticket.onTimeBy != TimePoint()
+        && queue.begin()->ticket.onTimeBy < now + fromSeconds(service)) {
+        const Ticket ticket = take(rank, queue.begin());
+        if (isTooLate(ticket, false, true, now))
+            refused.push_back({ ticket, RefusalReason::TooLate });
+        else
+            enqueue(ticket, true);
+    }
+}
+
 void AdmissionController::refuseLate(TimePoint now, std::vector<RefusedTicket>& refused)
 {
     for (size_t index = 0; index < m_ranks.size(); ++index) {
         Rank& rank = m_ranks[index];
+        if (isRanked())
+            demoteLate(index, now, refused);
         const bool isEstimated = isRanked() && rank.serviceTime.isFresh(now);
         const double service
             = isEstimated ? rank.serviceTime.mean() + safeDeviations * rank.serviceTime.deviation() : 0;
-        while (!rank.queue.empty() && rank.queue.begin()->ticket.deadline <= now + fromSeconds(service))
+        const auto isHopeless = [&](const Queue::const_iterator& entry) {
+            return entry != rank.queue.end() && entry->ticket.deadline <= now + fromSeconds(service);
+        };
+        while (isHopeless(rank.queue.begin()))
             refused.push_back({ take(index, rank.queue.begin()), RefusalReason::TooLate });
+        const auto firstLate = [&] { return rank.queue.lower_bound({ .key = TimePoint::min(), .isLate = true }); };
+        while (isHopeless(firstLate()))
+            refused.push_back({ take(index, firstLate()), RefusalReason::TooLate });
     }
 }
 
--- a/src/admission/AdmissionController.h
+++ b/src/admission/AdmissionController.h
@@ -13,6 +13,11 @@
 // rank's recent arrivals occupy on average, plus one standard deviation (at least one slot), less those that
 // they occupy now. Where slots turn over faster, urgent arrivals wait little and no slot needs to stay idle.
 //
+// Late work: a call that states onTimeBy and is not expected to be answered by then goes behind all that can still
+// be on time, of any rank, and waits only while the capacity that those leave is expected to reach it before its
+// deadline. Under overload a queue in order of arrival answers nearly everybody late; so those who are answered are
+// answered on time, and the others are refused at once (LateWorkTest plays that load).
+//
 // Early refusal: a call whose estimated wait and service time exceed its deadline is refused at once. The
 // queues hold maxQueue calls at most. Beyond that the latest deadline of the lowest rank is dropped, among
 // ranks that hold more than floor x maxQueue places: without this, a flood of urgent calls would empty the
@@ -43,6 +48,8 @@
     // Place in the list of ranks; a number past the end counts as the lowest rank.
     int rank { 0 };
     TimePoint deadline;
+    // An answer after this is worth little to the caller. Never after the deadline where it is set.
+    TimePoint onTimeBy {};
     // Among equal deadlines of one rank, the higher worth goes first.
     double worth { 1 };
     // Expected service time; zero when unknown. Used until the rank's service time has been measured.
@@ -141,7 +148,9 @@
         // The deadline, or the order of arrival under FifoAdmission.
         TimePoint key;
         uint64_t sequence { 0 };
+        bool isLate { false };
     };
+    // Late calls come after all others of their rank.
     struct Order {
         bool operator()(const Waiting& left, const Waiting& right) const;
     };
@@ -165,7 +174,12 @@
     // Offered work of the rank as a share of the limit, at most 1.
     double demand(size_t rank, TimePoint now) const;
     double waitSeconds(size_t rank, size_t ownAhead, TimePoint now) const;
-    bool isTooLate(const Ticket& ticket, bool isStartable, TimePoint now) const;
+    // As waitSeconds, behind everything that waits now and what comes on time meanwhile.
+    double lateWaitSeconds(size_t rank, TimePoint now) const;
+    size_t callsAhead(size_t rank, TimePoint key) const;
+    // Expected to be answered after onTimeBy if it waits.
+    bool isLate(const Ticket& ticket, TimePoint now) const;
+    bool isTooLate(const Ticket& ticket, bool isStartable, bool isLate, TimePoint now) const;
 
     double floorSlots(size_t rank) const { return m_ranks[rank].policy.floor * limit(); }
     void settle(size_t rank, TimePoint now);
@@ -179,11 +193,18 @@
     // The queue whose first call starts next, if any may.
     std::optional<size_t> nextQueue(TimePoint now);
 
+    bool hasOnTimeCalls(size_t rank) const
+    {
+        return !m_ranks[rank].queue.empty() && !m_ranks[rank].queue.begin()->isLate;
+    }
+    Waiting entryOf(const Ticket& ticket, bool isLate) const;
     void start(const Ticket& ticket, TimePoint now);
-    void enqueue(const Ticket& ticket);
+    void enqueue(const Ticket& ticket, bool isLate);
+    // Puts calls that cannot be on time any more behind the others, or refuses them.
+    void demoteLate(size_t rank, TimePoint now, std::vector<RefusedTicket>& refused);
     Ticket take(size_t queue, Queue::const_iterator entry);
     // Makes a place for the ticket; false when the ticket itself is the one to drop.
-    bool makeRoom(const Ticket& ticket, std::vector<RefusedTicket>& displaced);
+    bool makeRoom(const Ticket& ticket, bool isLate, std::vector<RefusedTicket>& displaced);
     void refuseLate(TimePoint now, std::vector<RefusedTicket>& refused);
     Dispatch dispatch(TimePoint now);
 
--- a/src/admission/tests/GateSimulator.h
+++ b/src/admission/tests/GateSimulator.h
@@ -19,12 +19,16 @@
     // Service times are uniform over half to one and a half of it.
     Duration meanService {};
     Duration deadline {};
+    // Zero: the calls state no time after which an answer is late.
+    Duration target {};
 };
 
 struct RankResult {
     int64_t offered { 0 };
     int64_t onTime { 0 };
     int64_t late { 0 };
+    // Answered within the stream's target.
+    int64_t withinTarget { 0 };
     int64_t refused { 0 };
     // Backend slot time of answered calls, and of those that were on time, in seconds.
     double slotSeconds { 0 };
@@ -75,6 +79,7 @@
         TimePoint deadline;
         TimePoint startedAt;
         Duration service {};
+        TimePoint onTimeBy {};
     };
 
     void at(TimePoint time, std::function<void()> action) { m_events.push({ time, m_sequence++, std::move(action) }); }
@@ -108,9 +113,11 @@
     void arrive(const Stream& stream)
     {
         const TicketId id(m_nextId++);
-        const Ticket ticket { .id = id, .rank = stream.rank, .deadline = m_clock.now() + stream.deadline };
-        m_calls[id]
-            = { stream, ticket.deadline, m_clock.now(), stream.meanService / 2 + m_random.upTo(stream.meanService) };
+        Ticket ticket { .id = id, .rank = stream.rank, .deadline = m_clock.now() + stream.deadline };
+        if (stream.target > Duration::zero())
+            ticket.onTimeBy = m_clock.now() + stream.target;
+        m_calls[id] = { stream, ticket.deadline, m_clock.now(),
+            stream.meanService / 2 + m_random.upTo(stream.meanService), ticket.onTimeBy };
         ++m_results[stream.rank].offered;
         const AdmitResult result = m_controller.offer(ticket, m_clock.now());
         refuse(result.displaced);
@@ -146,6 +153,7 @@
         const double seconds = std::chrono::duration<double>(call.service).count();
         const bool isOnTime = m_clock.now() <= call.deadline;
         ++(isOnTime ? result.onTime : result.late);
+        result.withinTarget += m_clock.now() <= call.onTimeBy ? 1 : 0;
         if (m_clock.now() <= m_end) {
             result.slotSeconds += seconds;
             result.goodSeconds += isOnTime ? seconds : 0;
--- a/src/document/Configuration.h
+++ b/src/document/Configuration.h
@@ -100,6 +100,8 @@
     bool isIdempotent { false };
     int retries { 0 };
     ByteCount maxBodyBytes;
+    // Time from the caller's first attempt within which an answer is worth most; zero when not stated.
+    Duration target {};
     // Only paths below the prefix and a slash match, and not the prefix itself.
     bool isSubtreeOnly { false };
 
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -144,7 +144,8 @@
 {
     m_byTicket.emplace(call->ticket, call);
     const AdmitResult result = m_admission.offer(
-        { .id = call->ticket, .rank = call->call.rank, .deadline = call->call.deadline }, m_loop.now());
+        { .id = call->ticket, .rank = call->call.rank, .deadline = call->call.deadline, .onTimeBy = call->call.onTimeBy },
+        m_loop.now());
     for (const RefusedTicket& displaced : result.displaced)
         refuse(callOf(displaced.ticket), refusalReasonName(displaced.reason));
     if (result.admission == Admission::Admitted)
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -53,6 +53,10 @@
 {
     m_configuration = std::move(configuration);
     m_splits.reconfigure(*m_configuration);
+    absl::flat_hash_set<std::string> names;
+    for (const Route& route : m_configuration->routes())
+        names.insert(route.name);
+    absl::erase_if(m_patience, [&names](const auto& entry) { return !names.contains(entry.first); });
 }
 
 void CallForwarder::handle(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
@@ -71,7 +75,7 @@
         return;
     }
     call->service = m_splits.choose(*call->route);
-    call->deadline = deadlineOf(received, *call->route, call->receivedAt);
+    setDeadlines(*call);
     m_retryBudget.noteRequest(call->service, call->receivedAt);
     m_calls.emplace(call->number, call);
     caller->setGoneCallback([this, number = call->number] {
@@ -101,16 +105,25 @@
     return call;
 }
 
-TimePoint CallForwarder::deadlineOf(const HttpRequest& request, const Route& route, TimePoint now) const
+Duration CallForwarder::patienceOf(const HttpRequest& request) const
 {
-    Duration wait = m_options.defaultDeadline;
+    constexpr Duration mostPatience = std::chrono::hours(1);
     int64_t milliseconds = 0;
-    if (const std::string* text = findHeader(request.headers, m_dialect.deadline);
-        text && absl::SimpleAtoi(*text, &milliseconds) && milliseconds >= 0)
-        wait = std::min<Duration>(std::chrono::hours(1), std::chrono::milliseconds(milliseconds));
-    if (route.deadline > Duration::zero())
-        wait = std::min(wait, route.deadline);
-    return now + wait;
+    const std::string* text = findHeader(request.headers, m_dialect.deadline);
+    if (!text || !absl::SimpleAtoi(*text, &milliseconds) || milliseconds < 0)
+        return m_options.defaultDeadline;
+    return std::min<Duration>(mostPatience, std::chrono::milliseconds(milliseconds));
+}
+
+void CallForwarder::setDeadlines(Call& call)
+{
+    const Route& route = *call.route;
+    const Duration patience = patienceOf(*call.request);
+    UsualPatience& usual = m_patience[route.name];
+    usual.note(patience);
+    call.deadline = call.receivedAt + (route.deadline > Duration::zero() ? std::min(patience, route.deadline) : patience);
+    const Duration target = route.target > Duration::zero() ? route.target : patience;
+    call.onTimeBy = call.receivedAt + std::max(Duration::zero(), target - usual.waitedBefore(patience));
 }
 
 std::optional<Choice> CallForwarder::chooseInstance(Call& call)
@@ -162,6 +175,7 @@
         .request = call->request,
         .rank = call->route->rank,
         .deadline = call->deadline,
+        .onTimeBy = call->onTimeBy,
         .isIdempotent = call->route->isIdempotent,
         .attempt = call->attempts + 1 };
     const auto onReply = [this, call, stream = call->stream](const GateReplyPtr& reply) {
@@ -204,20 +218,18 @@
     report(*call, CallOutcome::Answered, isFailed, answer.load);
     ++call->attempts;
     call->mayHaveRun = true;
-    if (!isFailed) {
+    // A server's own failure is its answer. Callers repeat idempotent requests themselves, while a repeat from here
+    // would make the calls of the failed run again out of the fleet's budget.
+    if (!isSuccess || !isFailed) {
+        call->lastReason = "the server answered " + std::to_string(response.status);
         finish(call, response, "answered");
         return;
     }
-    call->lastReason = isSuccess ? "the server's answer bears no proof"
-                                 : "the server answered " + std::to_string(response.status);
-    if (mayRepeat(*call)) {
+    call->lastReason = "the server's answer bears no proof";
+    if (mayRepeat(*call))
         attempt(call);
-        return;
-    }
-    if (isSuccess)
-        giveUp(call);
     else
-        finish(call, response, "answered");
+        giveUp(call);
 }
 
 void CallForwarder::handleRefusal(const CallPtr& call, const GateRefusal& refusal)
@@ -262,7 +274,7 @@
     const Duration needed = std::chrono::duration_cast<Duration>((now - call.sentAt) * latenciesForRepeat);
     if (call.deadline - now < std::max(needed, leastTimeForRepeat))
         return false;
-    return m_retryBudget.tryTake(call.service, m_fleetSize, now);
+    return m_retryBudget.tryTake(call.service, call.mayHaveRun, m_fleetSize, now);
 }
 
 Duration CallForwarder::retryAfter(const Call& call)
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -12,6 +12,7 @@
 // will, 502 if that is unknown, and 504 at the timeout of the route or the caller.
 #pragma once
 
+#include "admission/UsualPatience.h"
 #include "base/Random.h"
 #include "document/Configuration.h"
 #include "metrics/Metrics.h"
@@ -71,6 +72,7 @@
         ServiceName service;
         TimePoint receivedAt;
         TimePoint deadline;
+        TimePoint onTimeBy;
         // Attempts that reached a backend server, or may have.
         uint32_t attempts { 0 };
         int refusals { 0 };
@@ -87,7 +89,9 @@
     using CallPtr = std::shared_ptr<Call>;
 
     CallPtr makeCall(HttpRequest request, const std::shared_ptr<HttpConnection>& caller);
-    TimePoint deadlineOf(const HttpRequest& request, const Route& route, TimePoint now) const;
+    // What the caller still waits, as it says.
+    Duration patienceOf(const HttpRequest& request) const;
+    void setDeadlines(Call& call);
     void attempt(const CallPtr& call);
     std::optional<Choice> chooseInstance(Call& call);
     void send(const CallPtr& call, const Choice& choice);
@@ -117,6 +121,8 @@
     Metrics& m_metrics;
     std::shared_ptr<const Configuration> m_configuration;
     SplitChooser m_splits;
+    // By name of the route; cleared of routes that a new configuration does not have.
+    absl::flat_hash_map<std::string, UsualPatience> m_patience;
     FleetRetryBudget m_retryBudget;
     Random m_random;
     size_t m_fleetSize { 1 };
--- a/src/proxy/GateCall.h
+++ b/src/proxy/GateCall.h
@@ -30,6 +30,8 @@
     int rank { 0 };
     // The node that holds the caller answers at this time at the latest.
     TimePoint deadline;
+    // An answer after this is worth little to the caller; the time of receipt when there is no such time.
+    TimePoint onTimeBy;
     bool isIdempotent { false };
     // May have reached the gate before, over a connection that was lost since.
     bool isResend { false };
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -112,7 +112,8 @@
                                 .isIdempotent = call.isIdempotent,
                                 .isResend = isResend,
                                 .attempt = call.attempt,
-                                .hasBody = !request.body.empty() },
+                                .hasBody = !request.body.empty(),
+                                .remainingTarget = std::max(Duration(0), call.onTimeBy - m_loop.now()) },
         call.key.stream, request.body);
 }
 
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -103,6 +103,7 @@
                                    .request = std::move(request),
                                    .rank = static_cast<int>(start.rank),
                                    .deadline = arriving.receivedAt + start.remainingDeadline,
+                                   .onTimeBy = arriving.receivedAt + start.remainingTarget,
                                    .isIdempotent = start.isIdempotent,
                                    .isResend = start.isResend,
                                    .attempt = start.attempt },
--- a/src/retry/FleetRetryBudget.cpp
+++ b/src/retry/FleetRetryBudget.cpp
@@ -25,7 +25,7 @@
 
 void FleetRetryBudget::noteRequest(const ServiceName& service, TimePoint now) { ++sliceAt(service, now).requests; }
 
-bool FleetRetryBudget::tryTake(const ServiceName& service, size_t nodes, TimePoint now)
+bool FleetRetryBudget::tryTake(const ServiceName& service, bool mayHaveRun, size_t nodes, TimePoint now)
 {
     Slice& current = sliceAt(service, now);
     double requests = 0;
@@ -39,7 +39,7 @@
     }
     const double bound
         = m_options.ratio * requests + m_options.slack / static_cast<double>(std::max<size_t>(1, nodes));
-    if (repeats > m_options.safety * bound)
+    if (repeats > (mayHaveRun ? m_options.safetyAfterRun : m_options.safety) * bound)
         return false;
     ++current.repeats;
     return true;
--- a/src/retry/FleetRetryBudget.h
+++ b/src/retry/FleetRetryBudget.h
@@ -19,6 +19,9 @@
     Duration window { std::chrono::seconds(10) };
     // Share of the bound that this node plans with.
     double safety { 0.8 };
+    // The same for repeats of calls that may have run: such a run makes its own calls again, which count as repeats
+    // at the services that it calls, where this node does not see them.
+    double safetyAfterRun { 0.35 };
 };
 
 class FleetRetryBudget {
@@ -28,7 +31,7 @@
     // A caller's request for the service, counted once however often it is sent.
     void noteRequest(const ServiceName& service, TimePoint now);
     // Counts one repeat if it is allowed. `nodes` share the slack.
-    bool tryTake(const ServiceName& service, size_t nodes, TimePoint now);
+    bool tryTake(const ServiceName& service, bool mayHaveRun, size_t nodes, TimePoint now);
 
 private:
     static constexpr int64_t slices = 10;
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -58,7 +58,8 @@
 auto fieldsOf(Like<CallStart> auto& m)
 {
     return std::tie(m.stream, m.requestId, m.gateIncarnation, m.service, m.method, m.target, m.headers, m.rank,
-        m.remainingDeadline, m.worth, m.isIdempotent, m.isResend, m.depth, m.attempt, m.hasBody, m.idempotencyKey);
+        m.remainingDeadline, m.worth, m.isIdempotent, m.isResend, m.depth, m.attempt, m.hasBody, m.idempotencyKey,
+        m.remainingTarget);
 }
 auto fieldsOf(Like<BodyChunk> auto& m) { return std::tie(m.stream, m.offset, m.data, m.isLast); }
 auto fieldsOf(Like<WindowUpdate> auto& m) { return std::tie(m.stream, m.bytes); }
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -197,6 +197,8 @@
     bool hasBody { false };
     // Key by which a caller marks copies of one non-idempotent request; empty without one.
     std::string idempotencyKey;
+    // Time left until an answer is late for its caller; zero when it is late already or there is no such time.
+    Duration remainingTarget {};
     bool operator==(const CallStart&) const = default;
 };
 
