--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	@tools/bench.sh $(BUILD)
 
 format:
-	@git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' | xargs clang-format -i
+	@git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | xargs clang-format -i
 
 clean:
 	@rm -rf build build-fuzz build-asan build-tsan
--- a/src/admission/tests/LateWorkTest.cpp
+++ b/src/admission/tests/LateWorkTest.cpp
@@ -7,115 +7,116 @@
 namespace skylark {
 namespace {
 
-using namespace std::chrono_literals;
+    using namespace std::chrono_literals;
 
-constexpr int slots = 12;
+    constexpr int slots = 12;
 
-AdmissionOptions options()
-{
-    return { .ranks = { { .name = RankName("first"), .target = 500ms },
-                 { .name = RankName("second"), .target = 600ms, .floor = 0.1 },
-                 { .name = RankName("third"), .target = 1500ms, .floor = 0.1 } },
-        .slots = slots };
-}
+    AdmissionOptions options()
+    {
+        return { .ranks = { { .name = RankName("first"), .target = 500ms },
+                     { .name = RankName("second"), .target = 600ms, .floor = 0.1 },
+                     { .name = RankName("third"), .target = 1500ms, .floor = 0.1 } },
+            .slots = slots };
+    }
 
-// The steady overload of a booking service: 1.5 times what 12 slots can do, callers that give up after 1.2 and 1.5 s.
-std::vector<Stream> overload(Duration secondTarget, Duration thirdTarget)
-{
-    return { { .rank = 1, .callsPerSecond = 55, .meanService = 220ms, .deadline = 1200ms, .target = secondTarget },
-        { .rank = 2, .callsPerSecond = 20, .meanService = 290ms, .deadline = 1500ms, .target = thirdTarget } };
-}
+    // The steady overload of a booking service: 1.5 times what 12 slots can do, callers that give up after 1.2 and 1.5
+    // s.
+    std::vector<Stream> overload(Duration secondTarget, Duration thirdTarget)
+    {
+        return { { .rank = 1, .callsPerSecond = 55, .meanService = 220ms, .deadline = 1200ms, .target = secondTarget },
+            { .rank = 2, .callsPerSecond = 20, .meanService = 290ms, .deadline = 1500ms, .target = thirdTarget } };
+    }
 
-// Guards against a queue under overload that answers nearly everybody too late to be of use.
-TEST(LateWorkTest, UnderOverloadThoseWhoAreAnsweredAreAnsweredOnTime)
-{
-    GateSimulator simulator(options(), slots, 4711);
-    const std::vector<RankResult> results = simulator.run(overload(600ms, 1500ms), 30s);
-    const RankResult& second = results[1];
-    const int64_t answered = second.onTime + second.late;
-    EXPECT_GT(answered, second.offered / 2);
-    EXPECT_GT(second.withinTarget, answered * 9 / 10);
-    EXPECT_GT(results[2].withinTarget, 0);
-}
+    // Guards against a queue under overload that answers nearly everybody too late to be of use.
+    TEST(LateWorkTest, UnderOverloadThoseWhoAreAnsweredAreAnsweredOnTime)
+    {
+        GateSimulator simulator(options(), slots, 4711);
+        const std::vector<RankResult> results = simulator.run(overload(600ms, 1500ms), 30s);
+        const RankResult& second = results[1];
+        const int64_t answered = second.onTime + second.late;
+        EXPECT_GT(answered, second.offered / 2);
+        EXPECT_GT(second.withinTarget, answered * 9 / 10);
+        EXPECT_GT(results[2].withinTarget, 0);
+    }
 
-// The capacity goes to the same number of calls with and without targets; only their order changes.
-TEST(LateWorkTest, TargetsCostNoThroughput)
-{
-    const auto slotSeconds = [](Duration secondTarget, Duration thirdTarget) {
-        GateSimulator simulator(options(), slots, 4712);
-        const auto results = simulator.run(overload(secondTarget, thirdTarget), 30s);
-        return results[1].slotSeconds + results[2].slotSeconds;
-    };
-    EXPECT_GT(slotSeconds(600ms, 1500ms), 0.95 * slotSeconds(0ms, 0ms));
-}
+    // The capacity goes to the same number of calls with and without targets; only their order changes.
+    TEST(LateWorkTest, TargetsCostNoThroughput)
+    {
+        const auto slotSeconds = [](Duration secondTarget, Duration thirdTarget) {
+            GateSimulator simulator(options(), slots, 4712);
+            const auto results = simulator.run(overload(secondTarget, thirdTarget), 30s);
+            return results[1].slotSeconds + results[2].slotSeconds;
+        };
+        EXPECT_GT(slotSeconds(600ms, 1500ms), 0.95 * slotSeconds(0ms, 0ms));
+    }
 
-// Guards against late calls that are refused while slots are free for them.
-TEST(LateWorkTest, LateCallsAreAnsweredWhileThereIsRoom)
-{
-    GateSimulator simulator(options(), slots, 4713);
-    const auto results = simulator.run(
-        { { .rank = 1, .callsPerSecond = 20, .meanService = 220ms, .deadline = 1200ms, .target = 1ns } }, 20s);
-    EXPECT_EQ(results[1].refused, 0);
-    EXPECT_EQ(results[1].onTime, results[1].offered);
-}
+    // Guards against late calls that are refused while slots are free for them.
+    TEST(LateWorkTest, LateCallsAreAnsweredWhileThereIsRoom)
+    {
+        GateSimulator simulator(options(), slots, 4713);
+        const auto results = simulator.run(
+            { { .rank = 1, .callsPerSecond = 20, .meanService = 220ms, .deadline = 1200ms, .target = 1ns } }, 20s);
+        EXPECT_EQ(results[1].refused, 0);
+        EXPECT_EQ(results[1].onTime, results[1].offered);
+    }
 
-TEST(LateWorkTest, LateCallWaitsBehindLaterOnesThatCanBeOnTime)
-{
-    const TimePoint start = TimePoint() + 1h;
-    AdmissionController controller({ .ranks = { { .target = 500ms } }, .slots = 1 }, start);
-    const auto ticket = [&](uint64_t id, Duration onTimeBy) {
-        return Ticket {
-            .id = TicketId(id), .deadline = start + 10s, .onTimeBy = start + onTimeBy, .costHint = 100ms
+    TEST(LateWorkTest, LateCallWaitsBehindLaterOnesThatCanBeOnTime)
+    {
+        const TimePoint start = TimePoint() + 1h;
+        AdmissionController controller({ .ranks = { { .target = 500ms } }, .slots = 1 }, start);
+        const auto ticket = [&](uint64_t id, Duration onTimeBy) {
+            return Ticket {
+                .id = TicketId(id), .deadline = start + 10s, .onTimeBy = start + onTimeBy, .costHint = 100ms
+            };
         };
-    };
-    EXPECT_EQ(controller.offer(ticket(1, 500ms), start).admission, Admission::Admitted);
-    EXPECT_EQ(controller.offer(ticket(2, 1ms), start).admission, Admission::Queued);
-    EXPECT_EQ(controller.offer(ticket(3, 900ms), start).admission, Admission::Queued);
-    const Dispatch dispatch = controller.release(TicketId(1), ServiceResult::Answered, 100ms, start + 100ms);
-    ASSERT_EQ(dispatch.started.size(), 1u);
-    EXPECT_EQ(dispatch.started[0].id, TicketId(3));
-}
+        EXPECT_EQ(controller.offer(ticket(1, 500ms), start).admission, Admission::Admitted);
+        EXPECT_EQ(controller.offer(ticket(2, 1ms), start).admission, Admission::Queued);
+        EXPECT_EQ(controller.offer(ticket(3, 900ms), start).admission, Admission::Queued);
+        const Dispatch dispatch = controller.release(TicketId(1), ServiceResult::Answered, 100ms, start + 100ms);
+        ASSERT_EQ(dispatch.started.size(), 1u);
+        EXPECT_EQ(dispatch.started[0].id, TicketId(3));
+    }
 
-// Guards against a waiting call that passes its deadline behind others and is never refused.
-TEST(LateWorkTest, LateCallPastItsDeadlineIsRefused)
-{
-    const TimePoint start = TimePoint() + 1h;
-    AdmissionController controller({ .ranks = { { .target = 500ms } }, .slots = 1 }, start);
-    controller.offer({ .id = TicketId(1), .deadline = start + 10s, .onTimeBy = start + 9s, .costHint = 1s }, start);
-    controller.offer({ .id = TicketId(2), .deadline = start + 3s, .onTimeBy = start, .costHint = 1s }, start);
-    controller.offer({ .id = TicketId(3), .deadline = start + 10s, .onTimeBy = start + 9s, .costHint = 1s }, start);
-    const Dispatch dispatch = controller.advance(start + 3s);
-    ASSERT_EQ(dispatch.refused.size(), 1u);
-    EXPECT_EQ(dispatch.refused[0].ticket.id, TicketId(2));
-}
+    // Guards against a waiting call that passes its deadline behind others and is never refused.
+    TEST(LateWorkTest, LateCallPastItsDeadlineIsRefused)
+    {
+        const TimePoint start = TimePoint() + 1h;
+        AdmissionController controller({ .ranks = { { .target = 500ms } }, .slots = 1 }, start);
+        controller.offer({ .id = TicketId(1), .deadline = start + 10s, .onTimeBy = start + 9s, .costHint = 1s }, start);
+        controller.offer({ .id = TicketId(2), .deadline = start + 3s, .onTimeBy = start, .costHint = 1s }, start);
+        controller.offer({ .id = TicketId(3), .deadline = start + 10s, .onTimeBy = start + 9s, .costHint = 1s }, start);
+        const Dispatch dispatch = controller.advance(start + 3s);
+        ASSERT_EQ(dispatch.refused.size(), 1u);
+        EXPECT_EQ(dispatch.refused[0].ticket.id, TicketId(2));
+    }
 
-TEST(UsualPatienceTest, ReturningCallersAreToldFromNewOnes)
-{
-    UsualPatience patience;
-    EXPECT_EQ(patience.waitedBefore(100ms), 0ms);
-    Random random(7);
-    for (int i = 0; i < 300; ++i) {
-        patience.note(2500ms);
-        // Nearly half of the requests come from callers that return with what is left of their time.
-        if (i % 5 < 4)
-            patience.note(random.upTo(2400ms));
+    TEST(UsualPatienceTest, ReturningCallersAreToldFromNewOnes)
+    {
+        UsualPatience patience;
+        EXPECT_EQ(patience.waitedBefore(100ms), 0ms);
+        Random random(7);
+        for (int i = 0; i < 300; ++i) {
+            patience.note(2500ms);
+            // Nearly half of the requests come from callers that return with what is left of their time.
+            if (i % 5 < 4)
+                patience.note(random.upTo(2400ms));
+        }
+        EXPECT_EQ(patience.waitedBefore(2500ms), 0ms);
+        EXPECT_EQ(patience.waitedBefore(1800ms), 700ms);
+        EXPECT_EQ(patience.waitedBefore(5s), 0ms);
     }
-    EXPECT_EQ(patience.waitedBefore(2500ms), 0ms);
-    EXPECT_EQ(patience.waitedBefore(1800ms), 700ms);
-    EXPECT_EQ(patience.waitedBefore(5s), 0ms);
-}
 
-// Guards against one caller with a long deadline who makes all others look late.
-TEST(UsualPatienceTest, RareValuesHaveNoInfluence)
-{
-    UsualPatience patience;
-    for (int i = 0; i < 300; ++i) {
-        patience.note(1500ms);
-        if (i % 20 == 0)
-            patience.note(std::chrono::seconds(30 + i));
+    // Guards against one caller with a long deadline who makes all others look late.
+    TEST(UsualPatienceTest, RareValuesHaveNoInfluence)
+    {
+        UsualPatience patience;
+        for (int i = 0; i < 300; ++i) {
+            patience.note(1500ms);
+            if (i % 20 == 0)
+                patience.note(std::chrono::seconds(30 + i));
+        }
+        EXPECT_EQ(patience.waitedBefore(1500ms), 0ms);
     }
-    EXPECT_EQ(patience.waitedBefore(1500ms), 0ms);
-}
 
 } // namespace
 } // namespace skylark
--- /dev/null
+++ b/src/base/tests/BufferedAppenderTest.cpp
@@ -0,0 +1,67 @@
+#include "base/BufferedAppender.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <log4cxx/helpers/pool.h>
+#include <log4cxx/patternlayout.h>
+#include <log4cxx/spi/loggingevent.h>
+#include <unistd.h>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    void appendLine(BufferedAppender& appender, const std::string& text)
+    {
+        log4cxx::helpers::Pool pool;
+        const auto event = std::make_shared<log4cxx::spi::LoggingEvent>(
+            "test", log4cxx::Level::getInfo(), text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+        appender.append(event, pool);
+    }
+
+    std::string readAll(int descriptor)
+    {
+        std::string text;
+        char buffer[4096];
+        ssize_t count = 0;
+        while ((count = read(descriptor, buffer, sizeof(buffer))) > 0)
+            text.append(buffer, static_cast<size_t>(count));
+        return text;
+    }
+
+    TEST(BufferedAppenderTest, AllLinesAreWrittenAtTheEnd)
+    {
+        int ends[2];
+        ASSERT_EQ(pipe(ends), 0);
+        {
+            BufferedAppender appender(
+                std::make_shared<log4cxx::PatternLayout>("%m%n"), { .descriptor = ends[1], .interval = 1h });
+            appendLine(appender, "one");
+            appendLine(appender, "two");
+        }
+        close(ends[1]);
+        EXPECT_EQ(readAll(ends[0]), "one\ntwo\n");
+        close(ends[0]);
+    }
+
+    // Guards against a log that blocks the process when nobody reads it.
+    TEST(BufferedAppenderTest, FullBufferDropsLinesAndSaysHowMany)
+    {
+        int ends[2];
+        ASSERT_EQ(pipe(ends), 0);
+        {
+            BufferedAppender appender(std::make_shared<log4cxx::PatternLayout>("%m%n"),
+                { .descriptor = ends[1], .mostBytes = 100, .interval = 1h });
+            for (int i = 0; i < 30; ++i)
+                appendLine(appender, "a line of 20 letters");
+        }
+        close(ends[1]);
+        const std::string text = readAll(ends[0]);
+        EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 5);
+        EXPECT_NE(text.find("\"log-lines-dropped\",\"count\":\"26\""), std::string::npos) << text;
+        close(ends[0]);
+    }
+
+} // namespace
+} // namespace skylark
--- a/src/distribution/DistributorMessages.cpp
+++ b/src/distribution/DistributorMessages.cpp
@@ -1,6 +1,6 @@
+#include "base/Compression.h"
 #include "base/Error.h"
 #include "base/Invariant.h"
-#include "base/Compression.h"
 #include "distribution/Distributor.h"
 
 #include <algorithm>
--- a/src/distribution/Snapshot.cpp
+++ b/src/distribution/Snapshot.cpp
@@ -1,8 +1,8 @@
 #include "distribution/Snapshot.h"
 
+#include "base/Compression.h"
 #include "base/Error.h"
 #include "base/Invariant.h"
-#include "base/Compression.h"
 
 #include <algorithm>
 #include <msgpack.hpp>
--- a/src/distribution/bench/DistributionBench.cpp
+++ b/src/distribution/bench/DistributionBench.cpp
@@ -2,8 +2,8 @@
 //
 // Each line is the mean over a number of repetitions in microseconds, or a size in bytes. The document is
 // built by a trivial function, so the costs are those of distribution alone.
-#include "base/Error.h"
 #include "base/Compression.h"
+#include "base/Error.h"
 #include "distribution/Distributor.h"
 
 #include <cstdio>
--- a/src/distribution/tests/SnapshotTest.cpp
+++ b/src/distribution/tests/SnapshotTest.cpp
@@ -1,8 +1,8 @@
 #include "distribution/Snapshot.h"
 
 #include "Fleet.h"
-#include "base/Error.h"
 #include "base/Compression.h"
+#include "base/Error.h"
 
 #include <gtest/gtest.h>
 
--- a/src/eventloop/EventLoop.cpp
+++ b/src/eventloop/EventLoop.cpp
@@ -16,8 +16,7 @@
 
     uint64_t toMilliseconds(Duration wait)
     {
-        return static_cast<uint64_t>(
-            std::max<int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(wait).count()));
+        return static_cast<uint64_t>(std::max<int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(wait).count()));
     }
 
 } // namespace
@@ -116,8 +115,8 @@
     check(uv_signal_init(loop.native(), &m_handle->native), "watch-signal");
     m_handle->native.data = m_handle;
     check(uv_signal_start(
-              &m_handle->native,
-              [](uv_signal_t* signal, int) { static_cast<Handle*>(signal->data)->callback(); }, signalNumber),
+              &m_handle->native, [](uv_signal_t* signal, int) { static_cast<Handle*>(signal->data)->callback(); },
+              signalNumber),
         "watch-signal");
 }
 
--- a/src/eventloop/TcpStream.cpp
+++ b/src/eventloop/TcpStream.cpp
@@ -189,9 +189,9 @@
     std::unique_ptr<TcpStream> stream(new TcpStream(loop, handle));
     handle->startTimer(loop.native(), options.connectTimeout,
         [](uv_timer_t* timer) { Handle::of(timer->data).end(StreamEnd::NotConnected); });
-    const int result = uv_tcp_connect(&handle->connectRequest, &handle->socket,
-        reinterpret_cast<const sockaddr*>(&address),
-        [](uv_connect_t* request, int status) { Handle::of(request->data).onConnectResult(status); });
+    const int result
+        = uv_tcp_connect(&handle->connectRequest, &handle->socket, reinterpret_cast<const sockaddr*>(&address),
+            [](uv_connect_t* request, int status) { Handle::of(request->data).onConnectResult(status); });
     if (result < 0)
         throwSocketError(result, "connect", peer);
     return stream;
@@ -241,7 +241,7 @@
         {
             m_stream->setHandler(*this);
             Handle& handle = *m_stream->m_handle;
-            uv_shutdown(&handle.shutdownRequest, handle.stream(), [](uv_shutdown_t*, int) { });
+            uv_shutdown(&handle.shutdownRequest, handle.stream(), [](uv_shutdown_t*, int) {});
             m_stream->startReading();
             m_timer.start(lingerTimeout);
         }
--- a/src/eventloop/tests/EventLoopTest.cpp
+++ b/src/eventloop/tests/EventLoopTest.cpp
@@ -1,3 +1,161 @@
+#include "eventloop/TcpStream.h"
+
+#include "base/Error.h"
+
 #include <gtest/gtest.h>
+#include <optional>
+#include <thread>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class Recorder : public StreamHandler {
+    public:
+        void onConnected() override { isConnected = true; }
+        void onData(std::string_view bytes) override
+        {
+            received += bytes;
+            if (onReceived)
+                onReceived();
+        }
+        void onEnd(StreamEnd reason) override
+        {
+            end = reason;
+            if (onEnded)
+                onEnded();
+        }
+        std::string received;
+        std::optional<StreamEnd> end;
+        bool isConnected { false };
+        std::function<void()> onReceived;
+        std::function<void()> onEnded;
+    };
+
+    class EventLoopTest : public testing::Test {
+    protected:
+        // Ends the loop in any case, so that a lost event fails a test and does not hang it.
+        void runFor(Duration limit)
+        {
+            Timer timer(loop, [this] { loop.stop(); });
+            timer.start(limit);
+            loop.run();
+        }
+
+        SystemClock clock;
+        EventLoop loop { clock };
+    };
+
+    TEST_F(EventLoopTest, TimersFireInOrderAndStop)
+    {
+        std::string order;
+        Timer second(loop, [&] { order += "2"; });
+        Timer first(loop, [&] { order += "1"; });
+        Timer stopped(loop, [&] { order += "x"; });
+        second.start(20ms);
+        first.start(5ms);
+        stopped.start(10ms);
+        stopped.stop();
+        runFor(60ms);
+        EXPECT_EQ(order, "12");
+    }
+
+    TEST_F(EventLoopTest, TimerMayDestroyItself)
+    {
+        std::unique_ptr<Timer> timer;
+        timer = std::make_unique<Timer>(loop, [&] { timer.reset(); });
+        timer->start(1ms);
+        runFor(30ms);
+        EXPECT_EQ(timer, nullptr);
+    }
+
+    TEST_F(EventLoopTest, TasksOfOtherThreadsRunOnTheLoop)
+    {
+        std::thread::id ranOn;
+        std::thread other([&] {
+            loop.post([&] {
+                ranOn = std::this_thread::get_id();
+                loop.stop();
+            });
+        });
+        runFor(2s);
+        other.join();
+        EXPECT_EQ(ranOn, std::this_thread::get_id());
+    }
+
+    TEST_F(EventLoopTest, BytesArriveWholeAndInOrder)
+    {
+        constexpr size_t size = 3'000'000;
+        std::string sent(size, ' ');
+        for (size_t i = 0; i < size; ++i)
+            sent[i] = static_cast<char>('a' + i % 23);
+        Recorder server;
+        std::unique_ptr<TcpStream> accepted;
+        TcpListener listener(loop, { "127.0.0.1", 0 }, [&](std::unique_ptr<TcpStream> stream) {
+            accepted = std::move(stream);
+            accepted->setHandler(server);
+            accepted->startReading();
+        });
+        Recorder client;
+        const auto stream = TcpStream::connect(loop, { "127.0.0.1", listener.port() }, client, {});
+        Timer writer(loop, [&] { stream->write(sent); });
+        writer.start(50ms);
+        server.onReceived = [&] {
+            if (server.received.size() == size)
+                loop.stop();
+        };
+        runFor(5s);
+        EXPECT_TRUE(server.received == sent);
+        EXPECT_EQ(stream->pendingBytes(), 0u);
+    }
+
+    TEST_F(EventLoopTest, RefusedConnectionIsReportedAsNeverOpen)
+    {
+        uint16_t port = 0;
+        {
+            TcpListener listener(loop, { "127.0.0.1", 0 }, [](std::unique_ptr<TcpStream>) {});
+            port = listener.port();
+        }
+        Recorder client;
+        client.onEnded = [this] { loop.stop(); };
+        const auto stream = TcpStream::connect(loop, { "127.0.0.1", port }, client, {});
+        runFor(2s);
+        EXPECT_EQ(client.end, StreamEnd::NotConnected);
+        EXPECT_FALSE(client.isConnected);
+    }
+
+    // Guards against a last answer that the peer never reads because unread bytes of its own reset the connection.
+    TEST_F(EventLoopTest, CloseAfterFlushDeliversEverything)
+    {
+        Recorder ignored;
+        TcpListener listener(loop, { "127.0.0.1", 0 }, [&](std::unique_ptr<TcpStream> stream) {
+            stream->setHandler(ignored);
+            stream->write(std::string(500'000, 'x'));
+            TcpStream::closeAfterFlush(std::move(stream));
+        });
+        Recorder client;
+        client.onEnded = [this] { loop.stop(); };
+        const auto stream = TcpStream::connect(loop, { "127.0.0.1", listener.port() }, client, {});
+        Timer writer(loop, [&] { stream->write("bytes that nobody reads"); });
+        writer.start(5ms);
+        runFor(3s);
+        EXPECT_EQ(client.received.size(), 500'000u);
+        EXPECT_EQ(client.end, StreamEnd::Closed);
+    }
+
+    TEST_F(EventLoopTest, AddressInUseIsAnErrorWithTheAddress)
+    {
+        const TcpListener first(loop, { "127.0.0.1", 0 }, [](std::unique_ptr<TcpStream>) {});
+        const Endpoint taken { "127.0.0.1", first.port() };
+        try {
+            const TcpListener second(loop, taken, [](std::unique_ptr<TcpStream>) {});
+            FAIL() << "the address was bound twice";
+        } catch (const Error& error) {
+            EXPECT_EQ(error.step(), "listen");
+            EXPECT_EQ(error.peer(), taken.toString());
+        }
+    }
 
-TEST(Placeholder, Builds) { }
+} // namespace
+} // namespace skylark
--- a/src/http/tests/MessageParserTest.cpp
+++ b/src/http/tests/MessageParserTest.cpp
@@ -1,3 +1,171 @@
+#include "http/MessageParser.h"
+
+#include "base/Random.h"
+
 #include <gtest/gtest.h>
 
-TEST(Placeholder, Builds) { }
+namespace skylark {
+namespace {
+
+    const std::string simpleRequest = "GET /a/b?c=d HTTP/1.1\r\nHost: x.example\r\nX-Id: 7\r\n\r\n";
+    const std::string chunkedRequest = "POST /p HTTP/1.1\r\nHost: x.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                       "5\r\nhello\r\n6;a=b\r\n world\r\n0\r\n\r\n";
+
+    int statusOf(const std::string& bytes, HttpLimits limits = {})
+    {
+        RequestParser parser(limits);
+        parser.append(bytes);
+        try {
+            while (parser.next()) { }
+        } catch (const HttpError& error) {
+            return error.status();
+        }
+        return 0;
+    }
+
+    TEST(RequestParserTest, PipelinedRequestsComeOneByOne)
+    {
+        RequestParser parser({});
+        parser.append(simpleRequest + chunkedRequest);
+        const auto first = parser.next();
+        ASSERT_TRUE(first);
+        EXPECT_EQ(first->method, "GET");
+        EXPECT_EQ(first->target, "/a/b?c=d");
+        EXPECT_EQ(*findHeader(first->headers, "x-id"), "7");
+        EXPECT_TRUE(parser.isWithinMessage());
+        const auto second = parser.next();
+        ASSERT_TRUE(second);
+        EXPECT_EQ(second->body, "hello world");
+        EXPECT_FALSE(parser.next());
+        EXPECT_FALSE(parser.isWithinMessage());
+    }
+
+    // The result must not depend on how the bytes are cut into reads.
+    TEST(RequestParserTest, AnyCutsGiveTheSameMessages)
+    {
+        Random random(11);
+        const std::string bytes = simpleRequest + chunkedRequest + simpleRequest;
+        for (int round = 0; round < 300; ++round) {
+            RequestParser parser({});
+            std::vector<std::string> bodies;
+            for (size_t at = 0; at < bytes.size();) {
+                const size_t count = std::min<size_t>(bytes.size() - at, 1 + random.below(20));
+                parser.append(bytes.substr(at, count));
+                at += count;
+                while (const auto request = parser.next())
+                    bodies.push_back(request->target + request->body);
+            }
+            EXPECT_EQ(bodies, (std::vector<std::string> { "/a/b?c=d", "/phello world", "/a/b?c=d" }));
+        }
+    }
+
+    // Guards against a request hidden in another one, which two readers would cut in different places.
+    TEST(RequestParserTest, AmbiguousFramingIsRefused)
+    {
+        const std::string start = "POST /p HTTP/1.1\r\nHost: x\r\n";
+        EXPECT_EQ(statusOf(start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"), 400);
+        EXPECT_EQ(statusOf(start + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"), 400);
+        EXPECT_EQ(statusOf(start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 400);
+        EXPECT_EQ(statusOf(start + "Transfer-Encoding: gzip\r\n\r\n"), 400);
+        EXPECT_EQ(statusOf(start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"), 400);
+        EXPECT_EQ(statusOf(start + "Host: y\r\n\r\n"), 400);
+        EXPECT_EQ(statusOf("GET / HTTP/1.1\r\n\r\n"), 400);
+        EXPECT_EQ(statusOf("GET / HTTP/1.1\r\nHost : x\r\n\r\n"), 400);
+    }
+
+    TEST(RequestParserTest, LimitsAreKept)
+    {
+        const HttpLimits limits { .headerBytes = 200, .bodyBytes = 10 };
+        EXPECT_EQ(statusOf("GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(300, 'a') + "\r\n\r\n", limits), 431);
+        EXPECT_EQ(statusOf("GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(3000, 'a'), limits), 431);
+        EXPECT_EQ(statusOf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n", limits), 413);
+        EXPECT_EQ(
+            statusOf("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n", limits),
+            413);
+        EXPECT_EQ(statusOf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n0123456789", limits), 0);
+    }
+
+    TEST(RequestParserTest, WishToContinueIsToldOnce)
+    {
+        RequestParser parser({});
+        parser.append("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\n");
+        EXPECT_FALSE(parser.next());
+        EXPECT_TRUE(parser.takeContinueWish());
+        EXPECT_FALSE(parser.takeContinueWish());
+        parser.append("x");
+        EXPECT_TRUE(parser.next());
+    }
+
+    // Guards against a cut-off answer that looks whole.
+    TEST(ResponseParserTest, AnswerIsWholeOnlyAtItsEnd)
+    {
+        ResponseParser parser({});
+        parser.append("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc");
+        EXPECT_FALSE(parser.next());
+        EXPECT_FALSE(parser.finish());
+        ResponseParser chunked({});
+        chunked.append("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+        EXPECT_FALSE(chunked.next());
+        EXPECT_FALSE(chunked.finish());
+    }
+
+    TEST(ResponseParserTest, AnswerWithoutLengthEndsWithTheConnection)
+    {
+        ResponseParser parser({});
+        parser.append("HTTP/1.1 200 OK\r\nX: y\r\n\r\nabc");
+        EXPECT_FALSE(parser.next());
+        const auto response = parser.finish();
+        ASSERT_TRUE(response);
+        EXPECT_EQ(response->body, "abc");
+        EXPECT_TRUE(response->endsWithClose);
+        // Passed on without a length too: it may have been cut.
+        EXPECT_EQ(serialize(*response).find("Content-Length"), std::string::npos);
+    }
+
+    TEST(ResponseParserTest, InterimAndExtraAnswersAreKeptApart)
+    {
+        ResponseParser parser({});
+        parser.append("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n");
+        const auto response = parser.next();
+        ASSERT_TRUE(response);
+        EXPECT_EQ(response->body, "a");
+        EXPECT_TRUE(parser.isWithinMessage());
+    }
+
+    TEST(ResponseParserTest, BytesThatAreNoAnswerAreAnError)
+    {
+        ResponseParser parser({});
+        parser.append("\x16\x03\x01 what is this\r\n\r\n");
+        EXPECT_THROW(parser.next(), HttpError);
+    }
+
+    TEST(HttpMessageTest, HeadersOfOneConnectionAreRemoved)
+    {
+        HttpHeaders headers { { "Connection", "close, X-Hop" }, { "x-hop", "1" }, { "Keep-Alive", "timeout=5" },
+            { "Transfer-Encoding", "chunked" }, { "Content-Length", "5" }, { "X-Kept", "2" } };
+        removeConnectionHeaders(headers);
+        EXPECT_EQ(headers, (HttpHeaders { { "X-Kept", "2" } }));
+    }
+
+    TEST(HttpMessageTest, WhatIsWrittenIsReadBack)
+    {
+        const HttpRequest request {
+            .method = "PUT", .target = "/x", .headers = { { "Host", "h" }, { "A", "b" } }, .body = "data"
+        };
+        RequestParser parser({});
+        parser.append(serialize(request));
+        const auto read = parser.next();
+        ASSERT_TRUE(read);
+        EXPECT_EQ(read->method, "PUT");
+        EXPECT_EQ(read->body, "data");
+        const HttpResponse response { .status = 503, .headers = { { "Retry-After", "0.250" } }, .keepsAlive = false };
+        ResponseParser answers({});
+        answers.append(serialize(response));
+        const auto answer = answers.next();
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->reason, "Service Unavailable");
+        EXPECT_FALSE(answer->keepsAlive);
+    }
+
+} // namespace
+} // namespace skylark
--- /dev/null
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -0,0 +1,128 @@
+#include "membership/ServerDirectory.h"
+
+#include <gtest/gtest.h>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    const TimePoint start = TimePoint() + 1h;
+
+    ServerEntry entry(const std::string& id, uint64_t revision, uint64_t incarnation = 1, bool isDraining = false)
+    {
+        const InstanceId instance(id);
+        return { .id = instance,
+            .revision = Revision(revision),
+            .record = ServerRecord { .id = instance,
+                .incarnation = Incarnation(incarnation),
+                .service = ServiceName("work"),
+                .zone = ZoneName("z"),
+                .address = { "10.0.0." + id, 80 },
+                .slots = 4,
+                .isDraining = isDraining } };
+    }
+
+    ServerEntry deletion(const std::string& id, uint64_t revision)
+    {
+        return { .id = InstanceId(id), .revision = Revision(revision) };
+    }
+
+    size_t listed(const ServerDirectory& directory) { return directory.view()->instances().size(); }
+
+    TEST(ServerDirectoryTest, NewestRevisionWinsWhereverItComesFrom)
+    {
+        ServerDirectory directory({ .peerPort = 7000 });
+        EXPECT_TRUE(directory.apply(entry("1", 5, 1, true), start));
+        EXPECT_FALSE(directory.apply(entry("1", 4), start));
+        EXPECT_EQ(directory.view()->find(InstanceId("1"))->condition, Condition::Leaving);
+        EXPECT_EQ(directory.view()->find(InstanceId("1"))->record.peer, (Endpoint { "10.0.0.1", 7000 }));
+        EXPECT_TRUE(directory.apply(deletion("1", 6), start));
+        // An older entry that a peer still had does not bring the server back.
+        EXPECT_FALSE(directory.apply(entry("1", 5), start));
+        EXPECT_EQ(listed(directory), 0u);
+    }
+
+    TEST(ServerDirectoryTest, HeartbeatsAloneChangeNothingForTheRouter)
+    {
+        ServerDirectory directory({});
+        EXPECT_TRUE(directory.apply(entry("1", 5), start));
+        EXPECT_FALSE(directory.apply(entry("1", 6), start));
+        EXPECT_EQ(directory.revision(), Revision(6));
+    }
+
+    // Guards against a late heartbeat of an earlier start of a server that came back under its id.
+    TEST(ServerDirectoryTest, EarlierStartIsIgnored)
+    {
+        ServerDirectory directory({});
+        directory.apply(entry("1", 5, 20), start);
+        EXPECT_FALSE(directory.apply(entry("1", 6, 10, true), start));
+        EXPECT_FALSE(directory.atAddress({ "10.0.0.1", 80 })->isDraining);
+    }
+
+    // Guards against calls to the former server at an address that another one has taken over.
+    TEST(ServerDirectoryTest, LaterStartHasTheAddress)
+    {
+        ServerDirectory directory({});
+        directory.apply(entry("1", 5, 20), start);
+        ServerEntry other = entry("2", 6, 30);
+        other.record->address = { "10.0.0.1", 80 };
+        other.record->service = ServiceName("other");
+        directory.apply(other, start);
+        EXPECT_EQ(directory.atAddress({ "10.0.0.1", 80 })->service, ServiceName("other"));
+        EXPECT_EQ(listed(directory), 1u);
+    }
+
+    // Guards against a node that drops all servers when their entries lapse with the source's outage.
+    TEST(ServerDirectoryTest, EntriesThatLapsedDuringAnOutageHaveTimeToComeBack)
+    {
+        ServerDirectory directory({ .returnGrace = 2300ms });
+        directory.apply(entry("1", 5), start);
+        directory.apply(entry("2", 6), start);
+        directory.noteSourceLost();
+        EXPECT_FALSE(directory.advance(start + 60s));
+        directory.noteSourceBack(start + 60s);
+        EXPECT_FALSE(directory.replaceAll({}, Revision(9), start + 60s));
+        EXPECT_EQ(listed(directory), 2u);
+        directory.apply(entry("1", 11), start + 61s);
+        EXPECT_FALSE(directory.advance(start + 62s));
+        EXPECT_TRUE(directory.advance(start + 62300ms));
+        EXPECT_EQ(listed(directory), 1u);
+        EXPECT_NE(directory.atAddress({ "10.0.0.1", 80 }), nullptr);
+    }
+
+    TEST(ServerDirectoryTest, DeletionInCalmTimesHoldsAtOnce)
+    {
+        ServerDirectory directory({});
+        directory.apply(entry("1", 5), start);
+        directory.noteSourceLost();
+        directory.noteSourceBack(start);
+        EXPECT_TRUE(directory.apply(deletion("1", 7), start + 5s));
+        EXPECT_EQ(listed(directory), 0u);
+    }
+
+    TEST(ServerDirectoryTest, PeerGetsWhatItLacks)
+    {
+        ServerDirectory directory({});
+        directory.apply(entry("1", 5), start);
+        directory.apply(entry("2", 6), start);
+        directory.apply(deletion("1", 8), start);
+        const auto entries = directory.entriesSince(Revision(5));
+        ServerDirectory peer({});
+        peer.apply(entry("1", 5), start);
+        for (const ServerEntry& each : entries)
+            peer.apply(each, start);
+        EXPECT_EQ(listed(peer), 1u);
+        EXPECT_NE(peer.atAddress({ "10.0.0.2", 80 }), nullptr);
+    }
+
+    TEST(ServerDirectoryTest, BoundIsKept)
+    {
+        ServerDirectory directory({ .mostEntries = 1 });
+        directory.apply(entry("1", 5), start);
+        EXPECT_FALSE(directory.apply(entry("2", 6), start));
+        EXPECT_EQ(directory.refusedCount(), 1u);
+    }
+
+} // namespace
+} // namespace skylark
--- a/src/node/CallerServer.h
+++ b/src/node/CallerServer.h
@@ -8,9 +8,9 @@
 // message.
 #pragma once
 
+#include "metrics/Metrics.h"
 #include "node/CallDispatcher.h"
 #include "node/HttpServer.h"
-#include "metrics/Metrics.h"
 
 #include <thread>
 
--- a/src/node/ControlLoop.h
+++ b/src/node/ControlLoop.h
@@ -9,9 +9,9 @@
 #include "base/Clock.h"
 #include "base/RcuCell.h"
 #include "distribution/Distributor.h"
+#include "metrics/Metrics.h"
 #include "node/CallDispatcher.h"
 #include "node/Gate.h"
-#include "metrics/Metrics.h"
 #include "node/SourceWorker.h"
 #include "transport/PeerNetwork.h"
 
--- a/src/node/Gate.h
+++ b/src/node/Gate.h
@@ -13,8 +13,8 @@
 #include "base/Clock.h"
 #include "base/Guarded.h"
 #include "document/Configuration.h"
-#include "node/BackendClient.h"
 #include "metrics/Metrics.h"
+#include "node/BackendClient.h"
 #include "retry/ExecutionRecord.h"
 #include "transport/CallStream.h"
 
--- a/src/proxy/BackendConnection.cpp
+++ b/src/proxy/BackendConnection.cpp
@@ -89,8 +89,8 @@
         takeAnswer(std::move(*response));
         return;
     }
-    finish(BackendBroken { end == StreamEnd::Closed ? "the server closed the connection"
-                                                    : "the server reset the connection" });
+    finish(BackendBroken {
+        end == StreamEnd::Closed ? "the server closed the connection" : "the server reset the connection" });
 }
 
 bool BackendConnection::isOwnAnswer(const HttpResponse& response) const
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -143,8 +143,10 @@
 void BackendGate::admit(const CallPtr& call)
 {
     m_byTicket.emplace(call->ticket, call);
-    const AdmitResult result = m_admission.offer(
-        { .id = call->ticket, .rank = call->call.rank, .deadline = call->call.deadline, .onTimeBy = call->call.onTimeBy },
+    const AdmitResult result = m_admission.offer({ .id = call->ticket,
+                                                     .rank = call->call.rank,
+                                                     .deadline = call->call.deadline,
+                                                     .onTimeBy = call->call.onTimeBy },
         m_loop.now());
     for (const RefusedTicket& displaced : result.displaced)
         refuse(callOf(displaced.ticket), refusalReasonName(displaced.reason));
@@ -157,6 +159,7 @@
 void BackendGate::run(const CallPtr& call)
 {
     call->isRunning = true;
+    m_runningIds.insert(call->call.requestId.value());
     call->startedAt = m_loop.now();
     try {
         call->connection = takeConnection(call->call);
@@ -192,8 +195,7 @@
             return;
         }
         removeConnectionHeaders(response.headers);
-        end(call,
-            std::make_shared<const GateReply>(GateAnswer { .response = std::move(response), .load = load() }));
+        end(call, std::make_shared<const GateReply>(GateAnswer { .response = std::move(response), .load = load() }));
         return;
     }
     release(call, ServiceResult::Failed);
@@ -201,8 +203,7 @@
         refuse(call, "the backend server cannot be reached");
         return;
     }
-    end(call,
-        makeRefusal(CallOutcome::Unknown, "backend-server", std::get<BackendBroken>(result).reason, load()));
+    end(call, makeRefusal(CallOutcome::Unknown, "backend-server", std::get<BackendBroken>(result).reason, load()));
 }
 
 bool BackendGate::isFresh(const BackendConnection& connection, const GateCall& call) const
@@ -254,6 +255,7 @@
 {
     const TimePoint now = m_loop.now();
     call->isRunning = false;
+    m_runningIds.erase(call->call.requestId.value());
     m_byTicket.erase(call->ticket);
     if (result == ServiceResult::Answered)
         m_serviceTime.add(now - call->startedAt, now);
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -18,6 +18,7 @@
 #include "proxy/BackendConnection.h"
 #include "proxy/CallLedger.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <deque>
 #include <list>
 
@@ -59,6 +60,8 @@
     // The server as its entry describes it; absent when it has none.
     void setServer(const std::optional<ServerRecord>& server);
     void setRanks(std::vector<RankPolicy> ranks);
+    // The backend server runs the request with this id now.
+    bool isRunning(const std::string& requestId) const { return m_runningIds.contains(requestId); }
     // No new calls from now on.
     void drain();
     bool isIdle() const { return m_calls.empty(); }
@@ -110,6 +113,8 @@
     ServiceTimeEstimate m_serviceTime;
     absl::flat_hash_map<CallKey, CallPtr> m_calls;
     absl::flat_hash_map<TicketId, CallPtr> m_byTicket;
+    // Ids of the requests that the server runs; callers' attempts have ids of their own.
+    absl::flat_hash_set<std::string> m_runningIds;
     uint64_t m_lastTicket { 0 };
     // The connection used last is at the back.
     std::deque<std::shared_ptr<BackendConnection>> m_idle;
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -75,6 +75,8 @@
         return;
     }
     call->service = m_splits.choose(*call->route);
+    call->isInnerCall = isInnerCall(call->requestId);
+    call->rank = call->isInnerCall ? 0 : call->route->rank;
     setDeadlines(*call);
     m_retryBudget.noteRequest(call->service, call->receivedAt);
     m_calls.emplace(call->number, call);
@@ -115,13 +117,28 @@
     return std::min<Duration>(mostPatience, std::chrono::milliseconds(milliseconds));
 }
 
+// A backend server that calls on behalf of a request puts the request's id before its own, with a dot between. That
+// request holds a slot and fails with the call, so such calls go with the most urgent rank and are never late before
+// their deadline.
+bool CallForwarder::isInnerCall(const RequestId& id) const
+{
+    const std::string& text = id.value();
+    const size_t dot = text.rfind('.');
+    return dot != std::string::npos && m_gate.isRunning(text.substr(0, dot));
+}
+
 void CallForwarder::setDeadlines(Call& call)
 {
     const Route& route = *call.route;
     const Duration patience = patienceOf(*call.request);
     UsualPatience& usual = m_patience[route.name];
     usual.note(patience);
-    call.deadline = call.receivedAt + (route.deadline > Duration::zero() ? std::min(patience, route.deadline) : patience);
+    call.deadline
+        = call.receivedAt + (route.deadline > Duration::zero() ? std::min(patience, route.deadline) : patience);
+    if (call.isInnerCall) {
+        call.onTimeBy = call.deadline;
+        return;
+    }
     const Duration target = route.target > Duration::zero() ? route.target : patience;
     call.onTimeBy = call.receivedAt + std::max(Duration::zero(), target - usual.waitedBefore(patience));
 }
@@ -173,7 +190,7 @@
         .requestId = call->requestId,
         .service = call->service,
         .request = call->request,
-        .rank = call->route->rank,
+        .rank = call->rank,
         .deadline = call->deadline,
         .onTimeBy = call->onTimeBy,
         .isIdempotent = call->route->isIdempotent,
@@ -236,15 +253,13 @@
 {
     const bool isUnknown = refusal.outcome == CallOutcome::Unknown;
     const bool isFromServer = refusal.step == "backend-server";
-    report(*call, refusal.outcome, isUnknown,
-        refusal.load.limit > 0 ? std::optional(refusal.load) : std::nullopt);
+    report(*call, refusal.outcome, isUnknown, refusal.load.limit > 0 ? std::optional(refusal.load) : std::nullopt);
     call->lastLoad = refusal.load;
     call->wasRefusedByServer = isFromServer;
     call->lastReason = refusal.step + ": " + refusal.reason;
     m_log.failure("attempt-failed",
-        { { "id", call->requestId.value() }, { "route", call->route->name },
-            { "instance", call->tried.back().value() }, { "outcome", isUnknown ? "unknown" : "not-run" },
-            { "step", refusal.step }, { "reason", refusal.reason },
+        { { "id", call->requestId.value() }, { "route", call->route->name }, { "instance", call->tried.back().value() },
+            { "outcome", isUnknown ? "unknown" : "not-run" }, { "step", refusal.step }, { "reason", refusal.reason },
             { "queued", std::to_string(refusal.load.queued) }, { "limit", std::to_string(refusal.load.limit) },
             { "remaining_ms", inMilliseconds(call->deadline - m_loop.now()) } });
     if (isUnknown || isFromServer)
@@ -348,15 +363,14 @@
     m_calls.erase(call->number);
     call->timer.stop();
     const Duration latency = m_loop.now() - call->receivedAt;
-    const std::string rank = call->route ? std::to_string(call->route->rank) : "none";
+    const std::string rank = call->route ? std::to_string(call->rank) : "none";
     m_metrics.countRequest(rank, outcome, latency);
     LogFields fields { { "id", call->requestId.value() }, { "route", call->route ? call->route->name : "" },
         { "service", call->service.value() }, { "rank", rank }, { "outcome", outcome },
         { "status", std::to_string(response.status) }, { "ms", inMilliseconds(latency) },
         { "attempts", std::to_string(call->attempts) }, { "refusals", std::to_string(call->refusals) },
         { "instance", call->tried.empty() ? "" : call->tried.back().value() },
-        { "version",
-            call->configuration ? std::to_string(call->configuration->manifest().version.value()) : "none" } };
+        { "version", call->configuration ? std::to_string(call->configuration->manifest().version.value()) : "none" } };
     const bool isSuccess = response.status < statusServerError;
     if (!isSuccess)
         fields.emplace_back("reason", call->lastReason);
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -44,8 +44,8 @@
 
 class CallForwarder {
 public:
-    CallForwarder(EventLoop& loop, CallForwarderOptions options, const Dialect& dialect, Router& router, BackendGate& gate,
-        PeerLookup peers, RequestLog& log, Metrics& metrics);
+    CallForwarder(EventLoop& loop, CallForwarderOptions options, const Dialect& dialect, Router& router,
+        BackendGate& gate, PeerLookup peers, RequestLog& log, Metrics& metrics);
 
     void handle(HttpRequest request, const std::shared_ptr<HttpConnection>& caller);
     // Refuses all new requests as not run from now on.
@@ -73,6 +73,9 @@
         TimePoint receivedAt;
         TimePoint deadline;
         TimePoint onTimeBy;
+        int rank { 0 };
+        // Made by a request that runs at the backend server beside this node.
+        bool isInnerCall { false };
         // Attempts that reached a backend server, or may have.
         uint32_t attempts { 0 };
         int refusals { 0 };
@@ -91,6 +94,7 @@
     CallPtr makeCall(HttpRequest request, const std::shared_ptr<HttpConnection>& caller);
     // What the caller still waits, as it says.
     Duration patienceOf(const HttpRequest& request) const;
+    bool isInnerCall(const RequestId& id) const;
     void setDeadlines(Call& call);
     void attempt(const CallPtr& call);
     std::optional<Choice> chooseInstance(Call& call);
--- a/src/proxy/FrameChannel.cpp
+++ b/src/proxy/FrameChannel.cpp
@@ -91,16 +91,16 @@
     return list;
 }
 
-HttpHeaders toHttpHeaders(HeaderList headers)
+HttpHeaders toHttpHeaders(const HeaderList& headers)
 {
     HttpHeaders result;
     result.reserve(headers.size());
-    for (auto& [name, value] : headers)
-        result.push_back({ std::move(name), std::move(value) });
+    for (const auto& [name, value] : headers)
+        result.push_back({ name, value });
     return result;
 }
 
-bool BodyAssembler::add(std::string& body, BodyChunk chunk) const
+bool BodyAssembler::add(std::string& body, const BodyChunk& chunk) const
 {
     if (chunk.offset != body.size() || body.size() + chunk.data.size() > m_mostBytes)
         throw Error({ .step = "receive-body", .message = "a chunk is out of place or the body is too large" });
--- a/src/proxy/FrameChannel.h
+++ b/src/proxy/FrameChannel.h
@@ -50,7 +50,7 @@
 };
 
 HeaderList toHeaderList(const HttpHeaders& headers);
-HttpHeaders toHttpHeaders(HeaderList headers);
+HttpHeaders toHttpHeaders(const HeaderList& headers);
 
 // Puts the chunks of bodies together.
 class BodyAssembler {
@@ -61,7 +61,7 @@
     {
     }
     // True when the body is whole. Throws Error for a gap or a body that is too large.
-    bool add(std::string& body, BodyChunk chunk) const;
+    bool add(std::string& body, const BodyChunk& chunk) const;
 
 private:
     size_t m_mostBytes;
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -65,8 +65,8 @@
                 .onMessage = [this](Message message) { handle(std::move(message)); },
                 .onEnd = [this](StreamEnd end) { handleEnd(end); } });
     } catch (const Error& error) {
-        logEvent(LogLevel::Warning, "peer-connect-failed",
-            { { "peer", m_peer.toString() }, { "reason", error.message() } });
+        logEvent(
+            LogLevel::Warning, "peer-connect-failed", { { "peer", m_peer.toString() }, { "reason", error.message() } });
         handleEnd(StreamEnd::NotConnected);
         return;
     }
@@ -127,7 +127,7 @@
     m_calls.erase(found);
 }
 
-bool PeerClient::requestSourceState(const SourceStateRequest& request)
+bool PeerClient::requestHeldSource(const HeldSourceRequest& request)
 {
     if (!m_isReady) {
         connect();
@@ -183,32 +183,31 @@
         completeAnswer(stream, found->second);
 }
 
-void PeerClient::on(BodyChunk chunk)
+void PeerClient::on(const BodyChunk& chunk)
 {
     const auto found = m_calls.find(chunk.stream);
     if (found == m_calls.end() || !found->second.head)
         return;
     const StreamId stream = chunk.stream;
-    if (m_assembler.add(found->second.body, std::move(chunk)))
+    if (m_assembler.add(found->second.body, chunk))
         completeAnswer(stream, found->second);
 }
 
 void PeerClient::completeAnswer(StreamId stream, Outstanding& outstanding)
 {
     AnswerStart& head = *outstanding.head;
-    auto answer = std::make_shared<const GateReply>(
-        GateAnswer { .response = { .status = static_cast<int>(head.status),
-                         .headers = toHttpHeaders(std::move(head.headers)),
-                         .body = std::move(outstanding.body),
-                         .endsWithClose = head.endsWithClose },
-            .load = head.load });
+    auto answer = std::make_shared<const GateReply>(GateAnswer { .response = { .status = static_cast<int>(head.status),
+                                                                     .headers = toHttpHeaders(head.headers),
+                                                                     .body = std::move(outstanding.body),
+                                                                     .endsWithClose = head.endsWithClose },
+        .load = head.load });
     reply(stream, answer);
 }
 
 void PeerClient::on(Refusal refusal)
 {
-    reply(refusal.stream,
-        makeRefusal(refusal.outcome, std::move(refusal.step), std::move(refusal.reason), refusal.load));
+    reply(
+        refusal.stream, makeRefusal(refusal.outcome, std::move(refusal.step), std::move(refusal.reason), refusal.load));
 }
 
 void PeerClient::on(const Leaving&)
@@ -219,7 +218,7 @@
     m_callbacks.onLeaving();
 }
 
-void PeerClient::on(const SourceState& state) { m_callbacks.onSourceState(state); }
+void PeerClient::on(const HeldSource& state) { m_callbacks.onHeldSource(state); }
 
 void PeerClient::reply(StreamId stream, const GateReplyPtr& reply)
 {
--- a/src/proxy/PeerClient.h
+++ b/src/proxy/PeerClient.h
@@ -35,7 +35,7 @@
 class PeerClient {
 public:
     struct Callbacks {
-        std::function<void(const SourceState&)> onSourceState;
+        std::function<void(const HeldSource&)> onHeldSource;
         std::function<void()> onLeaving;
     };
 
@@ -48,7 +48,7 @@
     void cancel(StreamId stream);
     // Opens the connection if it is not open.
     void connect();
-    bool requestSourceState(const SourceStateRequest& request);
+    bool requestHeldSource(const HeldSourceRequest& request);
 
     // False while the peer cannot be connected to, is suspect or leaves.
     bool isUsable() const;
@@ -75,10 +75,10 @@
     void on(const Hello& hello);
     void on(const Pong& pong);
     void on(AnswerStart answer);
-    void on(BodyChunk chunk);
+    void on(const BodyChunk& chunk);
     void on(Refusal refusal);
     void on(const Leaving& leaving);
-    void on(const SourceState& state);
+    void on(const HeldSource& state);
     template <typename Other> void on(const Other&) { }
     void reply(StreamId stream, const GateReplyPtr& reply);
     void completeAnswer(StreamId stream, Outstanding& outstanding);
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -19,8 +19,8 @@
     void announceLeaving()
     {
         if (m_channel && m_isGreeted)
-            m_channel->send(Leaving { .instance = m_server.m_options.self.instance,
-                .incarnation = m_server.m_options.self.incarnation });
+            m_channel->send(Leaving {
+                .instance = m_server.m_options.self.instance, .incarnation = m_server.m_options.self.incarnation });
     }
 
 private:
@@ -61,11 +61,11 @@
             submit(stream);
     }
 
-    void on(BodyChunk chunk)
+    void on(const BodyChunk& chunk)
     {
         const StreamId stream = chunk.stream;
         const auto found = m_arriving.find(stream);
-        if (found != m_arriving.end() && m_assembler.add(found->second.body, std::move(chunk)))
+        if (found != m_arriving.end() && m_assembler.add(found->second.body, chunk))
             submit(stream);
     }
 
@@ -75,7 +75,7 @@
         m_server.m_gate.cancel({ .sender = m_peer.incarnation, .stream = cancel.stream });
     }
 
-    void on(const SourceStateRequest& request) { m_channel->send(m_server.m_callbacks.onSourceStateRequest(request)); }
+    void on(const HeldSourceRequest& request) { m_channel->send(m_server.m_callbacks.onHeldSourceRequest(request)); }
 
     template <typename Other> void on(const Other&) { }
 
@@ -95,7 +95,7 @@
         auto request = std::make_shared<HttpRequest>();
         request->method = std::move(start.method);
         request->target = std::move(start.target);
-        request->headers = toHttpHeaders(std::move(start.headers));
+        request->headers = toHttpHeaders(start.headers);
         request->body = std::move(arriving.body);
         m_server.m_gate.submit({ .key = { .sender = m_peer.incarnation, .stream = stream },
                                    .requestId = std::move(start.requestId),
--- a/src/proxy/PeerServer.h
+++ b/src/proxy/PeerServer.h
@@ -4,8 +4,8 @@
 // connection and joins them there. Bound: mostBodyBytes a call, and the gate's own bounds.
 #pragma once
 
-#include "proxy/FrameChannel.h"
 #include "proxy/BackendGate.h"
+#include "proxy/FrameChannel.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -22,7 +22,7 @@
     struct Callbacks {
         // A peer said who it is.
         std::function<void(const Hello&)> onPeer;
-        std::function<SourceState(const SourceStateRequest&)> onSourceStateRequest;
+        std::function<HeldSource(const HeldSourceRequest&)> onHeldSourceRequest;
     };
 
     // Listens on the address in `self`; throws Error when it cannot be bound.
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -88,8 +88,8 @@
     {
     }
 
-    void onListing(SourceItems items) override { deliver(std::move(items), true); }
-    void onChanges(SourceItems changes) override { deliver(std::move(changes), false); }
+    void onListing(const SourceItems& items) override { deliver(items, true); }
+    void onChanges(const SourceItems& changes) override { deliver(changes, false); }
     void onLost(const std::string& reason) override
     {
         m_node.m_loop.post([this, reason] { m_node.noteSource(true, reason); });
@@ -101,7 +101,7 @@
     void onCall(const char* kind, bool isAnswered) override { m_node.m_metrics.countSourceCall(kind, isAnswered); }
 
 private:
-    void deliver(SourceItems items, bool isListing)
+    void deliver(const SourceItems& items, bool isListing)
     {
         std::vector<ServerEntry> servers;
         const SourceItem* configuration = nullptr;
@@ -124,11 +124,10 @@
     void deliverConfiguration(const SourceItem& item)
     {
         try {
-            ConfigurationUpdate update { .configuration
-                = m_node.m_adapter.decodeConfiguration(item.value, item.revision),
-                .text = item.value };
-            m_node.m_loop.post(
-                [this, update = std::move(update)] { m_node.applyConfiguration(update, "source"); });
+            ConfigurationUpdate update {
+                .configuration = m_node.m_adapter.decodeConfiguration(item.value, item.revision), .text = item.value
+            };
+            m_node.m_loop.post([this, update = std::move(update)] { m_node.applyConfiguration(update, "source"); });
         } catch (const Error& error) {
             logEvent(LogLevel::Error, "configuration-refused",
                 { { "revision", std::to_string(item.revision.value()) }, { "reason", error.what() } });
@@ -153,18 +152,18 @@
     , m_router(routerOptions(m_settings))
     , m_directory({ .peerPort = m_settings.peerAddress.port, .regions = m_settings.regions })
     , m_gate(m_loop, { .server = m_settings.serverAddress }, m_adapter.dialect)
-    , m_forwarder(m_loop,
+    , m_forwarder(
+          m_loop,
           { .self = m_self.incarnation,
               .host = m_settings.peerAddress.host,
               .callerService = m_settings.service,
-              .retryBudget = { .ratio = m_settings.retryRatio,
-                  .slack = m_settings.retrySlack,
-                  .window = m_settings.retryWindow } },
-          m_adapter.dialect, m_router, m_gate, [this](const Endpoint& endpoint) -> PeerClient& { return peer(endpoint); },
-          m_log, m_metrics)
+              .retryBudget
+              = { .ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow } },
+          m_adapter.dialect, m_router, m_gate,
+          [this](const Endpoint& endpoint) -> PeerClient& { return peer(endpoint); }, m_log, m_metrics)
     , m_peerServer(m_loop, { .self = m_self }, m_gate,
           { .onPeer = [this](const Hello& hello) { peer(hello.listenAddress); },
-              .onSourceStateRequest = [this](const SourceStateRequest& request) { return sourceStateFor(request); } })
+              .onHeldSourceRequest = [this](const HeldSourceRequest& request) { return heldSourceFor(request); } })
     , m_callers(m_loop, { .address = m_settings.callerAddress },
           [this](HttpRequest request, const std::shared_ptr<HttpConnection>& connection) {
               m_forwarder.handle(std::move(request), connection);
@@ -190,8 +189,8 @@
 {
     logEvent(LogLevel::Info, "started",
         { { "callers", m_settings.callerAddress.toString() }, { "peers", m_settings.peerAddress.toString() },
-            { "incarnation", std::to_string(m_self.incarnation.value()) },
-            { "service", m_settings.service.value() }, { "zone", m_settings.zone.value() } });
+            { "incarnation", std::to_string(m_self.incarnation.value()) }, { "service", m_settings.service.value() },
+            { "zone", m_settings.zone.value() } });
     SourceWatcherOptions options = m_adapter.watcher;
     options.leastInterval = m_settings.sourceInterval;
     options.seed = m_self.incarnation.value();
@@ -216,7 +215,8 @@
     m_forwarder.setConfiguration(update.configuration);
     m_gate.setRanks(offered.ranks());
     const CallerLimits& limits = offered.limits();
-    m_callers.setLimits({ .headerBytes = limits.headerBytes, .bodyBytes = std::min(HttpLimits().bodyBytes, limits.bodyBytes) },
+    m_callers.setLimits(
+        { .headerBytes = limits.headerBytes, .bodyBytes = std::min(HttpLimits().bodyBytes, limits.bodyBytes) },
         limits.headerTimeout, limits.idleTimeout);
     m_configurationText = update.text;
     m_metrics.setVersion(offered.manifest().version);
@@ -267,22 +267,20 @@
         m_directory.noteSourceBack(now);
         logEvent(LogLevel::Info, "source-back",
             { { "after_ms",
-                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sourceLostAt).count()) } });
+                std::to_string(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sourceLostAt).count()) } });
     }
 }
 
-bool ProxyNode::isReady() const
-{
-    return !m_stoppingSince && m_forwarder.configuration() && m_directory.size() > 0;
-}
+bool ProxyNode::isReady() const { return !m_stoppingSince && m_forwarder.configuration() && m_directory.size() > 0; }
 
 PeerClient& ProxyNode::peer(const Endpoint& endpoint)
 {
     auto& client = m_peers[endpoint];
     if (!client) {
         client = std::make_unique<PeerClient>(m_loop, endpoint, m_self, PeerClientOptions {},
-            PeerClient::Callbacks { .onSourceState = [this](const SourceState& state) { applyPeerState(state); },
-                .onLeaving = [] { } });
+            PeerClient::Callbacks {
+                .onHeldSource = [this](const HeldSource& state) { applyPeerState(state); }, .onLeaving = [] {} });
     }
     return *client;
 }
@@ -306,7 +304,8 @@
         publishServers();
     m_router.advance(now);
     const LoadHint load = m_gate.load();
-    m_metrics.setConcurrency(static_cast<int>(load.limit), static_cast<int>(load.inFlight), static_cast<int>(load.queued));
+    m_metrics.setConcurrency(
+        static_cast<int>(load.limit), static_cast<int>(load.inFlight), static_cast<int>(load.queued));
     if (!m_isSourceLost)
         forgetPeers();
     else if (now - m_sourceLostAt > peerQuestionAfter && now - m_askedPeersAt > peerQuestionInterval)
@@ -330,13 +329,13 @@
         return;
     m_askedPeersAt = m_loop.now();
     const auto& held = m_forwarder.configuration();
-    candidates[m_random.below(candidates.size())]->requestSourceState(
+    candidates[m_random.below(candidates.size())]->requestHeldSource(
         { .version = held ? held->manifest().version : VersionNumber(), .revision = m_directory.revision() });
 }
 
-SourceState ProxyNode::sourceStateFor(const SourceStateRequest& request) const
+HeldSource ProxyNode::heldSourceFor(const HeldSourceRequest& request) const
 {
-    SourceState state;
+    HeldSource state;
     if (const auto& held = m_forwarder.configuration(); held && held->manifest().version > request.version) {
         state.version = held->manifest().version;
         state.configuration = compress(m_configurationText);
@@ -347,7 +346,7 @@
     return state;
 }
 
-void ProxyNode::applyPeerState(const SourceState& state)
+void ProxyNode::applyPeerState(const HeldSource& state)
 {
     if (!state.configuration.empty()) {
         const auto text = decompress(state.configuration, mostConfigurationBytes);
@@ -408,8 +407,7 @@
 {
     nlohmann::json peers = nlohmann::json::object();
     for (const auto& [endpoint, client] : m_peers)
-        peers[endpoint.toString()]
-            = { { "state", client->stateName() }, { "outstanding", client->outstanding() } };
+        peers[endpoint.toString()] = { { "state", client->stateName() }, { "outstanding", client->outstanding() } };
     const auto& held = m_forwarder.configuration();
     const LoadHint load = m_gate.load();
     nlohmann::json servers = nlohmann::json::array();
@@ -418,12 +416,13 @@
         servers.push_back({ { "id", state.record.id.value() }, { "service", state.record.service.value() },
             { "zone", state.record.zone.value() }, { "peer", state.record.peer.toString() },
             { "condition", conditionName(state.condition) } });
-    return nlohmann::json { { "instance", m_settings.instance }, { "ready", isReady() },
+    return nlohmann::json {
+        { "instance", m_settings.instance }, { "ready", isReady() },
         { "version", held ? held->manifest().version.value() : 0 }, { "sourceLost", m_isSourceLost },
         { "sourceRevision", m_directory.revision().value() }, { "peers", peers }, { "servers", servers },
         { "gate", { { "running", load.inFlight }, { "queued", load.queued }, { "limit", load.limit } } },
-        { "callsInProgress", m_forwarder.callsInProgress() } }
-        .dump(2)
+        { "callsInProgress", m_forwarder.callsInProgress() }
+    }.dump(2)
         + "\n";
 }
 
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -5,8 +5,8 @@
 // decodes is posted to the loop. While the source is out of reach the node asks peers for what they hold of it.
 //
 // The way of a stop: the ready page says no and peers are told; callers' connections close with their answers; new
-// calls of peers are refused after `peerGrace`, new requests after `callerGrace`, when callers had time to go elsewhere;
-// then the process ends as soon as nothing is in progress, and before stopGrace is over in any case.
+// calls of peers are refused after `peerGrace`, new requests after `callerGrace`, when callers had time to go
+// elsewhere; then the process ends as soon as nothing is in progress, and before stopGrace is over in any case.
 #pragma once
 
 #include "eventloop/EventLoop.h"
@@ -34,8 +34,7 @@
     Dialect dialect;
     std::function<bool(const SourceItem&)> isConfiguration;
     // Throws Error for a text that is not a whole, consistent configuration.
-    std::function<std::shared_ptr<const Configuration>(const std::string& text, Revision revision)>
-        decodeConfiguration;
+    std::function<std::shared_ptr<const Configuration>(const std::string& text, Revision revision)> decodeConfiguration;
     std::function<bool(const SourceItem&)> isServer;
     // A record that names no server that can be used is absent from the entry; the reason is logged by the adapter.
     std::function<ServerEntry(const SourceItem&)> decodeServer;
@@ -65,8 +64,8 @@
     void forgetPeers();
     void tick();
     void askPeerForSource();
-    SourceState sourceStateFor(const SourceStateRequest& request) const;
-    void applyPeerState(const SourceState& state);
+    HeldSource heldSourceFor(const HeldSourceRequest& request) const;
+    void applyPeerState(const HeldSource& state);
 
     void handleReady(const std::shared_ptr<HttpConnection>& connection);
     void handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection);
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -42,15 +42,18 @@
                 .retries = 1,
                 .isSubtreeOnly = true };
         };
-        return std::make_shared<const Configuration>(Manifest { .version = VersionNumber(version), .revision = revision },
-            std::vector<RankPolicy> { { .name = RankName("0"), .target = 100ms }, { .name = RankName("1"), .target = 200ms } },
+        return std::make_shared<const Configuration>(
+            Manifest { .version = VersionNumber(version), .revision = revision },
+            std::vector<RankPolicy> {
+                { .name = RankName("0"), .target = 100ms }, { .name = RankName("1"), .target = 200ms } },
             std::map<ServiceName, ServicePolicy> { { ServiceName("work"), { .name = ServiceName("work") } } },
             std::vector<Route> { route("read", "/read", true, 0), route("pay", "/pay", false, 1) });
     }
 
     ServerEntry decodeTestServer(const SourceItem& item)
     {
-        ServerEntry entry { .id = InstanceId(item.key.substr(std::string("servers/").size())), .revision = item.revision };
+        ServerEntry entry { .id = InstanceId(item.key.substr(std::string("servers/").size())),
+            .revision = item.revision };
         if (item.isDeleted)
             return entry;
         // "ADDRESS START draining|ready"
@@ -126,7 +129,8 @@
         --m_server.m_running;
         m_isRunning = false;
         const auto self = shared_from_this();
-        const std::string text = serialize(HttpResponse { .status = 200, .headers = answerHeaders(m_id), .body = m_body });
+        const std::string text
+            = serialize(HttpResponse { .status = 200, .headers = answerHeaders(m_id), .body = m_body });
         switch (m_server.m_fault) {
         case ServerFault::LoseAnswer:
             close();
@@ -168,11 +172,12 @@
     : m_loop(m_clock)
     , m_id(std::move(id))
     , m_service(std::move(service))
-    , m_listener(std::make_unique<TcpListener>(m_loop, address, [this](std::unique_ptr<TcpStream> stream) {
-        const auto connection = std::make_shared<Connection>(*this, std::move(stream));
-        m_connections.insert(connection);
-        connection->start();
-    }))
+    , m_listener(std::make_unique<TcpListener>(m_loop, address,
+          [this](std::unique_ptr<TcpStream> stream) {
+              const auto connection = std::make_shared<Connection>(*this, std::move(stream));
+              m_connections.insert(connection);
+              connection->start();
+          }))
     , m_thread([this] { m_loop.run(); })
 {
 }
@@ -199,9 +204,9 @@
 {
     configure(1, 1000);
     for (size_t index = 0; index < nodes; ++index) {
-        m_nodes[index].server = std::make_unique<TestServer>(
-            Endpoint { hostOf(index), static_cast<uint16_t>(m_firstPort + serverPort) }, "s" + std::to_string(index),
-            "work");
+        m_nodes[index].server
+            = std::make_unique<TestServer>(Endpoint { hostOf(index), static_cast<uint16_t>(m_firstPort + serverPort) },
+                "s" + std::to_string(index), "work");
         list(index, false, 1);
         startNode(index);
     }
@@ -209,6 +214,11 @@
 
 ProxyFleet::~ProxyFleet()
 {
+    // All at once, since each takes the time that callers have to go elsewhere.
+    for (Node& node : m_nodes) {
+        if (node.node)
+            node.node->requestStop();
+    }
     for (size_t index = 0; index < m_nodes.size(); ++index)
         stopNode(index);
 }
@@ -293,8 +303,8 @@
     return true;
 }
 
-TestAnswer sendRequest(
-    const Endpoint& node, const std::string& id, const std::string& path, const std::string& body, int deadlineMilliseconds)
+TestAnswer sendRequest(const Endpoint& node, const std::string& id, const std::string& path, const std::string& body,
+    int deadlineMilliseconds)
 {
     httplib::Client client(node.host, node.port);
     client.set_read_timeout(5);
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -32,7 +32,10 @@
     ~TestServer();
 
     void setFault(ServerFault fault) { m_fault = fault; }
-    void setWork(Duration work) { m_workMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(work).count(); }
+    void setWork(Duration work)
+    {
+        m_workMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(work).count();
+    }
     // Ids of requests that it began, each as often as it ran.
     std::multiset<std::string> executions() const;
     int running() const { return m_running; }
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -7,251 +7,253 @@
 namespace skylark {
 namespace {
 
-using namespace std::chrono_literals;
+    using namespace std::chrono_literals;
 
-// Guards against an answer that is lost, mixed up or changed on the way over two nodes.
-TEST(ProxyNodeTest, EachCallerGetsTheServersWholeAnswer)
-{
-    ProxyFleet fleet(3);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    for (int i = 0; i < 60; ++i) {
-        const std::string id = "r" + std::to_string(i);
-        const std::string body = i % 2 == 0 ? "" : std::string(static_cast<size_t>(i) * 5000, 'x');
-        const TestAnswer answer = sendRequest(fleet.callerAddress(static_cast<size_t>(i % 3)), id,
-            (i % 2 == 0 ? "/read/" : "/pay/") + id, body);
-        ASSERT_EQ(answer.status, 200) << id;
-        EXPECT_EQ(answer.body, (i % 2 == 0 ? "GET /read/" : "POST /pay/") + id + " " + body);
+    // Guards against an answer that is lost, mixed up or changed on the way over two nodes.
+    TEST(ProxyNodeTest, EachCallerGetsTheServersWholeAnswer)
+    {
+        ProxyFleet fleet(3);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        for (int i = 0; i < 60; ++i) {
+            const std::string id = "r" + std::to_string(i);
+            const std::string body = i % 2 == 0 ? "" : std::string(static_cast<size_t>(i) * 5000, 'x');
+            const TestAnswer answer = sendRequest(
+                fleet.callerAddress(static_cast<size_t>(i % 3)), id, (i % 2 == 0 ? "/read/" : "/pay/") + id, body);
+            ASSERT_EQ(answer.status, 200) << id;
+            EXPECT_EQ(answer.body, (i % 2 == 0 ? "GET /read/" : "POST /pay/") + id + " " + body);
+        }
     }
-}
 
-TEST(ProxyNodeTest, PathOfNoRouteIsNotFound)
-{
-    ProxyFleet fleet(1);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    EXPECT_EQ(sendRequest(fleet.callerAddress(0), "a", "/none/x").status, 404);
-    // A prefix matches what is below it, and not itself.
-    EXPECT_EQ(sendRequest(fleet.callerAddress(0), "b", "/read").status, 404);
-}
+    TEST(ProxyNodeTest, PathOfNoRouteIsNotFound)
+    {
+        ProxyFleet fleet(1);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        EXPECT_EQ(sendRequest(fleet.callerAddress(0), "a", "/none/x").status, 404);
+        // A prefix matches what is below it, and not itself.
+        EXPECT_EQ(sendRequest(fleet.callerAddress(0), "b", "/read").status, 404);
+    }
 
-// Guards against a second run of a request whose answer was lost, and against a claim that it did not run.
-TEST(ProxyNodeTest, LostAnswerOfANonIdempotentRequestIsUnknownAndRunsOnce)
-{
-    ProxyFleet fleet(2);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    for (size_t index = 0; index < 2; ++index)
-        fleet.server(index).setFault(ServerFault::LoseAnswer);
-    EXPECT_EQ(sendRequest(fleet.callerAddress(0), "once", "/pay/x", "fee").status, 502);
-    EXPECT_EQ(fleet.server(0).executions().count("once") + fleet.server(1).executions().count("once"), 1u);
-}
+    // Guards against a second run of a request whose answer was lost, and against a claim that it did not run.
+    TEST(ProxyNodeTest, LostAnswerOfANonIdempotentRequestIsUnknownAndRunsOnce)
+    {
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        for (size_t index = 0; index < 2; ++index)
+            fleet.server(index).setFault(ServerFault::LoseAnswer);
+        EXPECT_EQ(sendRequest(fleet.callerAddress(0), "once", "/pay/x", "fee").status, 502);
+        EXPECT_EQ(fleet.server(0).executions().count("once") + fleet.server(1).executions().count("once"), 1u);
+    }
 
-TEST(ProxyNodeTest, CutOffAnswerIsNeverDelivered)
-{
-    ProxyFleet fleet(1);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    fleet.server(0).setFault(ServerFault::Truncate);
-    EXPECT_EQ(sendRequest(fleet.callerAddress(0), "cut", "/pay/x", "fee").status, 502);
-}
+    TEST(ProxyNodeTest, CutOffAnswerIsNeverDelivered)
+    {
+        ProxyFleet fleet(1);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.server(0).setFault(ServerFault::Truncate);
+        EXPECT_EQ(sendRequest(fleet.callerAddress(0), "cut", "/pay/x", "fee").status, 502);
+    }
 
-// Guards against an extra answer being taken for that of the next request on the connection.
-TEST(ProxyNodeTest, ExtraAnswersReachNobody)
-{
-    ProxyFleet fleet(1);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    fleet.server(0).setFault(ServerFault::ExtraAnswer);
-    for (int i = 0; i < 20; ++i) {
-        const std::string id = "e" + std::to_string(i);
-        const TestAnswer answer = sendRequest(fleet.callerAddress(0), id, "/read/" + id);
-        if (answer.status == 200) {
-            EXPECT_EQ(answer.body, "GET /read/" + id + " ");
+    // Guards against an extra answer being taken for that of the next request on the connection.
+    TEST(ProxyNodeTest, ExtraAnswersReachNobody)
+    {
+        ProxyFleet fleet(1);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.server(0).setFault(ServerFault::ExtraAnswer);
+        for (int i = 0; i < 20; ++i) {
+            const std::string id = "e" + std::to_string(i);
+            const TestAnswer answer = sendRequest(fleet.callerAddress(0), id, "/read/" + id);
+            if (answer.status == 200) {
+                EXPECT_EQ(answer.body, "GET /read/" + id + " ");
+            }
         }
     }
-}
-
-TEST(ProxyNodeTest, ShedRequestIsRefusedAsNotRunWithAReturnTime)
-{
-    ProxyFleet fleet(1);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    fleet.server(0).setFault(ServerFault::Shed);
-    const TestAnswer answer = sendRequest(fleet.callerAddress(0), "shed", "/pay/x", "fee");
-    EXPECT_EQ(answer.status, 503);
-    EXPECT_FALSE(answer.retryAfter.empty());
-    EXPECT_EQ(fleet.server(0).executions().count("shed"), 0u);
-}
-
-// Guards against a request that is kept past the operator's timeout.
-TEST(ProxyNodeTest, TimeoutOfTheRouteEndsTheRequest)
-{
-    ProxyFleet fleet(1);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    fleet.server(0).setWork(3s);
-    const auto began = std::chrono::steady_clock::now();
-    EXPECT_EQ(sendRequest(fleet.callerAddress(0), "slow", "/read/x", "", 4000).status, 504);
-    const auto took = std::chrono::steady_clock::now() - began;
-    EXPECT_GE(took, 950ms);
-    EXPECT_LT(took, 1400ms);
-}
 
-// Guards against work that goes on for a caller who left.
-TEST(ProxyNodeTest, WorkOfACallerWhoLeftIsStopped)
-{
-    ProxyFleet fleet(2);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    for (size_t index = 0; index < 2; ++index)
-        fleet.server(index).setWork(900ms);
+    TEST(ProxyNodeTest, ShedRequestIsRefusedAsNotRunWithAReturnTime)
     {
-        httplib::Client client(fleet.callerAddress(0).host, fleet.callerAddress(0).port);
-        client.set_read_timeout(0, 100000);
-        EXPECT_FALSE(client.Get("/read/x", { { Dialect().requestId, "left" } }));
+        ProxyFleet fleet(1);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.server(0).setFault(ServerFault::Shed);
+        const TestAnswer answer = sendRequest(fleet.callerAddress(0), "shed", "/pay/x", "fee");
+        EXPECT_EQ(answer.status, 503);
+        EXPECT_FALSE(answer.retryAfter.empty());
+        EXPECT_EQ(fleet.server(0).executions().count("shed"), 0u);
     }
-    std::this_thread::sleep_for(300ms);
-    EXPECT_EQ(fleet.server(0).running() + fleet.server(1).running(), 0);
-}
 
-// Guards against an instance that leaves and still gets new work, and against work that is lost for that.
-TEST(ProxyNodeTest, LeavingServerGetsNothingNew)
-{
-    ProxyFleet fleet(2);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    fleet.list(0, true, 1);
-    std::this_thread::sleep_for(300ms);
-    const size_t before = fleet.server(0).executions().size();
-    for (int i = 0; i < 20; ++i)
-        EXPECT_EQ(sendRequest(fleet.callerAddress(static_cast<size_t>(i % 2)), "l" + std::to_string(i), "/read/x").status, 200);
-    EXPECT_EQ(fleet.server(0).executions().size(), before);
-}
+    // Guards against a request that is kept past the operator's timeout.
+    TEST(ProxyNodeTest, TimeoutOfTheRouteEndsTheRequest)
+    {
+        ProxyFleet fleet(1);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.server(0).setWork(3s);
+        const auto began = std::chrono::steady_clock::now();
+        EXPECT_EQ(sendRequest(fleet.callerAddress(0), "slow", "/read/x", "", 4000).status, 504);
+        const auto took = std::chrono::steady_clock::now() - began;
+        EXPECT_GE(took, 950ms);
+        EXPECT_LT(took, 1400ms);
+    }
 
-TEST(ProxyNodeTest, NodeWithoutTheSourceLearnsTheConfigurationFromAPeer)
-{
-    ProxyFleet fleet(2);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    fleet.setTurnedAway(1, true);
-    std::this_thread::sleep_for(200ms);
-    fleet.configure(2, 300);
-    std::this_thread::sleep_for(2500ms);
-    fleet.server(0).setWork(2s);
-    fleet.server(1).setWork(2s);
-    const auto began = std::chrono::steady_clock::now();
-    EXPECT_EQ(sendRequest(fleet.callerAddress(1), "new-timeout", "/read/x").status, 504);
-    EXPECT_LT(std::chrono::steady_clock::now() - began, 700ms);
-}
+    // Guards against work that goes on for a caller who left.
+    TEST(ProxyNodeTest, WorkOfACallerWhoLeftIsStopped)
+    {
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        for (size_t index = 0; index < 2; ++index)
+            fleet.server(index).setWork(900ms);
+        {
+            httplib::Client client(fleet.callerAddress(0).host, fleet.callerAddress(0).port);
+            client.set_read_timeout(0, 100000);
+            EXPECT_FALSE(client.Get("/read/x", { { Dialect().requestId, "left" } }));
+        }
+        std::this_thread::sleep_for(300ms);
+        EXPECT_EQ(fleet.server(0).running() + fleet.server(1).running(), 0);
+    }
 
-// Guards against crashes and lost or doubled requests while servers restart, leave, fail and configurations change.
-TEST(ProxyNodeTest, RequestsSurviveChangesUnderLoad)
-{
-    constexpr size_t nodes = 4;
-    constexpr int threads = 8;
-    ProxyFleet fleet(nodes);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    std::atomic<bool> isDone { false };
-    std::atomic<int> answered { 0 };
-    std::mutex mutex;
-    std::vector<std::string> refused;
-    std::vector<std::thread> callers;
-    for (int thread = 0; thread < threads; ++thread) {
-        callers.emplace_back([&, thread] {
-            for (int i = 0; !isDone; ++i) {
-                const std::string id = "t" + std::to_string(thread) + "-" + std::to_string(i);
-                const bool isPayment = i % 2 == 0;
-                const TestAnswer answer = sendRequest(fleet.callerAddress(static_cast<size_t>(thread) % nodes), id,
-                    isPayment ? "/pay/x" : "/read/x", isPayment ? "fee" : "", i % 7 == 0 ? 3 : 2000);
-                answered += answer.status == 200 ? 1 : 0;
-                const std::lock_guard lock(mutex);
-                if (isPayment && answer.status == 503)
-                    refused.push_back(id);
-            }
-        });
+    // Guards against an instance that leaves and still gets new work, and against work that is lost for that.
+    TEST(ProxyNodeTest, LeavingServerGetsNothingNew)
+    {
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.list(0, true, 1);
+        std::this_thread::sleep_for(300ms);
+        const size_t before = fleet.server(0).executions().size();
+        for (int i = 0; i < 20; ++i)
+            EXPECT_EQ(
+                sendRequest(fleet.callerAddress(static_cast<size_t>(i % 2)), "l" + std::to_string(i), "/read/x").status,
+                200);
+        EXPECT_EQ(fleet.server(0).executions().size(), before);
     }
-    const ServerFault faults[] = { ServerFault::LoseAnswer, ServerFault::ExtraAnswer, ServerFault::Truncate,
-        ServerFault::Shed, ServerFault::None };
-    for (uint64_t round = 0; round < 20; ++round) {
-        fleet.configure(round + 2, 1000 + static_cast<int>(round));
-        fleet.list(round % nodes, round % 3 == 0, round + 2);
-        fleet.server((round + 1) % nodes).setFault(faults[round % 5]);
-        std::this_thread::sleep_for(100ms);
+
+    TEST(ProxyNodeTest, NodeWithoutTheSourceLearnsTheConfigurationFromAPeer)
+    {
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.setTurnedAway(1, true);
+        std::this_thread::sleep_for(200ms);
+        fleet.configure(2, 300);
+        std::this_thread::sleep_for(2500ms);
+        fleet.server(0).setWork(2s);
+        fleet.server(1).setWork(2s);
+        const auto began = std::chrono::steady_clock::now();
+        EXPECT_EQ(sendRequest(fleet.callerAddress(1), "new-timeout", "/read/x").status, 504);
+        EXPECT_LT(std::chrono::steady_clock::now() - began, 700ms);
     }
-    isDone = true;
-    for (std::thread& caller : callers)
-        caller.join();
-    std::multiset<std::string> executions;
-    for (size_t index = 0; index < nodes; ++index)
-        executions.merge(fleet.server(index).executions());
-    for (const std::string& id : refused)
-        EXPECT_EQ(executions.count(id), 0u) << id << " was refused as not run and ran";
-    for (const std::string& id : executions) {
-        const bool isPayment = (std::stoi(id.substr(id.find('-') + 1)) % 2) == 0;
-        if (isPayment)
-            EXPECT_EQ(executions.count(id), 1u) << id << " ran twice";
+
+    // Guards against crashes and lost or doubled requests while servers restart, leave, fail and configurations change.
+    TEST(ProxyNodeTest, RequestsSurviveChangesUnderLoad)
+    {
+        constexpr size_t nodes = 4;
+        constexpr int threads = 8;
+        ProxyFleet fleet(nodes);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        std::atomic<bool> isDone { false };
+        std::atomic<int> answered { 0 };
+        std::mutex mutex;
+        std::vector<std::string> refused;
+        std::vector<std::thread> callers;
+        for (int thread = 0; thread < threads; ++thread) {
+            callers.emplace_back([&, thread] {
+                for (int i = 0; !isDone; ++i) {
+                    const std::string id = "t" + std::to_string(thread) + "-" + std::to_string(i);
+                    const bool isPayment = i % 2 == 0;
+                    const TestAnswer answer = sendRequest(fleet.callerAddress(static_cast<size_t>(thread) % nodes), id,
+                        isPayment ? "/pay/x" : "/read/x", isPayment ? "fee" : "", i % 7 == 0 ? 3 : 2000);
+                    answered += answer.status == 200 ? 1 : 0;
+                    const std::lock_guard lock(mutex);
+                    if (isPayment && answer.status == 503)
+                        refused.push_back(id);
+                }
+            });
+        }
+        const ServerFault faults[] = { ServerFault::LoseAnswer, ServerFault::ExtraAnswer, ServerFault::Truncate,
+            ServerFault::Shed, ServerFault::None };
+        for (uint64_t round = 0; round < 20; ++round) {
+            fleet.configure(round + 2, 1000 + static_cast<int>(round));
+            fleet.list(round % nodes, round % 3 == 0, round + 2);
+            fleet.server((round + 1) % nodes).setFault(faults[round % 5]);
+            std::this_thread::sleep_for(100ms);
+        }
+        isDone = true;
+        for (std::thread& caller : callers)
+            caller.join();
+        std::multiset<std::string> executions;
+        for (size_t index = 0; index < nodes; ++index)
+            executions.merge(fleet.server(index).executions());
+        for (const std::string& id : refused)
+            EXPECT_EQ(executions.count(id), 0u) << id << " was refused as not run and ran";
+        for (const std::string& id : executions) {
+            const bool isPayment = (std::stoi(id.substr(id.find('-') + 1)) % 2) == 0;
+            if (isPayment)
+                EXPECT_EQ(executions.count(id), 1u) << id << " ran twice";
+        }
+        // Refused callers come back at once here, so the share of answers says little; that work went on does.
+        constexpr int leastAnswered = 300;
+        EXPECT_GT(answered, leastAnswered);
     }
-    // Refused callers come back at once here, so the share of answers says little; that work went on does.
-    constexpr int leastAnswered = 300;
-    EXPECT_GT(answered, leastAnswered);
-}
 
-// Guards against a gate that fails when calls in its queue pass their deadlines.
-TEST(ProxyNodeTest, QueuedRequestsThatCannotBeOnTimeAreRefusedAndTheNodeGoesOn)
-{
-    constexpr int callers = 60;
-    ProxyFleet fleet(1);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    fleet.server(0).setWork(300ms);
-    std::atomic<int> answered { 0 };
-    std::atomic<int> refused { 0 };
-    std::vector<std::thread> threads;
-    for (int i = 0; i < callers; ++i) {
-        threads.emplace_back([&, i] {
-            const TestAnswer answer
-                = sendRequest(fleet.callerAddress(0), "q" + std::to_string(i), "/pay/x", "fee", 700);
-            answered += answer.status == 200 ? 1 : 0;
-            refused += answer.status == 503 ? 1 : 0;
-        });
+    // Guards against a gate that fails when calls in its queue pass their deadlines.
+    TEST(ProxyNodeTest, QueuedRequestsThatCannotBeOnTimeAreRefusedAndTheNodeGoesOn)
+    {
+        constexpr int callers = 60;
+        ProxyFleet fleet(1);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.server(0).setWork(300ms);
+        std::atomic<int> answered { 0 };
+        std::atomic<int> refused { 0 };
+        std::vector<std::thread> threads;
+        for (int i = 0; i < callers; ++i) {
+            threads.emplace_back([&, i] {
+                const TestAnswer answer
+                    = sendRequest(fleet.callerAddress(0), "q" + std::to_string(i), "/pay/x", "fee", 700);
+                answered += answer.status == 200 ? 1 : 0;
+                refused += answer.status == 503 ? 1 : 0;
+            });
+        }
+        for (std::thread& thread : threads)
+            thread.join();
+        EXPECT_GT(answered, 0);
+        EXPECT_GT(refused, 0);
+        EXPECT_EQ(sendRequest(fleet.callerAddress(0), "after", "/read/x").status, 200);
     }
-    for (std::thread& thread : threads)
-        thread.join();
-    EXPECT_GT(answered, 0);
-    EXPECT_GT(refused, 0);
-    EXPECT_EQ(sendRequest(fleet.callerAddress(0), "after", "/read/x").status, 200);
-}
 
-// Guards against requests that are cut by a planned stop.
-TEST(ProxyNodeTest, PlannedStopCutsNoRequest)
-{
-    ProxyFleet fleet(3);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    for (size_t index = 0; index < 3; ++index)
-        fleet.server(index).setWork(60ms);
-    std::atomic<bool> isDone { false };
-    std::atomic<int> failures { 0 };
-    std::vector<std::thread> callers;
-    for (size_t thread = 0; thread < 4; ++thread) {
-        callers.emplace_back([&, thread] {
-            for (int i = 0; !isDone; ++i) {
-                const std::string id = "d" + std::to_string(thread) + "-" + std::to_string(i);
-                if (sendRequest(fleet.callerAddress(thread % 2), id, "/pay/x", "fee").status != 200)
-                    ++failures;
-            }
-        });
+    // Guards against requests that are cut by a planned stop.
+    TEST(ProxyNodeTest, PlannedStopCutsNoRequest)
+    {
+        ProxyFleet fleet(3);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        for (size_t index = 0; index < 3; ++index)
+            fleet.server(index).setWork(60ms);
+        std::atomic<bool> isDone { false };
+        std::atomic<int> failures { 0 };
+        std::vector<std::thread> callers;
+        for (size_t thread = 0; thread < 4; ++thread) {
+            callers.emplace_back([&, thread] {
+                for (int i = 0; !isDone; ++i) {
+                    const std::string id = "d" + std::to_string(thread) + "-" + std::to_string(i);
+                    if (sendRequest(fleet.callerAddress(thread % 2), id, "/pay/x", "fee").status != 200)
+                        ++failures;
+                }
+            });
+        }
+        std::this_thread::sleep_for(200ms);
+        fleet.stopNode(2);
+        isDone = true;
+        for (std::thread& caller : callers)
+            caller.join();
+        EXPECT_EQ(failures, 0);
     }
-    std::this_thread::sleep_for(200ms);
-    fleet.stopNode(2);
-    isDone = true;
-    for (std::thread& caller : callers)
-        caller.join();
-    EXPECT_EQ(failures, 0);
-}
 
-TEST(ProxyNodeTest, PagesShowStateAndMetrics)
-{
-    ProxyFleet fleet(1);
-    ASSERT_TRUE(fleet.waitUntilReady());
-    sendRequest(fleet.callerAddress(0), "m", "/read/x");
-    httplib::Client client(fleet.adminAddress(0).host, fleet.adminAddress(0).port);
-    const auto metrics = client.Get("/metrics");
-    ASSERT_TRUE(metrics);
-    EXPECT_NE(metrics->body.find("skylark_requests_total{outcome=\"answered\",rank=\"0\"} 1"), std::string::npos);
-    const auto state = client.Get("/state");
-    ASSERT_TRUE(state);
-    EXPECT_NE(state->body.find("\"ready\": true"), std::string::npos);
-}
+    TEST(ProxyNodeTest, PagesShowStateAndMetrics)
+    {
+        ProxyFleet fleet(1);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        sendRequest(fleet.callerAddress(0), "m", "/read/x");
+        httplib::Client client(fleet.adminAddress(0).host, fleet.adminAddress(0).port);
+        const auto metrics = client.Get("/metrics");
+        ASSERT_TRUE(metrics);
+        EXPECT_NE(metrics->body.find("skylark_requests_total{outcome=\"answered\",rank=\"0\"} 1"), std::string::npos);
+        const auto state = client.Get("/state");
+        ASSERT_TRUE(state);
+        EXPECT_NE(state->body.find("\"ready\": true"), std::string::npos);
+    }
 
 } // namespace
 } // namespace skylark
--- a/src/retry/FleetRetryBudget.cpp
+++ b/src/retry/FleetRetryBudget.cpp
@@ -37,8 +37,7 @@
         // The oldest slice reaches out of the window, so its requests are left out and its repeats counted.
         requests += current.number - slice.number < slices ? slice.requests : 0;
     }
-    const double bound
-        = m_options.ratio * requests + m_options.slack / static_cast<double>(std::max<size_t>(1, nodes));
+    const double bound = m_options.ratio * requests + m_options.slack / static_cast<double>(std::max<size_t>(1, nodes));
     if (repeats > (mayHaveRun ? m_options.safetyAfterRun : m_options.safety) * bound)
         return false;
     ++current.repeats;
--- a/src/retry/tests/FleetRetryBudgetTest.cpp
+++ b/src/retry/tests/FleetRetryBudgetTest.cpp
@@ -9,86 +9,86 @@
 namespace skylark {
 namespace {
 
-using namespace std::chrono_literals;
+    using namespace std::chrono_literals;
 
-const ServiceName service("orders");
-const TimePoint start = TimePoint() + 1h;
+    const ServiceName service("orders");
+    const TimePoint start = TimePoint() + 1h;
 
-struct Event {
-    TimePoint at;
-    bool isRepeat { false };
-};
+    struct Event {
+        TimePoint at;
+        bool isRepeat { false };
+    };
 
-// The most that the repeats of any window exceed the fleet's bound by; negative while it is kept.
-double worstExcess(const std::vector<Event>& events, double ratio, double slack, Duration window)
-{
-    double worst = -slack;
-    std::deque<Event> inWindow;
-    double requests = 0;
-    double repeats = 0;
-    for (const Event& event : events) {
-        inWindow.push_back(event);
-        (event.isRepeat ? repeats : requests) += 1;
-        while (event.at - inWindow.front().at > window) {
-            (inWindow.front().isRepeat ? repeats : requests) -= 1;
-            inWindow.pop_front();
+    // The most that the repeats of any window exceed the fleet's bound by; negative while it is kept.
+    double worstExcess(const std::vector<Event>& events, double ratio, double slack, Duration window)
+    {
+        double worst = -slack;
+        std::deque<Event> inWindow;
+        double requests = 0;
+        double repeats = 0;
+        for (const Event& event : events) {
+            inWindow.push_back(event);
+            (event.isRepeat ? repeats : requests) += 1;
+            while (event.at - inWindow.front().at > window) {
+                (inWindow.front().isRepeat ? repeats : requests) -= 1;
+                inWindow.pop_front();
+            }
+            worst = std::max(worst, repeats - ratio * requests - slack);
         }
-        worst = std::max(worst, repeats - ratio * requests - slack);
+        return worst;
     }
-    return worst;
-}
 
-// Guards against a fleet whose nodes each keep a bound that all of them together exceed.
-TEST(FleetRetryBudgetTest, AllNodesTogetherKeepTheBoundInEveryWindow)
-{
-    constexpr size_t nodes = 12;
-    const FleetRetryBudgetOptions options { .ratio = 0.2, .slack = 60, .window = 10s };
-    std::vector<FleetRetryBudget> budgets(nodes, FleetRetryBudget(options));
-    Random random(5);
-    std::vector<Event> events;
-    int taken = 0;
-    for (TimePoint now = start; now < start + 60s; now += 1ms) {
-        // The load changes tenfold, and every request would like three repeats.
-        const bool isBusy = (now - start) / 15s % 2 == 0;
-        if (random.unit() > (isBusy ? 0.5 : 0.05))
-            continue;
-        FleetRetryBudget& budget = budgets[random.below(nodes)];
-        budget.noteRequest(service, now);
-        events.push_back({ now, false });
-        for (int repeat = 0; repeat < 3; ++repeat) {
-            if (!budget.tryTake(service, false, nodes, now))
+    // Guards against a fleet whose nodes each keep a bound that all of them together exceed.
+    TEST(FleetRetryBudgetTest, AllNodesTogetherKeepTheBoundInEveryWindow)
+    {
+        constexpr size_t nodes = 12;
+        const FleetRetryBudgetOptions options { .ratio = 0.2, .slack = 60, .window = 10s };
+        std::vector<FleetRetryBudget> budgets(nodes, FleetRetryBudget(options));
+        Random random(5);
+        std::vector<Event> events;
+        int taken = 0;
+        for (TimePoint now = start; now < start + 60s; now += 1ms) {
+            // The load changes tenfold, and every request would like three repeats.
+            const bool isBusy = (now - start) / 15s % 2 == 0;
+            if (random.unit() > (isBusy ? 0.5 : 0.05))
                 continue;
-            events.push_back({ now, true });
-            ++taken;
+            FleetRetryBudget& budget = budgets[random.below(nodes)];
+            budget.noteRequest(service, now);
+            events.push_back({ now, false });
+            for (int repeat = 0; repeat < 3; ++repeat) {
+                if (!budget.tryTake(service, false, nodes, now))
+                    continue;
+                events.push_back({ now, true });
+                ++taken;
+            }
         }
+        EXPECT_LE(worstExcess(events, options.ratio, options.slack, options.window), 0);
+        EXPECT_GT(taken, 500);
     }
-    EXPECT_LE(worstExcess(events, options.ratio, options.slack, options.window), 0);
-    EXPECT_GT(taken, 500);
-}
 
-TEST(FleetRetryBudgetTest, RepeatsAfterARunLeaveRoomForTheCallsThatTheRunMakesAgain)
-{
-    FleetRetryBudget budget({ .ratio = 0.2, .slack = 0, .window = 10s });
-    for (int i = 0; i < 1000; ++i)
-        budget.noteRequest(service, start);
-    int afterRun = 0;
-    while (budget.tryTake(service, true, 1, start))
-        ++afterRun;
-    EXPECT_EQ(afterRun, 70);
-    int all = afterRun;
-    while (budget.tryTake(service, false, 1, start))
-        ++all;
-    EXPECT_EQ(all, 160);
-}
+    TEST(FleetRetryBudgetTest, RepeatsAfterARunLeaveRoomForTheCallsThatTheRunMakesAgain)
+    {
+        FleetRetryBudget budget({ .ratio = 0.2, .slack = 0, .window = 10s });
+        for (int i = 0; i < 1000; ++i)
+            budget.noteRequest(service, start);
+        int afterRun = 0;
+        while (budget.tryTake(service, true, 1, start))
+            ++afterRun;
+        EXPECT_EQ(afterRun, 70);
+        int all = afterRun;
+        while (budget.tryTake(service, false, 1, start))
+            ++all;
+        EXPECT_EQ(all, 160);
+    }
 
-TEST(FleetRetryBudgetTest, OldRequestsEarnNothing)
-{
-    FleetRetryBudget budget({ .ratio = 0.5, .slack = 0, .window = 10s });
-    for (int i = 0; i < 100; ++i)
-        budget.noteRequest(service, start);
-    EXPECT_TRUE(budget.tryTake(service, false, 1, start + 5s));
-    EXPECT_FALSE(budget.tryTake(service, false, 1, start + 12s));
-}
+    TEST(FleetRetryBudgetTest, OldRequestsEarnNothing)
+    {
+        FleetRetryBudget budget({ .ratio = 0.5, .slack = 0, .window = 10s });
+        for (int i = 0; i < 100; ++i)
+            budget.noteRequest(service, start);
+        EXPECT_TRUE(budget.tryTake(service, false, 1, start + 5s));
+        EXPECT_FALSE(budget.tryTake(service, false, 1, start + 12s));
+    }
 
 } // namespace
 } // namespace skylark
--- /dev/null
+++ b/src/routing/tests/ExpectedTimeTest.cpp
@@ -0,0 +1,113 @@
+// The policy LeastExpectedTime: where calls go when zones and servers differ in load, speed and faults.
+#include "routing/tests/RouterFixture.h"
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class ExpectedTimeTest : public RouterFixture {
+    protected:
+        std::string chosen(const std::vector<InstanceId>& excluded = {})
+        {
+            const auto choice
+                = m_timed.choose({ .service = ServiceName("pitch"), .excluded = excluded }, m_random, m_clock.now());
+            return choice ? choice->instance.value() : "";
+        }
+        // One answered call to the instance whose gate reports this load.
+        void reportLoad(const std::string& id, LoadHint load, bool isFault = false)
+        {
+            std::vector<InstanceId> others;
+            for (const auto& [other, entry] : m_states) {
+                if (other != id)
+                    others.emplace_back(other);
+            }
+            const auto choice
+                = m_timed.choose({ .service = ServiceName("pitch"), .excluded = others }, m_random, m_clock.now());
+            ASSERT_TRUE(choice && choice->instance.value() == id);
+            m_timed.began(*choice);
+            m_timed.finished(*choice,
+                { .outcome = CallOutcome::Answered, .isFault = isFault, .latency = 50ms, .load = load }, m_clock.now());
+        }
+        static LoadHint load(uint32_t inFlight, uint32_t queued, Duration service = 50ms)
+        {
+            return { .inFlight = inFlight, .queued = queued, .limit = 10, .meanService = service };
+        }
+
+        Router m_timed { RouterOptions {
+            .zone = ZoneName("z1"), .region = RegionName("r1"), .policy = LeastExpectedTime {} } };
+    };
+
+    TEST_F(ExpectedTimeTest, OwnZoneIsKeptUntilItsServersHaveAQueue)
+    {
+        add("near", "z1");
+        add("far", "z2");
+        publish(m_timed);
+        reportLoad("near", load(9, 0));
+        reportLoad("far", load(0, 0));
+        EXPECT_EQ(chosen(), "near");
+        reportLoad("near", load(10, 15));
+        EXPECT_EQ(chosen(), "far");
+        // The report fades, so the own zone is tried again.
+        m_clock.advance(2s);
+        EXPECT_EQ(chosen(), "near");
+    }
+
+    TEST_F(ExpectedTimeTest, SlowServerGetsLess)
+    {
+        add("fast", "z1");
+        add("slow", "z1");
+        publish(m_timed);
+        reportLoad("fast", load(6, 0, 50ms));
+        reportLoad("slow", load(0, 0, 250ms));
+        EXPECT_EQ(chosen(), "fast");
+    }
+
+    // Guards against a grey server that looks idle because it fails its calls quickly.
+    TEST_F(ExpectedTimeTest, FailingServerIsAvoidedThoughItLooksIdle)
+    {
+        add("grey", "z1");
+        add("sound", "z1");
+        publish(m_timed);
+        for (int i = 0; i < 20; ++i)
+            reportLoad("grey", load(0, 0, 5ms), i % 2 == 0);
+        reportLoad("sound", load(2, 0, 5ms));
+        EXPECT_EQ(chosen(), "sound");
+    }
+
+    TEST_F(ExpectedTimeTest, ExcludedAndLeavingInstancesGetNothing)
+    {
+        add("a", "z1");
+        add("b", "z1");
+        m_states["b"].condition = Condition::Leaving;
+        publish(m_timed);
+        EXPECT_EQ(chosen(), "a");
+        EXPECT_EQ(chosen({ InstanceId("a") }), "a");
+    }
+
+    // Equal servers share the calls of a node that has heard of no load yet.
+    TEST_F(ExpectedTimeTest, EqualServersShareTheCalls)
+    {
+        for (const char* id : { "a", "b", "c", "d" })
+            add(id, "z1");
+        publish(m_timed);
+        std::map<std::string, int> counts;
+        for (int i = 0; i < 4000; ++i)
+            ++counts[chosen()];
+        for (const auto& [id, count] : counts)
+            EXPECT_NEAR(count, 1000, 150) << id;
+    }
+
+    TEST_F(ExpectedTimeTest, LargeServicesAreSampledAndAllGetCalls)
+    {
+        for (int i = 0; i < 200; ++i)
+            add("i" + std::to_string(i), "z" + std::to_string(i % 4));
+        publish(m_timed);
+        std::map<std::string, int> counts;
+        for (int i = 0; i < 4000; ++i)
+            ++counts[chosen()];
+        EXPECT_GT(counts.size(), 45u);
+    }
+
+} // namespace
+} // namespace skylark
--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -76,19 +76,19 @@
     m_revision = all.revision;
     m_needsListing = false;
     m_lastChange = m_clock.now();
-    m_consumer.onListing(std::move(all));
+    m_consumer.onListing(all);
 }
 
 void SourceWatcher::watchOnce()
 {
-    SourceItems changes = m_source.watch(m_options.watchPrefix, m_revision, m_options.watchWait);
+    const SourceItems changes = m_source.watch(m_options.watchPrefix, m_revision, m_options.watchWait);
     m_consumer.onCall("watch", true);
     noteSuccess();
     m_revision = std::max(m_revision, changes.revision);
     const TimePoint now = m_clock.now();
     if (!changes.items.empty()) {
         m_lastChange = now;
-        m_consumer.onChanges(std::move(changes));
+        m_consumer.onChanges(changes);
     } else if (now - m_lastChange > m_options.silenceLimit) {
         m_needsListing = true;
     }
--- a/src/source/SourceWatcher.h
+++ b/src/source/SourceWatcher.h
@@ -23,8 +23,8 @@
 public:
     virtual ~SourceConsumer() = default;
     // Everything under all prefixes; the revision is that of the oldest listing among them.
-    virtual void onListing(SourceItems items) = 0;
-    virtual void onChanges(SourceItems changes) = 0;
+    virtual void onListing(const SourceItems& items) = 0;
+    virtual void onChanges(const SourceItems& changes) = 0;
     virtual void onLost(const std::string& reason) = 0;
     virtual void onBack() = 0;
     // For metrics.
--- /dev/null
+++ b/src/source/tests/SourceWatcherTest.cpp
@@ -0,0 +1,162 @@
+// The watcher over a scripted source: what it asks for and what it tells its consumer.
+#include "source/SourceWatcher.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Answers calls from a script; without an entry a watch ends without a change.
+    class ScriptedSource final : public KeyValueSource {
+    public:
+        using Step = std::function<SourceItems(const std::string& call)>;
+
+        void expect(Step step)
+        {
+            const std::lock_guard lock(m_mutex);
+            m_script.push_back(std::move(step));
+        }
+        SourceItems list(const std::string& prefix) override { return next("list " + prefix); }
+        SourceItems watch(const std::string& prefix, Revision after, Duration) override
+        {
+            return next("watch " + prefix + " " + std::to_string(after.value()));
+        }
+        void interrupt() override { }
+        std::vector<std::string> calls()
+        {
+            const std::lock_guard lock(m_mutex);
+            return m_calls;
+        }
+
+    private:
+        SourceItems next(const std::string& call)
+        {
+            Step step;
+            {
+                const std::lock_guard lock(m_mutex);
+                m_calls.push_back(call);
+                if (m_script.empty())
+                    return { .revision = Revision(1) };
+                step = m_script.front();
+                m_script.pop_front();
+            }
+            return step(call);
+        }
+
+        std::mutex m_mutex;
+        std::deque<Step> m_script;
+        std::vector<std::string> m_calls;
+    };
+
+    class RecordingConsumer final : public SourceConsumer {
+    public:
+        void onListing(const SourceItems& items) override { note("listing " + std::to_string(items.revision.value())); }
+        void onChanges(const SourceItems& changes) override { note("changes " + std::to_string(changes.items.size())); }
+        void onLost(const std::string&) override { note("lost"); }
+        void onBack() override { note("back"); }
+        void onCall(const char*, bool) override { }
+        // Waits until this many events have come, for two seconds at most.
+        std::vector<std::string> events(size_t count)
+        {
+            std::unique_lock lock(m_mutex);
+            m_changed.wait_for(lock, 2s, [&] { return m_events.size() >= count; });
+            return m_events;
+        }
+
+    private:
+        void note(std::string event)
+        {
+            const std::lock_guard lock(m_mutex);
+            m_events.push_back(std::move(event));
+            m_changed.notify_all();
+        }
+        std::mutex m_mutex;
+        std::condition_variable m_changed;
+        std::vector<std::string> m_events;
+    };
+
+    SourceItems items(uint64_t revision, size_t count = 1)
+    {
+        return { .items = std::vector<SourceItem>(count), .revision = Revision(revision) };
+    }
+
+    SourceWatcherOptions options(Duration interval = 1ms)
+    {
+        return { .prefixes = { "a/", "b/" },
+            .watchPrefix = "",
+            .leastInterval = interval,
+            .retry = { .initial = 1ms, .maximum = 5ms } };
+    }
+
+    TEST(SourceWatcherTest, WatchGoesOnFromTheOldestListing)
+    {
+        ScriptedSource source;
+        RecordingConsumer consumer;
+        SystemClock clock;
+        source.expect([](const auto&) { return items(7); });
+        source.expect([](const auto&) { return items(9); });
+        source.expect([](const auto&) { return items(12, 3); });
+        {
+            const SourceWatcher watcher(source, consumer, options(), clock);
+            EXPECT_EQ(consumer.events(2), (std::vector<std::string> { "listing 7", "changes 3" }));
+            while (source.calls().size() < 4)
+                std::this_thread::sleep_for(1ms);
+        }
+        const auto calls = source.calls();
+        EXPECT_EQ(std::vector<std::string>(calls.begin(), calls.begin() + 4),
+            (std::vector<std::string> { "list a/", "list b/", "watch  7", "watch  12" }));
+    }
+
+    TEST(SourceWatcherTest, LostHistoryIsListedAgain)
+    {
+        ScriptedSource source;
+        RecordingConsumer consumer;
+        SystemClock clock;
+        source.expect([](const auto&) { return items(7); });
+        source.expect([](const auto&) { return items(7); });
+        source.expect([](const auto&) -> SourceItems { throw HistoryLost({ .message = "gone" }); });
+        source.expect([](const auto&) { return items(20); });
+        source.expect([](const auto&) { return items(21); });
+        const SourceWatcher watcher(source, consumer, options(), clock);
+        EXPECT_EQ(consumer.events(2), (std::vector<std::string> { "listing 7", "listing 20" }));
+    }
+
+    // The consumer hears of an outage once, and of its end, and no change is skipped.
+    TEST(SourceWatcherTest, OutageIsToldOnceAndTheWatchGoesOn)
+    {
+        ScriptedSource source;
+        RecordingConsumer consumer;
+        SystemClock clock;
+        source.expect([](const auto&) { return items(7); });
+        source.expect([](const auto&) { return items(7); });
+        for (int i = 0; i < 3; ++i)
+            source.expect([](const auto&) -> SourceItems { throw Error({ .message = "down" }); });
+        source.expect([](const auto& call) {
+            EXPECT_EQ(call, "watch  7");
+            return items(8);
+        });
+        const SourceWatcher watcher(source, consumer, options(), clock);
+        EXPECT_EQ(consumer.events(4), (std::vector<std::string> { "listing 7", "lost", "back", "changes 1" }));
+    }
+
+    // Guards against a call for each heartbeat of each server.
+    TEST(SourceWatcherTest, CallsAreAtLeastAnIntervalApart)
+    {
+        ScriptedSource source;
+        RecordingConsumer consumer;
+        SystemClock clock;
+        for (uint64_t i = 0; i < 100; ++i)
+            source.expect([i](const auto&) { return items(i + 1); });
+        {
+            const SourceWatcher watcher(source, consumer, options(50ms), clock);
+            std::this_thread::sleep_for(320ms);
+        }
+        EXPECT_GE(source.calls().size(), 3u);
+        EXPECT_LE(source.calls().size(), 9u);
+    }
+
+} // namespace
+} // namespace skylark
--- a/src/wire/Codec.cpp
+++ b/src/wire/Codec.cpp
@@ -316,8 +316,8 @@
 {
     static constexpr std::array<const char*, messageTypeCount> names { "Hello", "Ping", "Pong", "Summary",
         "PushVersion", "PushAck", "FetchRequest", "SnapshotPart", "SectionBatch", "ListUpdate", "HearsayBatch",
-        "Leaving", "CallStart", "BodyChunk", "WindowUpdate", "AnswerStart", "Refusal", "Cancel",
-        "SourceStateRequest", "SourceState" };
+        "Leaving", "CallStart", "BodyChunk", "WindowUpdate", "AnswerStart", "Refusal", "Cancel", "HeldSourceRequest",
+        "HeldSource" };
     return index < names.size() ? names[index] : "Unknown";
 }
 
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -64,16 +64,19 @@
 auto fieldsOf(Like<BodyChunk> auto& m) { return std::tie(m.stream, m.offset, m.data, m.isLast); }
 auto fieldsOf(Like<WindowUpdate> auto& m) { return std::tie(m.stream, m.bytes); }
 auto fieldsOf(Like<LoadHint> auto& m) { return std::tie(m.inFlight, m.queued, m.limit, m.isLeaving, m.meanService); }
-auto fieldsOf(Like<AnswerStart> auto& m) { return std::tie(m.stream, m.status, m.headers, m.hasBody, m.load, m.endsWithClose); }
+auto fieldsOf(Like<AnswerStart> auto& m)
+{
+    return std::tie(m.stream, m.status, m.headers, m.hasBody, m.load, m.endsWithClose);
+}
 auto fieldsOf(Like<Refusal> auto& m) { return std::tie(m.stream, m.outcome, m.step, m.reason, m.load); }
 auto fieldsOf(Like<Cancel> auto& m) { return std::tie(m.stream); }
-auto fieldsOf(Like<SourceStateRequest> auto& m) { return std::tie(m.version, m.revision); }
+auto fieldsOf(Like<HeldSourceRequest> auto& m) { return std::tie(m.version, m.revision); }
 auto fieldsOf(Like<ListedServer> auto& m)
 {
-    return std::tie(m.id, m.revision, m.isDeleted, m.incarnation, m.service, m.zone, m.address, m.slots, m.isDraining,
-        m.coldFor);
+    return std::tie(
+        m.id, m.revision, m.isDeleted, m.incarnation, m.service, m.zone, m.address, m.slots, m.isDraining, m.coldFor);
 }
-auto fieldsOf(Like<SourceState> auto& m) { return std::tie(m.version, m.configuration, m.revision, m.servers); }
+auto fieldsOf(Like<HeldSource> auto& m) { return std::tie(m.version, m.configuration, m.revision, m.servers); }
 
 template <typename T>
 concept HasFields = requires(T& value)
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -262,10 +262,10 @@
 };
 
 // Asks a peer for what it holds of the source beyond this, while the sender cannot read the source itself.
-struct SourceStateRequest {
+struct HeldSourceRequest {
     VersionNumber version;
     Revision revision;
-    bool operator==(const SourceStateRequest&) const = default;
+    bool operator==(const HeldSourceRequest&) const = default;
 };
 
 // An entry of a backend server, or its deletion, at a revision of the source.
@@ -284,18 +284,18 @@
     bool operator==(const ListedServer&) const = default;
 };
 
-struct SourceState {
+struct HeldSource {
     VersionNumber version;
     // zstd frame of the configuration's text as the source holds it; empty when the asking node has this version.
     std::string configuration;
     Revision revision;
     std::vector<ListedServer> servers;
-    bool operator==(const SourceState&) const = default;
+    bool operator==(const HeldSource&) const = default;
 };
 
 // The order of the alternatives is the type number on the wire; new ones go at the end.
 using Message = std::variant<Hello, Ping, Pong, Summary, PushVersion, PushAck, FetchRequest, SnapshotPart, SectionBatch,
-    ListUpdate, HearsayBatch, Leaving, CallStart, BodyChunk, WindowUpdate, AnswerStart, Refusal, Cancel, SourceStateRequest,
-    SourceState>;
+    ListUpdate, HearsayBatch, Leaving, CallStart, BodyChunk, WindowUpdate, AnswerStart, Refusal, Cancel,
+    HeldSourceRequest, HeldSource>;
 
 } // namespace skylark
--- a/tools/check-style.sh
+++ b/tools/check-style.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 build=${1:?usage: tools/check-style.sh BUILD_DIRECTORY}
 cd "$(dirname "$0")/.."
-git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' | xargs -r clang-format --dry-run --Werror
+git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | xargs -r clang-format --dry-run --Werror
 
 # A clean result is kept under a hash of the file, its own headers and the lint settings, so that an
 # unchanged file is not linted again.
@@ -13,7 +13,7 @@
 export build cache
 lint_file() {
     local key
-    key=$(g++ -std=c++20 -Isrc -MM "$1" 2>/dev/null | tr ' \\' '\n\n' | grep '^src/' | sort -u |
+    key=$(g++ -std=c++20 -Isrc -I. -MM "$1" 2>/dev/null | tr ' \\' '\n\n' | grep -E '^(src|platform)/' | sort -u |
         xargs sha256sum .clang-tidy | sha256sum | cut -d' ' -f1)
     [ -e "$cache/$key" ] && return 0
     if ! clang-tidy --quiet -p "$build" "$1" 2>/dev/null; then
@@ -23,6 +23,6 @@
     touch "$cache/$key"
 }
 export -f lint_file
-git ls-files --cached --others --exclude-standard 'src/*.cpp' | { grep -v -E '/(tests|fuzz)/' || true; } |
+git ls-files --cached --others --exclude-standard 'src/*.cpp' 'platform/*.cpp' | { grep -v -E '/(tests|fuzz)/' || true; } |
     xargs -r -P "$(nproc)" -I{} bash -c 'lint_file "{}"'
 echo "style: format and lint are clean"
