Let one node a zone read the source and pass on what it reads

Change: ReaderRole orders the nodes of a zone by a hash; the first reads, the others ask the one above them, which holds the question until it knows more. Calls to the store wait 0.5 s at most, and not at all while it is lost.

--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -42,8 +42,11 @@
             ++m_refused;
             return false;
         }
-        m_entries.emplace(
-            entry.id, Entry { .record = *entry.record, .revision = entry.revision, .firstSeen = firstSeen });
+        m_entries.emplace(entry.id,
+            Entry { .record = *entry.record,
+                .revision = entry.revision,
+                .changedAt = entry.revision,
+                .firstSeen = firstSeen });
         return true;
     }
     Entry& old = known->second;
@@ -54,6 +57,8 @@
         old.firstSeen = firstSeen;
     old.record = *entry.record;
     old.revision = entry.revision;
+    if (isChanged)
+        old.changedAt = entry.revision;
     old.missingSince.reset();
     return isChanged;
 }
@@ -118,13 +123,14 @@
     std::erase_if(m_deletions, [now](const auto& deletion) { return now - deletion.second.at > deletionMemory; });
     if (!isGraceOver(now))
         return false;
-    std::vector<std::pair<InstanceId, Revision>> missing;
+    std::vector<InstanceId> missing;
     for (const auto& [id, entry] : m_entries) {
         if (entry.missingSince)
-            missing.emplace_back(id, *entry.missingSince);
+            missing.push_back(id);
     }
-    for (const auto& [id, revision] : missing)
-        drop(id, revision, now);
+    // At the present revision, since peers may have been told of everything up to it but this.
+    for (const InstanceId& id : missing)
+        drop(id, m_revision, now);
     return !missing.empty();
 }
 
@@ -165,7 +171,7 @@
 {
     std::vector<ServerEntry> entries;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.revision > revision)
+        if (entry.changedAt > revision)
             entries.push_back({ .id = id, .revision = entry.revision, .record = entry.record });
     }
     for (const auto& [id, deletion] : m_deletions) {
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -12,6 +12,7 @@
 
 #include "membership/MembershipView.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -42,7 +43,7 @@
 };
 
 struct ServerDirectoryOptions {
-    Duration returnGrace { std::chrono::milliseconds(2300) };
+    Duration returnGrace { std::chrono::milliseconds(2000) };
     size_t mostEntries { 32768 };
     // Port of the nodes beside the servers.
     uint16_t peerPort { 0 };
@@ -60,15 +61,19 @@
     // The source stopped, or began again, to answer this node.
     void noteSourceLost();
     void noteSourceBack(TimePoint now);
+    // Deletions may be held back now.
+    bool isHoldingBack(TimePoint now) const { return !isGraceOver(now); }
     // Drops entries whose grace is over.
     bool advance(TimePoint now);
 
     // The server that has this address now; null where there is none.
     const ServerRecord* atAddress(const Endpoint& address) const;
     std::shared_ptr<const MembershipView> view() const;
-    // Everything known, deletions of the last minute included, for a peer without the source.
+    // What changed for a router since the revision, deletions of the last minute included, for a peer.
     std::vector<ServerEntry> entriesSince(Revision revision) const;
     Revision revision() const { return m_revision; }
+    // Everything up to this revision has been applied.
+    void noteRevision(Revision revision) { m_revision = std::max(m_revision, revision); }
     size_t size() const { return m_entries.size(); }
     uint64_t refusedCount() const { return m_refused; }
 
@@ -76,6 +81,8 @@
     struct Entry {
         ServerRecord record;
         Revision revision;
+        // Revision of the last change that a router acts on.
+        Revision changedAt;
         TimePoint firstSeen;
         // Set while the entry is missing and its grace runs.
         std::optional<Revision> missingSince;
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -116,6 +116,23 @@
         EXPECT_NE(peer.atAddress({ "10.0.0.2", 80 }), nullptr);
     }
 
+    // Guards against a peer that asks for what is newer than its revision and never hears of a deletion that was held
+    // back.
+    TEST(ServerDirectoryTest, PeerHearsOfADeletionThatWasHeldBack)
+    {
+        ServerDirectory directory({ .returnGrace = 2s });
+        directory.apply(entry("1", 5), start);
+        directory.noteSourceLost();
+        directory.noteSourceBack(start);
+        directory.apply(deletion("1", 7), start);
+        directory.noteRevision(Revision(9));
+        const Revision peerHolds = directory.revision();
+        directory.noteRevision(Revision(12));
+        EXPECT_TRUE(directory.advance(start + 2s));
+        ASSERT_EQ(directory.entriesSince(peerHolds).size(), 1u);
+        EXPECT_FALSE(directory.entriesSince(peerHolds)[0].record);
+    }
+
     TEST(ServerDirectoryTest, BoundIsKept)
     {
         ServerDirectory directory({ .mostEntries = 1 });
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -75,7 +75,13 @@
         m_server.m_gate.cancel({ .sender = m_peer.incarnation, .stream = cancel.stream });
     }
 
-    void on(const HeldSourceRequest& request) { m_channel->send(m_server.m_callbacks.onHeldSourceRequest(request)); }
+    void on(const HeldSourceRequest& request)
+    {
+        m_server.m_callbacks.onHeldSourceRequest(request, [weak = weak_from_this()](const HeldSource& held) {
+            if (const auto session = weak.lock(); session && session->m_channel)
+                session->m_channel->send(held);
+        });
+    }
 
     template <typename Other> void on(const Other&) { }
 
--- a/src/proxy/PeerServer.h
+++ b/src/proxy/PeerServer.h
@@ -22,7 +22,8 @@
     struct Callbacks {
         // A peer said who it is.
         std::function<void(const Hello&)> onPeer;
-        std::function<HeldSource(const HeldSourceRequest&)> onHeldSourceRequest;
+        // The reply may come later, once there is something that the peer lacks.
+        std::function<void(const HeldSourceRequest&, std::function<void(const HeldSource&)>)> onHeldSourceRequest;
     };
 
     // Listens on the address in `self`; throws Error when it cannot be bound.
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -18,9 +18,6 @@
     constexpr Duration tickInterval = 250ms;
     // A backend server is slow for some seconds after its start.
     constexpr Duration coldTime = 3s;
-    // Time without the source after which peers are asked, and between two such questions.
-    constexpr Duration peerQuestionAfter = 600ms;
-    constexpr Duration peerQuestionInterval = 500ms;
     // Peers that have not heard of the stop yet still send calls.
     constexpr Duration peerGrace = 700ms;
     // Callers go elsewhere after two ready questions without success, a second apart.
@@ -98,7 +95,11 @@
     {
         m_node.m_loop.post([this] { m_node.noteSource(false, ""); });
     }
-    void onCall(const char* kind, bool isAnswered) override { m_node.m_metrics.countSourceCall(kind, isAnswered); }
+    void onCall(const char* kind, bool isAnswered) override
+    {
+        m_node.m_metrics.countSourceCall(kind, isAnswered);
+        m_node.m_loop.post([this, isAnswered] { m_node.m_exchange.noteSource(isAnswered); });
+    }
 
 private:
     void deliver(const SourceItems& items, bool isListing)
@@ -161,9 +162,23 @@
               = { .ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow } },
           m_adapter.dialect, m_router, m_gate,
           [this](const Endpoint& endpoint) -> PeerClient& { return peer(endpoint); }, m_log, m_metrics)
+    , m_exchange(m_loop, { .self = m_settings.peerAddress, .seed = m_self.incarnation.value() },
+          { .held = [this](const HeldSourceRequest& request) { return heldSourceFor(request); },
+              .question =
+                  [this] {
+                      const auto& held = m_forwarder.configuration();
+                      return HeldSourceRequest { .version = held ? held->manifest().version : VersionNumber(),
+                          .revision = m_directory.revision() };
+                  },
+              .ask = [this](const Endpoint& endpoint,
+                         const HeldSourceRequest& request) { return peer(endpoint).requestHeldSource(request); },
+              .reachablePeers = [this] { return reachablePeers(); },
+              .setReading = [this](bool isReading) { setReading(isReading); },
+              .isComplete = [this] { return !m_isSourceLost && !m_directory.isHoldingBack(m_loop.now()); } })
     , m_peerServer(m_loop, { .self = m_self }, m_gate,
           { .onPeer = [this](const Hello& hello) { peer(hello.listenAddress); },
-              .onHeldSourceRequest = [this](const HeldSourceRequest& request) { return heldSourceFor(request); } })
+              .onHeldSourceRequest = [this](const HeldSourceRequest& request,
+                                         const SourceExchange::Reply& reply) { m_exchange.hold(request, reply); } })
     , m_callers(m_loop, { .address = m_settings.callerAddress },
           [this](HttpRequest request, const std::shared_ptr<HttpConnection>& connection) {
               m_forwarder.handle(std::move(request), connection);
@@ -220,6 +235,7 @@
         limits.headerTimeout, limits.idleTimeout);
     m_configurationText = update.text;
     m_metrics.setVersion(offered.manifest().version);
+    m_exchange.noteChange();
     logEvent(LogLevel::Info, "configuration-applied",
         { { "version", std::to_string(offered.manifest().version.value()) },
             { "revision", std::to_string(offered.manifest().revision.value()) },
@@ -249,6 +265,8 @@
     const ServerRecord* own = m_directory.atAddress(m_settings.serverAddress);
     m_gate.setServer(own ? std::optional(*own) : std::nullopt);
     m_forwarder.setFleetSize(view->instances().size());
+    m_exchange.setMembers(zoneMembers());
+    m_exchange.noteChange();
     m_metrics.setInstances("listed", view->instances().size());
     logEvent(LogLevel::Info, "servers-changed",
         { { "servers", std::to_string(view->instances().size()) },
@@ -280,7 +298,8 @@
     if (!client) {
         client = std::make_unique<PeerClient>(m_loop, endpoint, m_self, PeerClientOptions {},
             PeerClient::Callbacks {
-                .onHeldSource = [this](const HeldSource& state) { applyPeerState(state); }, .onLeaving = [] {} });
+                .onHeldSource = [this, endpoint](const HeldSource& held) { applyHeldSource(endpoint, held); },
+                .onLeaving = [] {} });
     }
     return *client;
 }
@@ -306,31 +325,46 @@
     const LoadHint load = m_gate.load();
     m_metrics.setConcurrency(
         static_cast<int>(load.limit), static_cast<int>(load.inFlight), static_cast<int>(load.queued));
+    m_exchange.tick();
     if (!m_isSourceLost)
         forgetPeers();
-    else if (now - m_sourceLostAt > peerQuestionAfter && now - m_askedPeersAt > peerQuestionInterval)
-        askPeerForSource();
 }
 
-void ProxyNode::askPeerForSource()
+void ProxyNode::setReading(bool isReading)
 {
-    std::vector<PeerClient*> candidates;
-    const auto view = m_directory.view();
-    for (const InstanceState& state : view->instances()) {
-        if (state.record.peer != m_settings.peerAddress)
-            candidates.push_back(&peer(state.record.peer));
+    if (isReading) {
+        m_watcher->resume(m_directory.revision());
+        return;
     }
+    m_watcher->suspend();
+    // The followed peer has the source.
+    if (std::exchange(m_isSourceLost, false))
+        m_directory.noteSourceBack(m_loop.now());
+}
+
+std::vector<Endpoint> ProxyNode::reachablePeers()
+{
+    const auto view = m_directory.view();
+    for (const InstanceState& state : view->instances())
+        peer(state.record.peer);
+    std::vector<Endpoint> reachable;
     for (const auto& [endpoint, client] : m_peers) {
-        if (std::find(candidates.begin(), candidates.end(), client.get()) == candidates.end())
-            candidates.push_back(client.get());
+        if (client->isUsable() && endpoint != m_settings.peerAddress)
+            reachable.push_back(endpoint);
     }
-    std::erase_if(candidates, [](const PeerClient* client) { return !client->isUsable(); });
-    if (candidates.empty())
-        return;
-    m_askedPeersAt = m_loop.now();
-    const auto& held = m_forwarder.configuration();
-    candidates[m_random.below(candidates.size())]->requestHeldSource(
-        { .version = held ? held->manifest().version : VersionNumber(), .revision = m_directory.revision() });
+    return reachable;
+}
+
+// Leaving servers' nodes may be gone soon and are not followed.
+std::vector<Endpoint> ProxyNode::zoneMembers() const
+{
+    const auto view = m_directory.view();
+    std::vector<Endpoint> members;
+    for (const InstanceState* state : view->ofZone(m_settings.zone)) {
+        if (state->condition == Condition::Live)
+            members.push_back(state->record.peer);
+    }
+    return members;
 }
 
 HeldSource ProxyNode::heldSourceFor(const HeldSourceRequest& request) const
@@ -346,8 +380,9 @@
     return state;
 }
 
-void ProxyNode::applyPeerState(const HeldSource& state)
+void ProxyNode::applyHeldSource(const Endpoint& peer, const HeldSource& state)
 {
+    m_exchange.notePeerReply(peer, state);
     if (!state.configuration.empty()) {
         const auto text = decompress(state.configuration, mostConfigurationBytes);
         try {
@@ -359,10 +394,16 @@
         }
     }
     std::vector<ServerEntry> entries;
-    for (const ListedServer& listed : state.servers)
-        entries.push_back(fromListed(listed));
+    // A node without the source keeps the servers that it knows: their entries may have lapsed because the servers are
+    // cut off from the source as well, and they may still be reached.
+    for (const ListedServer& listed : state.servers) {
+        if (!listed.isDeleted || !m_isSourceLost)
+            entries.push_back(fromListed(listed));
+    }
     m_hasServers |= !entries.empty();
     applyServers(entries);
+    if (!m_isSourceLost)
+        m_directory.noteRevision(state.revision);
 }
 
 void ProxyNode::handleReady(const std::shared_ptr<HttpConnection>& connection)
@@ -400,6 +441,8 @@
     m_metrics.setValue("calls_in_progress", static_cast<double>(m_forwarder.callsInProgress()));
     m_metrics.setValue("log_lines_suppressed", static_cast<double>(m_log.suppressedCount()));
     m_metrics.setValue("source_lost", m_isSourceLost ? 1 : 0);
+    m_metrics.setReader(m_exchange.isReading());
+    m_metrics.setValue("source_age_seconds", std::chrono::duration<double>(m_exchange.age()).count());
     return m_metrics.exposition();
 }
 
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -2,7 +2,7 @@
 //
 // It holds the callers' listener, the gate beside the backend server, the connections of peers, what the source says,
 // and the pages for readiness, metrics and state. The source is read by a SourceWatcher on its own thread; what it
-// decodes is posted to the loop. While the source is out of reach the node asks peers for what they hold of it.
+// decodes is posted to the loop. SourceExchange decides whether this node reads, and shares what is read with peers.
 //
 // The way of a stop: the ready page says no and peers are told; callers' connections close with their answers; new
 // calls of peers are refused after `peerGrace`, new requests after `callerGrace`, when callers had time to go
@@ -13,6 +13,7 @@
 #include "proxy/CallForwarder.h"
 #include "proxy/PeerServer.h"
 #include "proxy/ProxySettings.h"
+#include "proxy/SourceExchange.h"
 #include "source/SourceWatcher.h"
 
 #include <atomic>
@@ -63,9 +64,11 @@
     PeerClient& peer(const Endpoint& endpoint);
     void forgetPeers();
     void tick();
-    void askPeerForSource();
+    void setReading(bool isReading);
+    std::vector<Endpoint> reachablePeers();
+    std::vector<Endpoint> zoneMembers() const;
     HeldSource heldSourceFor(const HeldSourceRequest& request) const;
-    void applyPeerState(const HeldSource& state);
+    void applyHeldSource(const Endpoint& peer, const HeldSource& held);
 
     void handleReady(const std::shared_ptr<HttpConnection>& connection);
     void handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection);
@@ -88,6 +91,7 @@
     BackendGate m_gate;
     std::map<Endpoint, std::unique_ptr<PeerClient>> m_peers;
     CallForwarder m_forwarder;
+    SourceExchange m_exchange;
     PeerServer m_peerServer;
     HttpListener m_callers;
     HttpListener m_readyPage;
@@ -97,7 +101,6 @@
     bool m_hasServers { false };
     bool m_isSourceLost { false };
     TimePoint m_sourceLostAt;
-    TimePoint m_askedPeersAt;
     std::optional<TimePoint> m_stoppingSince;
     Timer m_ticker;
     Timer m_stopTimer;
--- /dev/null
+++ b/src/proxy/SourceExchange.cpp
@@ -0,0 +1,104 @@
+#include "proxy/SourceExchange.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+    // Older than any patience.
+    constexpr Duration incompleteAge = std::chrono::hours(1);
+
+} // namespace
+
+SourceExchange::SourceExchange(EventLoop& loop, SourceExchangeOptions options, Callbacks callbacks)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_callbacks(std::move(callbacks))
+    , m_role(m_options.self, {})
+    , m_random(m_options.seed)
+    // Nothing is confirmed yet.
+    , m_confirmedAt(loop.now() - incompleteAge)
+{
+}
+
+Duration SourceExchange::age() const { return m_loop.now() - m_confirmedAt; }
+
+void SourceExchange::noteSource(bool isAnswered)
+{
+    m_isSourceLost = !isAnswered;
+    if (isAnswered)
+        m_confirmedAt = m_loop.now();
+}
+
+void SourceExchange::noteChange()
+{
+    m_held.remove_if([this](const Held& held) { return answer(held, false); });
+}
+
+void SourceExchange::hold(const HeldSourceRequest& request, Reply reply)
+{
+    const Held held { .request = request, .reply = std::move(reply), .since = m_loop.now() };
+    const bool isFull = m_held.size() >= m_options.mostHeld;
+    if (!answer(held, isFull))
+        m_held.push_back(held);
+}
+
+bool SourceExchange::answer(const Held& held, bool isForced)
+{
+    HeldSource source = m_callbacks.held(held.request);
+    if (!isForced && source.configuration.empty() && source.servers.empty())
+        return false;
+    source.age = m_callbacks.isComplete() ? age() : incompleteAge;
+    held.reply(source);
+    return true;
+}
+
+void SourceExchange::notePeerReply(const Endpoint& peer, const HeldSource& held)
+{
+    const TimePoint now = m_loop.now();
+    m_confirmedAt = std::max(m_confirmedAt, now - held.age);
+    if (m_role.followed() != peer)
+        return;
+    m_askedAt.reset();
+    m_role.notePeer(held.age, now);
+}
+
+void SourceExchange::tick()
+{
+    const TimePoint now = m_loop.now();
+    m_held.remove_if([&](const Held& held) { return now - held.since >= m_options.holdTime && answer(held, true); });
+    const bool isOtherPeer = m_role.followed() != m_askedPeer;
+    if (m_role.followed() && (isOtherPeer || !m_askedAt || now - *m_askedAt > m_options.questionTimeout))
+        askFollowed(now);
+    const bool readsSource = m_role.readsSource(now);
+    if (readsSource != m_isReading) {
+        m_isReading = readsSource;
+        logEvent(LogLevel::Info, readsSource ? "source-reading-started" : "source-reading-ended",
+            { { "followed", m_role.followed() ? m_role.followed()->toString() : "" },
+                { "age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age()).count()) } });
+        m_callbacks.setReading(readsSource);
+    }
+    if (m_isReading && m_isSourceLost && now - m_searchedAt > m_options.searchInterval)
+        askAnyPeer(now);
+}
+
+void SourceExchange::askFollowed(TimePoint now)
+{
+    if (m_callbacks.ask(*m_role.followed(), m_callbacks.question()))
+        m_askedAt = now;
+    m_askedPeer = m_role.followed();
+}
+
+void SourceExchange::askAnyPeer(TimePoint now)
+{
+    const std::vector<Endpoint> peers = m_callbacks.reachablePeers();
+    if (peers.empty())
+        return;
+    m_searchedAt = now;
+    m_callbacks.ask(peers[m_random.below(peers.size())], m_callbacks.question());
+}
+
+} // namespace skylark
--- a/src/proxy/tests/PeerClientTest.cpp
+++ b/src/proxy/tests/PeerClientTest.cpp
@@ -127,20 +127,20 @@
     }
 
     // A peer that is slow to answer keeps its calls: ending them would break off work that the server is at.
-TEST_F(PeerClientTest, SuspectPeerGetsNothingNewAndKeepsItsCalls)
-{
-    submit(1, true);
-    runFor(30ms);
-    peer.isSilent = true;
-    runFor(150ms);
-    EXPECT_FALSE(client.isUsable());
-    EXPECT_TRUE(replies.empty());
-    EXPECT_TRUE(peer.cancelled.empty());
-    runFor(800ms);
-    EXPECT_EQ(outcome(1), CallOutcome::Unknown);
-}
+    TEST_F(PeerClientTest, SuspectPeerGetsNothingNewAndKeepsItsCalls)
+    {
+        submit(1, true);
+        runFor(30ms);
+        peer.isSilent = true;
+        runFor(150ms);
+        EXPECT_FALSE(client.isUsable());
+        EXPECT_TRUE(replies.empty());
+        EXPECT_TRUE(peer.cancelled.empty());
+        runFor(800ms);
+        EXPECT_EQ(outcome(1), CallOutcome::Unknown);
+    }
 
-TEST_F(PeerClientTest, PeerThatComesBackIsUsedAgain)
+    TEST_F(PeerClientTest, PeerThatComesBackIsUsedAgain)
     {
         peer.isSilent = true;
         submit(1, true);
--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -31,10 +31,28 @@
     m_thread.join();
 }
 
+void SourceWatcher::suspend()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isSuspended = true;
+}
+
+void SourceWatcher::resume(Revision known)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isSuspended = false;
+        m_known = known;
+    }
+    m_wakeup.notify_all();
+}
+
 bool SourceWatcher::pause(Duration wait)
 {
     std::unique_lock lock(m_mutex);
     m_wakeup.wait_for(lock, wait, [this] { return m_isStopping; });
+    m_wakeup.wait(lock, [this] { return m_isStopping || !m_isSuspended; });
+    m_revision = std::max(m_revision, m_known);
     return !m_isStopping;
 }
 
@@ -81,7 +99,9 @@
 
 void SourceWatcher::watchOnce()
 {
-    const SourceItems changes = m_source.watch(m_options.watchPrefix, m_revision, m_options.watchWait);
+    // While the source is lost a call only asks whether it is back.
+    const SourceItems changes
+        = m_source.watch(m_options.watchPrefix, m_revision, m_isLost ? Duration(0) : m_options.watchWait);
     m_consumer.onCall("watch", true);
     noteSuccess();
     m_revision = std::max(m_revision, changes.revision);
--- a/src/source/SourceWatcher.h
+++ b/src/source/SourceWatcher.h
@@ -35,7 +35,7 @@
     std::vector<std::string> prefixes;
     // The prefix of the one watch, which covers all the others.
     std::string watchPrefix;
-    Duration watchWait { std::chrono::seconds(2) };
+    Duration watchWait { std::chrono::milliseconds(500) };
     Duration leastInterval { std::chrono::milliseconds(400) };
     Duration silenceLimit { std::chrono::seconds(6) };
     BackoffOptions retry { .initial = std::chrono::milliseconds(200), .maximum = std::chrono::milliseconds(800) };
@@ -49,6 +49,11 @@
     // Ends a blocked call and the thread.
     ~SourceWatcher();
 
+    // Makes no calls from now on; a watch that waits is not cut. From any thread.
+    void suspend();
+    // Goes on from this revision, up to which the node knows everything. From any thread.
+    void resume(Revision known);
+
 private:
     void run();
     void listAll();
@@ -71,6 +76,8 @@
     std::mutex m_mutex;
     std::condition_variable m_wakeup;
     bool m_isStopping { false };
+    bool m_isSuspended { false };
+    Revision m_known;
     std::thread m_thread;
 };
 
--- /dev/null
+++ b/src/source/tests/ReaderRoleTest.cpp
@@ -0,0 +1,89 @@
+#include "source/ReaderRole.h"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    const TimePoint start = TimePoint() + 1h;
+
+    std::vector<Endpoint> zone(size_t nodes)
+    {
+        std::vector<Endpoint> members;
+        for (size_t i = 0; i < nodes; ++i)
+            members.push_back({ "10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250), 7000 });
+        return members;
+    }
+
+    // Each node decides alone, and together they form one tree with one reader.
+    TEST(ReaderRoleTest, ZoneFormsATreeWithOneReader)
+    {
+        for (const size_t nodes : { 1u, 2u, 20u, 300u, 1235u }) {
+            std::map<Endpoint, std::optional<Endpoint>> followed;
+            for (const Endpoint& node : zone(nodes)) {
+                ReaderRole role(node, {});
+                role.setMembers(zone(nodes));
+                followed[node] = role.followed();
+            }
+            int readers = 0;
+            for (const auto& [node, first] : followed) {
+                readers += first ? 0 : 1;
+                size_t steps = 0;
+                for (auto peer = first; peer; peer = followed.at(*peer))
+                    ASSERT_LT(++steps, 4u) << "a loop or too deep a tree";
+            }
+            EXPECT_EQ(readers, 1) << nodes;
+        }
+    }
+
+    TEST(ReaderRoleTest, NodeReadsUntilItsPeerIsKnownToBeFresh)
+    {
+        const auto members = zone(2);
+        for (const Endpoint& node : members) {
+            ReaderRole role(node, {});
+            EXPECT_TRUE(role.readsSource(start));
+            role.setMembers(members);
+            EXPECT_TRUE(role.readsSource(start));
+            role.notePeer(100ms, start);
+            EXPECT_EQ(role.readsSource(start), !role.followed());
+        }
+    }
+
+    // Guards against nodes that wait for a reader that died, was cut off or lost the source.
+    TEST(ReaderRoleTest, StalePeerIsReplacedByReadingTheSource)
+    {
+        for (const Endpoint& node : zone(2)) {
+            ReaderRole role(node, { .patience = 1s });
+            role.setMembers(zone(2));
+            if (!role.followed())
+                continue;
+            role.notePeer(0ms, start);
+            EXPECT_FALSE(role.readsSource(start + 1s));
+            EXPECT_TRUE(role.readsSource(start + 1001ms));
+            // The peer answers, but has not heard of the source for long itself.
+            role.notePeer(5s, start + 2s);
+            EXPECT_TRUE(role.readsSource(start + 2s));
+            role.notePeer(200ms, start + 3s);
+            EXPECT_FALSE(role.readsSource(start + 3s));
+        }
+    }
+
+    // A change of the zone's order makes no calls by itself: the new peer has the rest of the patience to answer.
+    TEST(ReaderRoleTest, NewPeerToFollowHasTheRestOfThePatience)
+    {
+        ReaderRole role({ "10.9.9.9", 1 }, { .patience = 1s });
+        size_t nodes = 1;
+        while (!role.followed())
+            role.setMembers(zone(++nodes));
+        role.notePeer(0ms, start);
+        role.setMembers({ *role.followed(), { "10.8.8.8", 1 }, { "10.7.7.7", 1 } });
+        ASSERT_TRUE(role.followed());
+        EXPECT_FALSE(role.readsSource(start + 900ms));
+        EXPECT_TRUE(role.readsSource(start + 1100ms));
+    }
+
+} // namespace
+} // namespace skylark
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -76,7 +76,7 @@
     return std::tie(
         m.id, m.revision, m.isDeleted, m.incarnation, m.service, m.zone, m.address, m.slots, m.isDraining, m.coldFor);
 }
-auto fieldsOf(Like<HeldSource> auto& m) { return std::tie(m.version, m.configuration, m.revision, m.servers); }
+auto fieldsOf(Like<HeldSource> auto& m) { return std::tie(m.version, m.configuration, m.revision, m.servers, m.age); }
 
 template <typename T>
 concept HasFields = requires(T& value)
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -290,6 +290,8 @@
     std::string configuration;
     Revision revision;
     std::vector<ListedServer> servers;
+    // Time since the source itself, or a chain of peers from it, confirmed what the sender holds.
+    Duration age {};
     bool operator==(const HeldSource&) const = default;
 };
 
