--- a/src/eventloop/EventLoop.cpp
+++ b/src/eventloop/EventLoop.cpp
@@ -85,11 +85,12 @@
 
 void Timer::start(Duration wait)
 {
-    // The loop's own time stands still during a callback, and the wait counts from now.
+    // The loop's own time stands still during a callback, and the wait counts from now. It is cut to whole
+    // milliseconds, so without one more the timer could fire early.
     uv_update_time(m_loop.native());
     uv_timer_start(
         &m_handle->native, [](uv_timer_t* timer) { static_cast<Handle*>(timer->data)->callback(); },
-        toMilliseconds(wait), 0);
+        toMilliseconds(wait) + 1, 0);
 }
 
 void Timer::startRepeating(Duration interval)
--- a/src/eventloop/tests/EventLoopTest.cpp
+++ b/src/eventloop/tests/EventLoopTest.cpp
@@ -61,6 +61,25 @@
         EXPECT_EQ(order, "12");
     }
 
+    // Guards against a deadline that is said to have passed before it has.
+    TEST_F(EventLoopTest, TimersNeverFireEarly)
+    {
+        constexpr int rounds = 50;
+        int fired = 0;
+        TimePoint due;
+        Timer timer(loop, [&] {
+            EXPECT_GE(clock.now(), due);
+            if (++fired < rounds) {
+                due = clock.now() + 3ms;
+                timer.start(3ms);
+            }
+        });
+        due = clock.now() + 3ms;
+        timer.start(3ms);
+        runFor(2s);
+        EXPECT_EQ(fired, rounds);
+    }
+
     TEST_F(EventLoopTest, TimerMayDestroyItself)
     {
         std::unique_ptr<Timer> timer;
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -258,7 +258,7 @@
     call->wasRefusedByServer = isFromServer;
     call->lastReason = refusal.step + ": " + refusal.reason;
     m_log.failure("attempt-failed",
-        { { "id", call->requestId.value() }, { "route", call->route->name }, { "instance", call->tried.back().value() },
+        { { "id", call->requestId.value() }, { "route", call->route->name }, { "target", call->tried.back().value() },
             { "outcome", isUnknown ? "unknown" : "not-run" }, { "step", refusal.step }, { "reason", refusal.reason },
             { "queued", std::to_string(refusal.load.queued) }, { "limit", std::to_string(refusal.load.limit) },
             { "remaining_ms", inMilliseconds(call->deadline - m_loop.now()) } });
@@ -369,7 +369,7 @@
         { "service", call->service.value() }, { "rank", rank }, { "outcome", outcome },
         { "status", std::to_string(response.status) }, { "ms", inMilliseconds(latency) },
         { "attempts", std::to_string(call->attempts) }, { "refusals", std::to_string(call->refusals) },
-        { "instance", call->tried.empty() ? "" : call->tried.back().value() },
+        { "target", call->tried.empty() ? "" : call->tried.back().value() },
         { "version", call->configuration ? std::to_string(call->configuration->manifest().version.value()) : "none" } };
     const bool isSuccess = response.status < statusServerError;
     if (!isSuccess)
