Build the view of servers once a change, and log damaged text of a peer

Cause: reading the diff showed that the node built the whole view of servers four times a second to find peers to forget, and that building it searched all entries for each address; a configuration of a peer that could not be decompressed was dropped without a line. Change: the published view is kept and used; the latest server of an address comes from one pass; the damaged text is logged. Ruled out: a change of behaviour; the view changes only where it is published.

--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -146,11 +146,17 @@
 
 std::shared_ptr<const MembershipView> ServerDirectory::view() const
 {
+    std::map<Endpoint, const ServerRecord*> latest;
+    for (const auto& [id, entry] : m_entries) {
+        const ServerRecord*& record = latest[entry.record.address];
+        if (!record || record->incarnation < entry.record.incarnation)
+            record = &entry.record;
+    }
     std::vector<InstanceState> instances;
     instances.reserve(m_entries.size());
     for (const auto& [id, entry] : m_entries) {
         const ServerRecord& record = entry.record;
-        if (atAddress(record.address) != &record)
+        if (latest.at(record.address) != &record)
             continue;
         const auto region = m_options.regions.find(record.zone);
         instances.push_back({ .record = { .id = id,
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -152,6 +152,7 @@
     , m_random(m_self.incarnation.value())
     , m_router(routerOptions(m_settings))
     , m_directory({ .peerPort = m_settings.peerAddress.port, .regions = m_settings.regions })
+    , m_view(m_directory.view())
     , m_gate(m_loop, { .server = m_settings.serverAddress }, m_adapter.dialect)
     , m_forwarder(
           m_loop,
@@ -260,16 +261,16 @@
 
 void ProxyNode::publishServers()
 {
-    const auto view = m_directory.view();
-    m_router.update(view, m_loop.now());
+    m_view = m_directory.view();
+    m_router.update(m_view, m_loop.now());
     const ServerRecord* own = m_directory.atAddress(m_settings.serverAddress);
     m_gate.setServer(own ? std::optional(*own) : std::nullopt);
-    m_forwarder.setFleetSize(view->instances().size());
+    m_forwarder.setFleetSize(m_view->instances().size());
     m_exchange.setMembers(zoneMembers());
     m_exchange.noteChange();
-    m_metrics.setInstances("listed", view->instances().size());
+    m_metrics.setInstances("listed", m_view->instances().size());
     logEvent(LogLevel::Info, "servers-changed",
-        { { "servers", std::to_string(view->instances().size()) },
+        { { "servers", std::to_string(m_view->instances().size()) },
             { "revision", std::to_string(m_directory.revision().value()) }, { "own", own ? own->id.value() : "" } });
 }
 
@@ -307,9 +308,8 @@
 // Peers without a server in the directory and without calls are dropped, so that the map follows the fleet.
 void ProxyNode::forgetPeers()
 {
-    const auto view = m_directory.view();
-    std::erase_if(m_peers, [&view](const auto& entry) {
-        const auto& instances = view->instances();
+    std::erase_if(m_peers, [this](const auto& entry) {
+        const auto& instances = m_view->instances();
         const bool isListed = std::any_of(instances.begin(), instances.end(),
             [&entry](const InstanceState& state) { return state.record.peer == entry.first; });
         return !isListed && entry.second->outstanding() == 0 && !entry.second->isConnected();
@@ -344,8 +344,7 @@
 
 std::vector<Endpoint> ProxyNode::reachablePeers()
 {
-    const auto view = m_directory.view();
-    for (const InstanceState& state : view->instances())
+    for (const InstanceState& state : m_view->instances())
         peer(state.record.peer);
     std::vector<Endpoint> reachable;
     for (const auto& [endpoint, client] : m_peers) {
@@ -358,9 +357,8 @@
 // Leaving servers' nodes may be gone soon and are not followed.
 std::vector<Endpoint> ProxyNode::zoneMembers() const
 {
-    const auto view = m_directory.view();
     std::vector<Endpoint> members;
-    for (const InstanceState* state : view->ofZone(m_settings.zone)) {
+    for (const InstanceState* state : m_view->ofZone(m_settings.zone)) {
         if (state->condition == Condition::Live)
             members.push_back(state->record.peer);
     }
@@ -386,7 +384,10 @@
     if (!state.configuration.empty()) {
         const auto text = decompress(state.configuration, mostConfigurationBytes);
         try {
-            if (text)
+            if (!text)
+                logEvent(LogLevel::Error, "configuration-refused",
+                    { { "origin", "peer" }, { "reason", "the compressed text is damaged or too large" } });
+            else
                 applyConfiguration(
                     { .configuration = m_adapter.decodeConfiguration(*text, state.revision), .text = *text }, "peer");
         } catch (const Error& error) {
@@ -454,8 +455,7 @@
     const auto& held = m_forwarder.configuration();
     const LoadHint load = m_gate.load();
     nlohmann::json servers = nlohmann::json::array();
-    const auto view = m_directory.view();
-    for (const InstanceState& state : view->instances())
+    for (const InstanceState& state : m_view->instances())
         servers.push_back({ { "id", state.record.id.value() }, { "service", state.record.service.value() },
             { "zone", state.record.zone.value() }, { "peer", state.record.peer.toString() },
             { "condition", conditionName(state.condition) } });
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -88,6 +88,8 @@
     Random m_random;
     Router m_router;
     ServerDirectory m_directory;
+    // The directory's view as it was published last.
+    std::shared_ptr<const MembershipView> m_view;
     BackendGate m_gate;
     std::map<Endpoint, std::unique_ptr<PeerClient>> m_peers;
     CallForwarder m_forwarder;
