Refuse waiting calls when another service takes their server's address

Cause: a call that waits at the gate kept its place when the entry at the gate's address changed to a server of another service. Ruled out: a stale entry (the new server would have answered 421 to the old id) and the choice of the instance. Change: each change of the server refuses as not run the waiting calls that may not run there any more; a new process of the same service still runs them. Test: BackendGateTest.WaitingCallsAreRefusedWhenAnotherServiceTakesTheAddress fails before and passes after.

--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -73,14 +73,13 @@
                 { "state", !server ? "absent" : (server->isDraining ? "draining" : "ready") },
                 { "slots", std::to_string(server ? server->slots : 0) },
                 { "waiting", std::to_string(m_admission.queued()) } });
-    if (hasLeft)
-        refuseWaiting("the backend server leaves");
+    refuseImpossible();
 }
 
 void BackendGate::drain()
 {
     m_isDraining = true;
-    refuseWaiting("the node stops");
+    refuseImpossible();
 }
 
 LoadHint BackendGate::load() const
@@ -281,16 +280,16 @@
     end(call, makeRefusal(CallOutcome::NotRun, step, reason, load()));
 }
 
-void BackendGate::refuseWaiting(const std::string& reason)
+void BackendGate::refuseImpossible()
 {
     std::vector<CallPtr> waiting;
     for (const auto& [ticket, call] : m_byTicket) {
-        if (!call->isRunning)
+        if (!call->isRunning && refusalCause(call->call))
             waiting.push_back(call);
     }
     for (const CallPtr& call : waiting) {
         if (m_admission.cancel(call->ticket))
-            refuse(call, reason);
+            refuse(call, refusalCause(call->call));
     }
 }
 
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -97,7 +97,9 @@
     CallPtr callOf(const Ticket& ticket) const;
     void apply(const Dispatch& dispatch);
     void refuse(const CallPtr& call, const std::string& reason);
-    void refuseWaiting(const std::string& reason);
+    // Refuses the waiting calls that may not run any more: the server leaves, is gone, or another service has taken
+    // its address while they waited.
+    void refuseImpossible();
     void end(const CallPtr& call, const GateReplyPtr& reply);
     void sweep();
     void noticePause(TimePoint now);
--- /dev/null
+++ b/src/proxy/tests/BackendGateTest.cpp
@@ -0,0 +1,95 @@
+// A gate and its backend server on one event loop: what becomes of calls that wait while the server changes.
+#include "proxy/BackendGate.h"
+#include "proxy/tests/ProxyFleet.h"
+
+#include <gtest/gtest.h>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class BackendGateTest : public testing::Test {
+    protected:
+        BackendGateTest()
+            : server({ "127.0.0.1", 0 }, "first", "work")
+            , gate(loop, { .server = { "127.0.0.1", server.port() } }, dialect)
+        {
+            server.setWork(100ms);
+            gate.setServer(record("first", "work", 1));
+        }
+        static ServerRecord record(const char* id, const char* service, uint64_t start)
+        {
+            return { .id = InstanceId(id),
+                .incarnation = Incarnation(start),
+                .service = ServiceName(service),
+                .slots = 1 };
+        }
+        void submit(uint64_t number)
+        {
+            auto request = std::make_shared<HttpRequest>();
+            request->method = "POST";
+            request->target = "/pay/" + std::to_string(number);
+            request->headers = { { "Host", "x" }, { dialect.requestId, std::to_string(number) } };
+            gate.submit({ .key = { .sender = Incarnation(9), .stream = StreamId(number) },
+                            .requestId = RequestId(std::to_string(number)),
+                            .service = ServiceName("work"),
+                            .request = std::move(request),
+                            .deadline = loop.now() + 5s },
+                [this, number](const GateReplyPtr& reply) { replies.emplace(number, reply); });
+        }
+        void runFor(Duration time)
+        {
+            Timer timer(loop, [this] { loop.stop(); });
+            timer.start(time);
+            loop.run();
+        }
+        const GateRefusal* refusal(uint64_t number)
+        {
+            const auto found = replies.find(number);
+            return found == replies.end() ? nullptr : std::get_if<GateRefusal>(found->second.get());
+        }
+
+        SystemClock clock;
+        EventLoop loop { clock };
+        const Dialect dialect;
+        TestServer server;
+        BackendGate gate;
+        std::map<uint64_t, GateReplyPtr> replies;
+    };
+
+    // Guards against a call that was queued for one service and then runs at the server of another service that has
+    // taken the address meanwhile (ROUTE on a day with replaced servers).
+    TEST_F(BackendGateTest, WaitingCallsAreRefusedWhenAnotherServiceTakesTheAddress)
+    {
+        submit(1);
+        submit(2);
+        gate.setServer(record("second", "other", 2));
+        ASSERT_NE(refusal(2), nullptr);
+        EXPECT_EQ(refusal(2)->outcome, CallOutcome::NotRun);
+        runFor(300ms);
+        EXPECT_EQ(server.executions().count("2"), 0u);
+    }
+
+    // A new process of the same service can run what waits.
+    TEST_F(BackendGateTest, WaitingCallsRunAtANewProcessOfTheirService)
+    {
+        submit(1);
+        submit(2);
+        gate.setServer(record("second", "work", 2));
+        runFor(400ms);
+        EXPECT_EQ(refusal(2), nullptr);
+        EXPECT_EQ(server.executions().count("2"), 1u);
+    }
+
+    TEST_F(BackendGateTest, WaitingCallsAreRefusedWhenTheServerIsGone)
+    {
+        submit(1);
+        submit(2);
+        gate.setServer(std::nullopt);
+        ASSERT_NE(refusal(2), nullptr);
+        EXPECT_EQ(refusal(2)->outcome, CallOutcome::NotRun);
+    }
+
+} // namespace
+} // namespace skylark
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -31,6 +31,7 @@
     TestServer(const Endpoint& address, std::string id, std::string service);
     ~TestServer();
 
+    uint16_t port() const { return m_listener->port(); }
     void setFault(ServerFault fault) { m_fault = fault; }
     void setWork(Duration work)
     {
