Keep large calls in their zone and let small ones spill

Every call crossed for the same 40 ms of expected time, though a call with 9 KB of bodies costs ten times as much as one with 400 bytes. Ruled out: the traffic of configuration and entries between nodes (the zones' readers send deltas of a few hundred bytes). Change: the penalty of another zone grows with the call's bytes (request, and the smoothed size of the route's answers) up to 0.3 of the route's target, so a zone that lacks capacity sends its small calls away first. Test: ExpectedTimeTest.SmallCallsLeaveABusyZoneFirst.

--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -27,6 +27,14 @@
     constexpr double latenciesForRepeat = 1.2;
     constexpr Duration leastTimeForRepeat = std::chrono::milliseconds(10);
 
+    uint64_t sizeOf(const HttpHeaders& headers)
+    {
+        uint64_t bytes = 0;
+        for (const HttpHeader& header : headers)
+            bytes += header.name.size() + header.value.size();
+        return bytes;
+    }
+
     std::string inMilliseconds(Duration duration)
     {
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -56,7 +64,7 @@
     absl::flat_hash_set<std::string> names;
     for (const Route& route : m_configuration->routes())
         names.insert(route.name);
-    absl::erase_if(m_patience, [&names](const auto& entry) { return !names.contains(entry.first); });
+    absl::erase_if(m_history, [&names](const auto& entry) { return !names.contains(entry.first); });
 }
 
 void CallForwarder::handle(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
@@ -131,7 +139,7 @@
 {
     const Route& route = *call.route;
     const Duration patience = patienceOf(*call.request);
-    UsualPatience& usual = m_patience[route.name];
+    UsualPatience& usual = m_history[route.name].patience;
     usual.note(patience);
     call.deadline
         = call.receivedAt + (route.deadline > Duration::zero() ? std::min(patience, route.deadline) : patience);
@@ -143,15 +151,35 @@
     call.onTimeBy = call.receivedAt + std::max(Duration::zero(), target - usual.waitedBefore(patience));
 }
 
+ByteCount CallForwarder::expectedBytes(const Call& call) const
+{
+    const auto history = m_history.find(call.route->name);
+    const double answer = history == m_history.end() ? 0 : history->second.meanAnswerBytes;
+    return ByteCount(sizeOf(call.request->headers) + call.request->body.size() + static_cast<uint64_t>(answer));
+}
+
+void CallForwarder::noteAnswerBytes(const Route& route, const HttpResponse& response)
+{
+    constexpr double weight = 1.0 / 16;
+    double& mean = m_history[route.name].meanAnswerBytes;
+    const auto bytes = static_cast<double>(sizeOf(response.headers) + response.body.size());
+    mean = mean > 0 ? mean + weight * (bytes - mean) : bytes;
+}
+
 std::optional<Choice> CallForwarder::chooseInstance(Call& call)
 {
     constexpr int mostUnusable = 8;
+    const ByteCount bytes = expectedBytes(call);
     std::vector<InstanceId> excluded = call.tried;
     std::optional<Choice> fallback;
     for (int round = 0; round < mostUnusable; ++round) {
         auto choice = m_router.choose(
-            { .service = call.service, .excluded = excluded, .isIdempotent = call.route->isIdempotent }, m_random,
-            m_loop.now());
+            { .service = call.service,
+                .excluded = excluded,
+                .isIdempotent = call.route->isIdempotent,
+                .expectedBytes = bytes,
+                .target = call.route->target },
+            m_random, m_loop.now());
         if (!choice)
             break;
         const bool isTried = std::find(excluded.begin(), excluded.end(), choice->instance) != excluded.end();
@@ -235,6 +263,8 @@
     report(*call, CallOutcome::Answered, isFailed, answer.load);
     ++call->attempts;
     call->mayHaveRun = true;
+    if (isSuccess)
+        noteAnswerBytes(*call->route, response);
     // A server's own failure is its answer. Callers repeat idempotent requests themselves, while a repeat from here
     // would make the calls of the failed run again out of the fleet's budget.
     if (!isSuccess || !isFailed) {
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -57,6 +57,13 @@
     size_t callsInProgress() const { return m_calls.size(); }
 
 private:
+    // What past calls of a route tell of the next one.
+    struct RouteHistory {
+        UsualPatience patience;
+        // Smoothed; zero before the first answer.
+        double meanAnswerBytes { 0 };
+    };
+
     struct Call {
         explicit Call(EventLoop& loop, std::function<void()> onTimeout)
             : timer(loop, std::move(onTimeout))
@@ -96,6 +103,8 @@
     Duration patienceOf(const HttpRequest& request) const;
     bool isInnerCall(const RequestId& id) const;
     void setDeadlines(Call& call);
+    ByteCount expectedBytes(const Call& call) const;
+    void noteAnswerBytes(const Route& route, const HttpResponse& response);
     void attempt(const CallPtr& call);
     std::optional<Choice> chooseInstance(Call& call);
     void send(const CallPtr& call, const Choice& choice);
@@ -126,7 +135,7 @@
     std::shared_ptr<const Configuration> m_configuration;
     SplitChooser m_splits;
     // By name of the route; cleared of routes that a new configuration does not have.
-    absl::flat_hash_map<std::string, UsualPatience> m_patience;
+    absl::flat_hash_map<std::string, RouteHistory> m_history;
     FleetRetryBudget m_retryBudget;
     Random m_random;
     size_t m_fleetSize { 1 };
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -137,7 +137,7 @@
 
     const auto* byTime = std::get_if<LeastExpectedTime>(&m_options.policy);
     const Member* member = byTime
-        ? table->pickByExpectedTime(m_options, *byTime, request.excluded, random, now)
+        ? table->pickByExpectedTime(m_options, *byTime, request, random, now)
         : table->pick(m_options, table->zoneFor(random.unit()), request.excluded, random, now);
     for (auto zone = table->zones().begin(); !member && zone != table->zones().end(); ++zone)
         member = table->pick(m_options, *zone, request.excluded, random, now);
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -63,6 +63,10 @@
     // A non-idempotent request with a key goes to the key's owner and nowhere else, whatever the owner's
     // condition: only the owner's gate knows whether another copy of the request ran.
     std::string_view idempotencyKey {};
+    // Of the request and its answer, for LeastExpectedTime.
+    ByteCount expectedBytes {};
+    // Time in which the answer is wanted; zero where there is none.
+    Duration target {};
 };
 
 enum class ChoiceReason : uint8_t {
--- a/src/routing/RoutingPolicy.h
+++ b/src/routing/RoutingPolicy.h
@@ -18,11 +18,17 @@
 struct RandomChoice { };
 
 // The instance with the least expected time to an answer among a few drawn from all zones: its service time, the wait
-// that its load beyond the limit means, and zonePenalty for an instance of another zone. Reacts to each report, where
-// shares of zones move once a second, so that a burst spills over at once and comes back at once.
+// that its load beyond the limit means, and a penalty for an instance of another zone, since bytes between zones cost.
+// Reacts to each report, where shares of zones move once a second, so that a burst spills over at once and comes back
+// at once.
+//
+// The penalty grows with the call's bytes, so that a zone that lacks capacity sends its small calls away and keeps the
+// large ones; it stays within a share of the call's target, so that no call is late for the sake of bytes.
 struct LeastExpectedTime {
-    // Seconds that an answer may take longer before another zone is used: bytes between zones cost.
-    double zonePenalty { 0.04 };
+    // Seconds that an answer may take longer before another zone is used.
+    double zonePenalty { 0.02 };
+    double zonePenaltyPerKilobyte { 0.02 };
+    double mostPenaltyShareOfTarget { 0.3 };
     // Instances compared: all where there are no more, else half of them drawn from the own zone.
     size_t mostCandidates { 16 };
 };
--- a/src/routing/ServiceTable.cpp
+++ b/src/routing/ServiceTable.cpp
@@ -23,6 +23,15 @@
         return 2 + static_cast<size_t>(found - options.regionOrder.begin());
     }
 
+    double zonePenaltyOf(const LeastExpectedTime& policy, const RoutingRequest& request)
+    {
+        constexpr double kilobyte = 1024;
+        const double penalty = policy.zonePenalty
+            + policy.zonePenaltyPerKilobyte * static_cast<double>(request.expectedBytes.value()) / kilobyte;
+        const double target = std::chrono::duration<double>(request.target).count();
+        return target > 0 ? std::min(penalty, policy.mostPenaltyShareOfTarget * target) : penalty;
+    }
+
     using Statistics = absl::flat_hash_map<InstanceId, std::shared_ptr<InstanceStatistics>>;
 
     Statistics statisticsOf(const ServiceTable* table)
@@ -172,8 +181,8 @@
     return std::visit(Visitor { *this, options, zone, excluded, random, now }, options.policy);
 }
 
-double ServiceTable::expectedTime(const RouterOptions& options, const LeastExpectedTime& policy,
-    const ZoneMembers& zone, const Member& member, TimePoint now) const
+double ServiceTable::expectedTime(const RouterOptions& options, double zonePenalty, const ZoneMembers& zone,
+    const Member& member, TimePoint now) const
 {
     // Even below the limit a server slows down with its load.
     constexpr double slowdownAtLimit = 0.3;
@@ -188,21 +197,22 @@
     const double service = statistics.serviceSeconds(m_meanLatency) * coldFactor;
     const double wait = std::max(0.0, load - limit) / limit * service;
     const double time = service * (1 + slowdownAtLimit * std::min(1.0, load / limit)) + wait
-        + (zone.tier > 0 ? policy.zonePenalty : 0);
+        + (zone.tier > 0 ? zonePenalty : 0);
     // A failed call costs its time and the next attempt's.
     return time / std::max(leastSuccessRate, statistics.successRate());
 }
 
 const Member* ServiceTable::pickByExpectedTime(const RouterOptions& options, const LeastExpectedTime& policy,
-    std::span<const InstanceId> excluded, Random& random, TimePoint now) const
+    const RoutingRequest& request, Random& random, TimePoint now) const
 {
+    const double penalty = zonePenaltyOf(policy, request);
     const Member* best = nullptr;
     double least = 0;
     uint64_t equals = 1;
     const auto consider = [&](const ZoneMembers& zone, const Member& member) {
-        if (!member.isHealthy() || isExcluded(excluded, member))
+        if (!member.isHealthy() || isExcluded(request.excluded, member))
             return;
-        const double time = expectedTime(options, policy, zone, member, now);
+        const double time = expectedTime(options, penalty, zone, member, now);
         // Equal ones are drawn evenly.
         equals = best && time == least ? equals + 1 : 1;
         if (best && (time > least || (time == least && random.below(equals) != 0)))
--- a/src/routing/ServiceTable.h
+++ b/src/routing/ServiceTable.h
@@ -58,7 +58,7 @@
         Random& random, TimePoint now) const;
     // The healthy member of any zone that LeastExpectedTime prefers, or null.
     const Member* pickByExpectedTime(const RouterOptions& options, const LeastExpectedTime& policy,
-        std::span<const InstanceId> excluded, Random& random, TimePoint now) const;
+        const RoutingRequest& request, Random& random, TimePoint now) const;
     // The zone for a uniform number from [0, 1).
     const ZoneMembers& zoneFor(double unit) const;
     const Member* ownerOf(std::string_view key) const;
@@ -70,9 +70,9 @@
 private:
     friend class ZoneShares;
 
-    // In seconds; lower is better.
-    double expectedTime(const RouterOptions& options, const LeastExpectedTime& policy, const ZoneMembers& zone,
-        const Member& member, TimePoint now) const;
+    // In seconds; lower is better. The penalty is added for an instance outside the own zone.
+    double expectedTime(const RouterOptions& options, double zonePenalty, const ZoneMembers& zone, const Member& member,
+        TimePoint now) const;
     void computeMeanLatency(TimePoint now);
     void computeScores(const RouterOptions& options, const ScoreCoefficients& coefficients, TimePoint now);
     const Member* pickOfTwo(const RouterOptions& options, const ZoneMembers& zone, std::span<const InstanceId> excluded,
--- a/src/routing/tests/ExpectedTimeTest.cpp
+++ b/src/routing/tests/ExpectedTimeTest.cpp
@@ -53,6 +53,26 @@
         EXPECT_EQ(chosen(), "near");
     }
 
+    // Guards against large bodies between zones while small calls could spill in their place, and against calls that
+    // wait beyond their target to save bytes.
+    TEST_F(ExpectedTimeTest, SmallCallsLeaveABusyZoneFirst)
+    {
+        add("near", "z1");
+        add("far", "z2");
+        publish(m_timed);
+        reportLoad("near", load(10, 15));
+        reportLoad("far", load(0, 0));
+        const auto chosenFor = [this](uint64_t bytes, Duration target) {
+            return m_timed
+                .choose({ .service = ServiceName("pitch"), .expectedBytes = ByteCount(bytes), .target = target },
+                    m_random, m_clock.now())
+                ->instance.value();
+        };
+        EXPECT_EQ(chosenFor(1024, 2s), "far");
+        EXPECT_EQ(chosenFor(10 * 1024, 2s), "near");
+        EXPECT_EQ(chosenFor(10 * 1024, 200ms), "far");
+    }
+
     TEST_F(ExpectedTimeTest, SlowServerGetsLess)
     {
         add("fast", "z1");
