Take the slots that a server states as its gate's limit

The limit's floor had first been measured under overload, so latency looked unchanged. Ruled out: sheds (they lower the limit only while all slots are in use). Change: LimitPolicy; where the server's entry states slots, latency does not move the limit. Test: ConcurrencyLimitTest.StatedLimitIsMovedByShedsAlone.

--- a/src/admission/AdmissionController.h
+++ b/src/admission/AdmissionController.h
@@ -111,6 +111,7 @@
     int slots { 1 };
     int maxQueue { 256 };
     AdmissionPolicy policy { RankedAdmission {} };
+    LimitPolicy limit { LearnedLimit {} };
 };
 
 class AdmissionController {
--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-ConcurrencyLimit::ConcurrencyLimit(int slots, size_t ranks, TimePoint now)
-    : m_slots(std::max(1, slots))
+ConcurrencyLimit::ConcurrencyLimit(int slots, size_t ranks, TimePoint now, LimitPolicy policy)
+    : m_policy(policy)
+    , m_slots(std::max(1, slots))
     , m_limit(m_slots)
     , m_baselines(ranks)
     , m_windowStart(now)
@@ -29,12 +30,13 @@
 {
 }
 
-void ConcurrencyLimit::reconfigure(int slots, size_t ranks)
+void ConcurrencyLimit::reconfigure(int slots, size_t ranks, LimitPolicy policy)
 {
     slots = std::max(1, slots);
     // A limit that was learned under other slots is no better than the new number.
-    if (slots != m_slots)
+    if (slots != m_slots || policy.index() != m_policy.index())
         m_limit = slots;
+    m_policy = policy;
     m_slots = slots;
     m_baselines.resize(std::max(ranks, m_baselines.size()));
 }
@@ -84,13 +86,25 @@
 
 void ConcurrencyLimit::closeWindow(TimePoint now)
 {
-    double ratio = 0;
+    std::visit([this](const auto& policy) { moveBy(policy); }, m_policy);
     for (Baseline& baseline : m_baselines) {
-        if (baseline.windowCount >= fewestAnswers)
-            ratio = std::max(ratio, baseline.windowSum / baseline.windowCount);
         baseline.windowSum = 0;
         baseline.windowCount = 0;
     }
+    m_windowStart = now;
+    m_answers = 0;
+    m_inFlightSum = 0;
+}
+
+void ConcurrencyLimit::moveBy(const StatedLimit&) { m_limit = std::min(m_limit + 1, m_slots); }
+
+void ConcurrencyLimit::moveBy(const LearnedLimit&)
+{
+    double ratio = 0;
+    for (const Baseline& baseline : m_baselines) {
+        if (baseline.windowCount >= fewestAnswers)
+            ratio = std::max(ratio, baseline.windowSum / baseline.windowCount);
+    }
     const bool isFullyUsed = m_inFlightSum >= (m_limit - 0.5) * m_answers;
     if (ratio > congestedRatio)
         lower();
@@ -98,9 +112,6 @@
         m_limit = std::min(m_limit + 1, highest());
     else if (!isFullyUsed && m_limit > m_slots)
         --m_limit;
-    m_windowStart = now;
-    m_answers = 0;
-    m_inFlightSum = 0;
 }
 
 void ConcurrencyLimit::lower() { m_limit = std::max(1, std::min(m_limit - 1, m_limit * 9 / 10)); }
--- a/src/admission/ConcurrencyLimit.h
+++ b/src/admission/ConcurrencyLimit.h
@@ -10,21 +10,31 @@
 // The floor of a rank follows shorter service times at once, and longer ones only while at most half of the
 // slots are in use, when waiting inside the backend server cannot be the reason. If it followed at any load,
 // a limit that is too high would become the measure of itself.
+//
+// That is LearnedLimit. Where the backend server states its slots itself (StatedLimit), latency moves nothing: calls
+// beyond the slots would only wait inside the server, out of the order of ranks, and fewer would leave slots idle when
+// a call is slow for reasons of its own, as one that waits for an inner call is. Shedding lowers this limit too, and
+// each window raises it by 1 back to the slots.
 #pragma once
 
 #include "base/Types.h"
 
+#include <variant>
 #include <vector>
 
 namespace skylark {
 
+struct LearnedLimit { };
+struct StatedLimit { };
+using LimitPolicy = std::variant<LearnedLimit, StatedLimit>;
+
 class ConcurrencyLimit {
 public:
-    ConcurrencyLimit(int slots, size_t ranks, TimePoint now);
+    ConcurrencyLimit(int slots, size_t ranks, TimePoint now, LimitPolicy policy = LearnedLimit {});
 
     int value() const { return m_limit; }
     // Keeps what was learned within the new bounds.
-    void reconfigure(int slots, size_t ranks);
+    void reconfigure(int slots, size_t ranks, LimitPolicy policy = LearnedLimit {});
 
     // A call ended with an answer after this time; inFlight counts it too.
     void noteAnswer(size_t rank, Duration serviceTime, int inFlight, TimePoint now);
@@ -45,9 +55,12 @@
 
     void learnBaseline(Baseline& baseline, double seconds, int inFlight) const;
     void closeWindow(TimePoint now);
+    void moveBy(const LearnedLimit& policy);
+    void moveBy(const StatedLimit& policy);
     void lower();
     int highest() const { return 2 * m_slots; }
 
+    LimitPolicy m_policy;
     int m_slots;
     int m_limit;
     std::vector<Baseline> m_baselines;
--- a/src/admission/tests/MeasuresTest.cpp
+++ b/src/admission/tests/MeasuresTest.cpp
@@ -64,6 +64,24 @@
         EXPECT_EQ(limit.value(), 3);
     }
 
+    // Guards against a limit that drifts to twice the stated slots when it is first measured under overload, and against
+    // one that falls because calls wait for inner calls elsewhere.
+    TEST(ConcurrencyLimitTest, StatedLimitIsMovedByShedsAlone)
+    {
+        FakeClock clock;
+        ConcurrencyLimit limit(13, 1, clock.now(), StatedLimit {});
+        for (int i = 0; i < 2000; ++i) {
+            limit.noteAnswer(0, i < 1000 ? 10ms : 200ms, limit.value(), clock.now());
+            ASSERT_EQ(limit.value(), 13);
+        }
+        clock.advance(1s);
+        limit.noteShed(clock.now());
+        EXPECT_EQ(limit.value(), 11);
+        for (int i = 0; i < 1000; ++i)
+            limit.noteAnswer(0, 10ms, limit.value(), clock.now());
+        EXPECT_EQ(limit.value(), 13);
+    }
+
     TEST(EstimatesTest, ArrivalRateFollowsAndFades)
     {
         FakeClock clock;
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -46,7 +46,8 @@
 {
     return { .ranks = m_ranks,
         .slots = m_server ? std::max(1, m_server->slots) : m_options.defaultSlots,
-        .maxQueue = m_options.mostQueued };
+        .maxQueue = m_options.mostQueued,
+        .limit = m_server ? LimitPolicy(StatedLimit {}) : LearnedLimit {} };
 }
 
 void BackendGate::setRanks(std::vector<RankPolicy> ranks)
