Soak real nodes on loopback under seeded faults

A node gains the setting advertisedHost, since its peers reach it through a forwarder there.

Written in Python, as the other tools that start processes are.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD := build
 JOBS := $(shell nproc)
 
-.PHONY: install build test test-asan test-tsan fuzz demo bench style format clean
+.PHONY: install build test test-asan test-tsan fuzz soak soak-short demo bench style format clean
 
 install:
 	@tools/install-packages.sh
@@ -19,7 +19,13 @@
 	@cmake --build build-fuzz -j $(JOBS) --target fuzzers
 	@ctest --test-dir build-fuzz -R fuzz --output-on-failure
 
-test: style fuzz
+soak: build
+	@/usr/bin/python3 -m soak --build $(BUILD) $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--minutes $(MINUTES)) $(if $(NODES),--nodes $(NODES))
+
+soak-short: build
+	@tools/soak-short.sh $(BUILD)
+
+test: style fuzz soak-short
 	@ctest --test-dir $(BUILD) --output-on-failure
 
 test-asan test-tsan: test-%: install
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -156,7 +156,7 @@
     , m_options(std::move(options))
     , m_gate(gate)
     , m_callbacks(std::move(callbacks))
-    , m_listener(loop, m_options.self.listenAddress, [this](std::unique_ptr<TcpStream> stream) {
+    , m_listener(loop, m_options.listenAddress, [this](std::unique_ptr<TcpStream> stream) {
         m_sessions.insert(std::make_shared<Session>(*this, std::move(stream)));
     })
 {
--- a/src/proxy/PeerServer.h
+++ b/src/proxy/PeerServer.h
@@ -14,6 +14,7 @@
 
 struct PeerServerOptions {
     Hello self;
+    Endpoint listenAddress;
     size_t mostBodyBytes { 16 * 1024 * 1024 };
 };
 
@@ -26,7 +27,7 @@
         std::function<void(const HeldSourceRequest&, std::function<void(const HeldSource&)>)> onHeldSourceRequest;
     };
 
-    // Listens on the address in `self`; throws Error when it cannot be bound.
+    // Throws Error when the address cannot be bound.
     PeerServer(EventLoop& loop, PeerServerOptions options, BackendGate& gate, Callbacks callbacks);
     ~PeerServer();
 
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -146,7 +146,7 @@
     , m_self { .instance = InstanceId(m_settings.instance),
         .incarnation = newIncarnation(),
         .zone = m_settings.zone,
-        .listenAddress = m_settings.peerAddress,
+        .listenAddress = m_settings.advertisedAddress(),
         .purpose = ConnectionPurpose::Calls }
     , m_log(clock, m_settings.logLinesPerSecond)
     , m_random(m_self.incarnation.value())
@@ -157,13 +157,13 @@
     , m_forwarder(
           m_loop,
           { .self = m_self.incarnation,
-              .host = m_settings.peerAddress.host,
+              .host = m_settings.advertisedAddress().host,
               .callerService = m_settings.service,
               .retryBudget
               = { .ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow } },
           m_adapter.dialect, m_router, m_gate,
           [this](const Endpoint& endpoint) -> PeerClient& { return peer(endpoint); }, m_log, m_metrics)
-    , m_exchange(m_loop, { .self = m_settings.peerAddress, .seed = m_self.incarnation.value() },
+    , m_exchange(m_loop, { .self = m_settings.advertisedAddress(), .seed = m_self.incarnation.value() },
           { .held = [this](const HeldSourceRequest& request) { return heldSourceFor(request); },
               .question =
                   [this] {
@@ -176,7 +176,7 @@
               .reachablePeers = [this] { return reachablePeers(); },
               .setReading = [this](bool isReading) { setReading(isReading); },
               .isComplete = [this] { return !m_isSourceLost && !m_directory.isHoldingBack(m_loop.now()); } })
-    , m_peerServer(m_loop, { .self = m_self }, m_gate,
+    , m_peerServer(m_loop, { .self = m_self, .listenAddress = m_settings.peerAddress }, m_gate,
           { .onPeer = [this](const Hello& hello) { peer(hello.listenAddress); },
               .onHeldSourceRequest = [this](const HeldSourceRequest& request,
                                          const SourceExchange::Reply& reply) { m_exchange.hold(request, reply); } })
@@ -348,7 +348,7 @@
         peer(state.record.peer);
     std::vector<Endpoint> reachable;
     for (const auto& [endpoint, client] : m_peers) {
-        if (client->isUsable() && endpoint != m_settings.peerAddress)
+        if (client->isUsable() && endpoint != m_settings.advertisedAddress())
             reachable.push_back(endpoint);
     }
     return reachable;
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -41,6 +41,7 @@
     settings.callerAddress = reader.endpoint("callerAddress");
     settings.readyAddress = reader.endpoint("readyAddress");
     settings.peerAddress = reader.endpoint("peerAddress");
+    settings.advertisedHost = reader.text("advertisedHost", "");
     settings.metricsAddress = reader.endpoint("metricsAddress");
     settings.serverAddress = reader.endpoint("serverAddress");
     settings.sourceAddress = reader.endpoint("sourceAddress");
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -19,6 +19,9 @@
     Endpoint callerAddress;
     Endpoint readyAddress;
     Endpoint peerAddress;
+    // The host under which peers reach this node, as the entry of its backend server names it; empty where it is the
+    // host of peerAddress. Differs from that where a forwarder stands in between.
+    std::string advertisedHost;
     Endpoint metricsAddress;
     Endpoint serverAddress;
     Endpoint sourceAddress;
@@ -33,6 +36,11 @@
     Duration sourceInterval { std::chrono::milliseconds(400) };
     double logLinesPerSecond { 100 };
     LogLevel logLevel { LogLevel::Info };
+
+    Endpoint advertisedAddress() const
+    {
+        return advertisedHost.empty() ? peerAddress : Endpoint { advertisedHost, peerAddress.port };
+    }
 };
 
 // Throws Error that names the key of the first fault; unknown keys are refused.
--- a/tools/install-packages.sh
+++ b/tools/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build and the tests need. Does nothing when all are present.
 set -euo pipefail
 packages=(
-    g++ cmake ninja-build ccache pkg-config python3 curl clang clang-format clang-tidy libclang-rt-14-dev
+    g++ cmake ninja-build ccache pkg-config python3 python3-h11 curl clang clang-format clang-tidy libclang-rt-14-dev
     libabsl-dev libmsgpack-cxx-dev prometheus-cpp-dev libcpp-httplib-dev libcxxopts-dev liblog4cxx-dev
     nlohmann-json3-dev librapidcheck-dev libxxhash-dev libzstd-dev liburcu-dev libssl-dev
     libgtest-dev libgmock-dev libbenchmark-dev libuv1-dev libboost-dev
