Read the first listing stale, and all keys in one call

Only the watch confirms what the node holds; a lost history is listed afresh. Ruled out: waiting the usual interval before the first watch. Test: SourceWatcherTest.WatchGoesOnFromTheStaleFirstListing, LostHistoryIsListedAgain.

--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -95,10 +95,12 @@
     {
         m_node.m_loop.post([this] { m_node.noteSource(false, ""); });
     }
-    void onCall(const char* kind, bool isAnswered) override
+    void onCall(SourceCall call, bool isAnswered) override
     {
-        m_node.m_metrics.countSourceCall(kind, isAnswered);
-        m_node.m_loop.post([this, isAnswered] { m_node.m_exchange.noteSource(isAnswered); });
+        m_node.m_metrics.countSourceCall(sourceCallName(call), isAnswered);
+        // What may be stale confirms nothing.
+        if (call != SourceCall::ListStale)
+            m_node.m_loop.post([this, isAnswered] { m_node.m_exchange.noteSource(isAnswered); });
     }
 
 private:
--- a/src/proxy/tests/FakeSource.cpp
+++ b/src/proxy/tests/FakeSource.cpp
@@ -29,7 +29,7 @@
         throw Error({ .step = "fake-source", .message = "turned away" });
 }
 
-SourceItems FakeSource::list(const std::string& prefix)
+SourceItems FakeSource::list(const std::string& prefix, ListFreshness)
 {
     const std::lock_guard lock(m_store.m_mutex);
     check();
--- a/src/proxy/tests/FakeSource.h
+++ b/src/proxy/tests/FakeSource.h
@@ -33,7 +33,7 @@
         : m_store(store)
     {
     }
-    SourceItems list(const std::string& prefix) override;
+    SourceItems list(const std::string& prefix, ListFreshness freshness) override;
     SourceItems watch(const std::string& prefix, Revision after, Duration wait) override;
     void interrupt() override;
     // Fails the calls of this node alone.
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -254,7 +254,7 @@
     auto source = std::make_unique<FakeSource>(m_store);
     node.source = source.get();
     PlatformAdapter adapter { .source = std::move(source),
-        .watcher = { .prefixes = { "op/", "servers/" }, .watchWait = 500ms },
+        .watcher = { .watchWait = 500ms },
         .isConfiguration = [](const SourceItem& item) { return item.key == "op/config"; },
         .decodeConfiguration = decodeTestConfiguration,
         .isServer = [](const SourceItem& item) { return item.key.rfind("servers/", 0) == 0; },
--- a/src/source/KeyValueSource.h
+++ b/src/source/KeyValueSource.h
@@ -20,6 +20,12 @@
     bool isDeleted { false };
 };
 
+enum class ListFreshness : uint8_t {
+    Latest,
+    // May lag behind by seconds; a watch from its revision brings what is missing. Cheaper for the source.
+    MayBeStale,
+};
+
 // Items as of a revision: all under the prefix, or those that changed.
 struct SourceItems {
     std::vector<SourceItem> items;
@@ -35,7 +41,7 @@
 class KeyValueSource {
 public:
     virtual ~KeyValueSource() = default;
-    virtual SourceItems list(const std::string& prefix) = 0;
+    virtual SourceItems list(const std::string& prefix, ListFreshness freshness) = 0;
     // Waits for a change after the revision, for `wait` at most; no items when there was none.
     virtual SourceItems watch(const std::string& prefix, Revision after, Duration wait) = 0;
     // Makes a blocked call of another thread fail soon.
--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -1,12 +1,23 @@
 #include "source/SourceWatcher.h"
 
 #include <algorithm>
-#include <iterator>
-#include <optional>
 #include <utility>
 
 namespace skylark {
 
+const char* sourceCallName(SourceCall call)
+{
+    switch (call) {
+    case SourceCall::List:
+        return "list";
+    case SourceCall::ListStale:
+        return "list-stale";
+    case SourceCall::Watch:
+        return "watch";
+    }
+    return "unknown";
+}
+
 SourceWatcher::SourceWatcher(
     KeyValueSource& source, SourceConsumer& consumer, SourceWatcherOptions options, const Clock& clock)
     : m_source(source)
@@ -62,17 +73,19 @@
     while (pause(wait)) {
         const TimePoint began = m_clock.now();
         try {
+            const bool isFirst = !m_hasListed;
             if (m_needsListing)
                 listAll();
             else
                 watchOnce();
-            wait = std::max(Duration(0), m_options.leastInterval - (m_clock.now() - began));
+            // What the first listing lacks is fetched at once: until then calls go to servers that are gone.
+            wait = isFirst ? Duration(0) : std::max(Duration(0), m_options.leastInterval - (m_clock.now() - began));
         } catch (const HistoryLost&) {
             m_needsListing = true;
-            m_consumer.onCall("watch", true);
+            m_consumer.onCall(SourceCall::Watch, true);
             wait = m_random.upTo(m_options.leastInterval / 2);
         } catch (const Error& error) {
-            m_consumer.onCall(m_needsListing ? "list" : "watch", false);
+            m_consumer.onCall(m_needsListing ? SourceCall::List : SourceCall::Watch, false);
             noteFailure(error.what());
             wait = m_backoff.next(m_random);
         }
@@ -81,17 +94,13 @@
 
 void SourceWatcher::listAll()
 {
-    SourceItems all;
-    std::optional<Revision> oldest;
-    for (const std::string& prefix : m_options.prefixes) {
-        SourceItems listed = m_source.list(prefix);
-        m_consumer.onCall("list", true);
-        oldest = oldest ? std::min(*oldest, listed.revision) : listed.revision;
-        std::move(listed.items.begin(), listed.items.end(), std::back_inserter(all.items));
-    }
+    const bool mayBeStale = !m_hasListed;
+    const SourceItems all
+        = m_source.list(m_options.prefix, mayBeStale ? ListFreshness::MayBeStale : ListFreshness::Latest);
+    m_consumer.onCall(mayBeStale ? SourceCall::ListStale : SourceCall::List, true);
     noteSuccess();
-    all.revision = oldest.value_or(Revision());
     m_revision = all.revision;
+    m_hasListed = true;
     m_needsListing = false;
     m_lastChange = m_clock.now();
     m_consumer.onListing(all);
@@ -101,8 +110,8 @@
 {
     // While the source is lost a call only asks whether it is back.
     const SourceItems changes
-        = m_source.watch(m_options.watchPrefix, m_revision, m_isLost ? Duration(0) : m_options.watchWait);
-    m_consumer.onCall("watch", true);
+        = m_source.watch(m_options.prefix, m_revision, m_isLost ? Duration(0) : m_options.watchWait);
+    m_consumer.onCall(SourceCall::Watch, true);
     noteSuccess();
     m_revision = std::max(m_revision, changes.revision);
     const TimePoint now = m_clock.now();
--- a/src/source/SourceWatcher.h
+++ b/src/source/SourceWatcher.h
@@ -1,4 +1,7 @@
-// Follows the source on a thread of its own: lists the prefixes once, then watches for changes.
+// Follows the source on a thread of its own: lists the prefix once, then watches for changes.
+//
+// The first listing may be stale, since a fleet that starts at once would otherwise read everything from the source at
+// once; the watch that follows from its revision brings the rest, and only that confirms what the node holds.
 //
 // The consumer is called on that thread. A watch that ends with a change is followed by the next one no sooner than
 // leastInterval after it began, since each call is counted and servers' heartbeats would end each watch at once.
@@ -19,22 +22,27 @@
 
 namespace skylark {
 
+enum class SourceCall : uint8_t {
+    List,
+    ListStale,
+    Watch,
+};
+
+const char* sourceCallName(SourceCall call);
+
 class SourceConsumer {
 public:
     virtual ~SourceConsumer() = default;
-    // Everything under all prefixes; the revision is that of the oldest listing among them.
+    // Everything under the prefix.
     virtual void onListing(const SourceItems& items) = 0;
     virtual void onChanges(const SourceItems& changes) = 0;
     virtual void onLost(const std::string& reason) = 0;
     virtual void onBack() = 0;
-    // For metrics.
-    virtual void onCall(const char* kind, bool isAnswered) = 0;
+    virtual void onCall(SourceCall call, bool isAnswered) = 0;
 };
 
 struct SourceWatcherOptions {
-    std::vector<std::string> prefixes;
-    // The prefix of the one watch, which covers all the others.
-    std::string watchPrefix;
+    std::string prefix;
     Duration watchWait { std::chrono::milliseconds(500) };
     Duration leastInterval { std::chrono::milliseconds(400) };
     Duration silenceLimit { std::chrono::seconds(6) };
@@ -70,6 +78,7 @@
     Random m_random;
     Backoff m_backoff;
     bool m_needsListing { true };
+    bool m_hasListed { false };
     bool m_isLost { false };
     Revision m_revision;
     TimePoint m_lastChange;
--- a/src/source/tests/SourceWatcherTest.cpp
+++ b/src/source/tests/SourceWatcherTest.cpp
@@ -19,7 +19,10 @@
             const std::lock_guard lock(m_mutex);
             m_script.push_back(std::move(step));
         }
-        SourceItems list(const std::string& prefix) override { return next("list " + prefix); }
+        SourceItems list(const std::string& prefix, ListFreshness freshness) override
+        {
+            return next((freshness == ListFreshness::Latest ? "list " : "list-stale ") + prefix);
+        }
         SourceItems watch(const std::string& prefix, Revision after, Duration) override
         {
             return next("watch " + prefix + " " + std::to_string(after.value()));
@@ -57,7 +60,7 @@
         void onChanges(const SourceItems& changes) override { note("changes " + std::to_string(changes.items.size())); }
         void onLost(const std::string&) override { note("lost"); }
         void onBack() override { note("back"); }
-        void onCall(const char*, bool) override { }
+        void onCall(SourceCall, bool) override { }
         // Waits until this many events have come, for two seconds at most.
         std::vector<std::string> events(size_t count)
         {
@@ -85,29 +88,29 @@
 
     SourceWatcherOptions options(Duration interval = 1ms)
     {
-        return { .prefixes = { "a/", "b/" },
-            .watchPrefix = "",
+        return { .prefix = "a/",
             .leastInterval = interval,
             .retry = { .initial = 1ms, .maximum = 5ms } };
     }
 
-    TEST(SourceWatcherTest, WatchGoesOnFromTheOldestListing)
+    // Guards against a fleet that starts and reads everything at the source's full price, and against a change that is
+    // missed between a stale listing and the watch.
+    TEST(SourceWatcherTest, WatchGoesOnFromTheStaleFirstListing)
     {
         ScriptedSource source;
         RecordingConsumer consumer;
         SystemClock clock;
         source.expect([](const auto&) { return items(7); });
-        source.expect([](const auto&) { return items(9); });
         source.expect([](const auto&) { return items(12, 3); });
         {
             const SourceWatcher watcher(source, consumer, options(), clock);
             EXPECT_EQ(consumer.events(2), (std::vector<std::string> { "listing 7", "changes 3" }));
-            while (source.calls().size() < 4)
+            while (source.calls().size() < 3)
                 std::this_thread::sleep_for(1ms);
         }
         const auto calls = source.calls();
-        EXPECT_EQ(std::vector<std::string>(calls.begin(), calls.begin() + 4),
-            (std::vector<std::string> { "list a/", "list b/", "watch  7", "watch  12" }));
+        EXPECT_EQ(std::vector<std::string>(calls.begin(), calls.begin() + 3),
+            (std::vector<std::string> { "list-stale a/", "watch a/ 7", "watch a/ 12" }));
     }
 
     TEST(SourceWatcherTest, LostHistoryIsListedAgain)
@@ -116,10 +119,11 @@
         RecordingConsumer consumer;
         SystemClock clock;
         source.expect([](const auto&) { return items(7); });
-        source.expect([](const auto&) { return items(7); });
         source.expect([](const auto&) -> SourceItems { throw HistoryLost({ .message = "gone" }); });
-        source.expect([](const auto&) { return items(20); });
-        source.expect([](const auto&) { return items(21); });
+        source.expect([](const auto& call) {
+            EXPECT_EQ(call, "list a/") << "the second listing must not be stale";
+            return items(20);
+        });
         const SourceWatcher watcher(source, consumer, options(), clock);
         EXPECT_EQ(consumer.events(2), (std::vector<std::string> { "listing 7", "listing 20" }));
     }
@@ -131,11 +135,10 @@
         RecordingConsumer consumer;
         SystemClock clock;
         source.expect([](const auto&) { return items(7); });
-        source.expect([](const auto&) { return items(7); });
         for (int i = 0; i < 3; ++i)
             source.expect([](const auto&) -> SourceItems { throw Error({ .message = "down" }); });
         source.expect([](const auto& call) {
-            EXPECT_EQ(call, "watch  7");
+            EXPECT_EQ(call, "watch a/ 7");
             return items(8);
         });
         const SourceWatcher watcher(source, consumer, options(), clock);
