End a call after two refusals and raise the penalty of other zones

Change: two refusals end a call; the penalty of another zone is 40 ms and 50 ms a kilobyte, up to half of the target.

--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -33,7 +33,7 @@
     std::string host;
     // The service beside which the callers' requests begin.
     ServiceName callerService;
-    int mostRefusals { 4 };
+    int mostRefusals { 2 };
     // Where the caller says nothing.
     Duration defaultDeadline { std::chrono::seconds(10) };
     FleetRetryBudgetOptions retryBudget {};
--- a/src/routing/RoutingPolicy.h
+++ b/src/routing/RoutingPolicy.h
@@ -26,9 +26,9 @@
 // large ones; it stays within a share of the call's target, so that no call is late for the sake of bytes.
 struct LeastExpectedTime {
     // Seconds that an answer may take longer before another zone is used.
-    double zonePenalty { 0.02 };
-    double zonePenaltyPerKilobyte { 0.02 };
-    double mostPenaltyShareOfTarget { 0.3 };
+    double zonePenalty { 0.04 };
+    double zonePenaltyPerKilobyte { 0.05 };
+    double mostPenaltyShareOfTarget { 0.5 };
     // Instances compared: all where there are no more, else half of them drawn from the own zone.
     size_t mostCandidates { 16 };
 };
