Follow a request's id through logs with skylarkctl trace

Cause: docs/OPERATIONS.md led from an id to the cause with grep over all logs, which shows neither the order nor what the process believed at the time. One new module of the command line, src/cli/LogCommands. Test: LogCommandsTest (order, other requests and instances left out, faults of use). No measurement: a tool.

--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -2,6 +2,7 @@
 
 #include "cli/Command.h"
 #include "cli/DocumentCommands.h"
+#include "cli/LogCommands.h"
 #include "cli/NodeCommands.h"
 
 #include <algorithm>
@@ -24,6 +25,8 @@
         { "state", "NODE", "show all that a node knows, as JSON", 1, 1, addNoOptions, runState },
         { "explain", "NODE METHOD PATH", "show how a node would route a request, and why", 3, 3, addExplainOptions,
             runExplain },
+        { "trace", "REQUEST LOG...", "follow one request through the logs of nodes", 2, anyNumber, addTraceOptions,
+            runTrace },
     };
 
     void printHelp(std::ostream& out)
@@ -34,7 +37,7 @@
             out << "  " << command.name << std::string(9 - std::string_view(command.name).size(), ' ')
                 << command.summary << '\n';
         out << "\nNODE is the host:port of a node's admin page. PATH is a file NAME.json with the section NAME, or a\n"
-               "directory of such files or of a bundle. Each command has --json and --help.\n"
+               "directory of such files or of a bundle. LOG is a file of the lines that skylark-node writes. Each command has --json and --help.\n"
                "Exit codes: 0 success, 1 fault found, 2 used wrongly.\n";
     }
 
