Follow the next node of a zone when its reader loses the source

Change: a follower turns to the next of four candidates while it reads for itself, and stops as soon as one is fresh; nodes that are not among the first four of their zone retry a lost source every 2 s at most, the others every 0.5 s. A node that learned from peers that the source served others holds back only deletions up to the revision of its return. Test: ReaderRoleTest.SecondInTheOrderTakesThePlaceOfALostReader and ServerDirectoryTest.LaterDeletionsHoldAtOnceWhereOthersHadTheSource; the latter's rule did not exist before.

--- a/src/base/Backoff.h
+++ b/src/base/Backoff.h
@@ -29,6 +29,7 @@
         return random.upTo(ceiling);
     }
     void reset() { m_failures = 0; }
+    void setMaximum(Duration maximum) { m_options.maximum = maximum; }
 
 private:
     static constexpr int maxDoublings = 20;
--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -86,14 +86,16 @@
 {
     m_isSourceLost = true;
     m_sourceBackAt.reset();
+    m_genuineAfter.reset();
 }
 
-void ServerDirectory::noteSourceBack(TimePoint now)
+void ServerDirectory::noteSourceBack(TimePoint now, std::optional<Revision> genuineAfter)
 {
     if (!m_isSourceLost)
         return;
     m_isSourceLost = false;
     m_sourceBackAt = now;
+    m_genuineAfter = genuineAfter;
 }
 
 bool ServerDirectory::isGraceOver(TimePoint now) const
@@ -106,7 +108,8 @@
     const auto known = m_entries.find(id);
     if (known == m_entries.end() || known->second.revision > revision)
         return false;
-    if (isGraceOver(now))
+    const bool isGenuine = m_genuineAfter && revision > *m_genuineAfter;
+    if (isGraceOver(now) || isGenuine)
         return drop(id, revision, now);
     known->second.missingSince = revision;
     return false;
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -60,7 +60,9 @@
     bool replaceAll(const std::vector<ServerEntry>& entries, Revision revision, TimePoint now);
     // The source stopped, or began again, to answer this node.
     void noteSourceLost();
-    void noteSourceBack(TimePoint now);
+    // Deletions above genuineAfter hold at once: the source served others all the while, so that entries which it lost
+    // meanwhile are none of its own outage.
+    void noteSourceBack(TimePoint now, std::optional<Revision> genuineAfter = std::nullopt);
     // Deletions may be held back now.
     bool isHoldingBack(TimePoint now) const { return !isGraceOver(now); }
     // Drops entries whose grace is over.
@@ -102,6 +104,7 @@
     Revision m_revision;
     bool m_isSourceLost { false };
     std::optional<TimePoint> m_sourceBackAt;
+    std::optional<Revision> m_genuineAfter;
     uint64_t m_refused { 0 };
 };
 
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -91,6 +91,22 @@
         EXPECT_NE(directory.atAddress({ "10.0.0.1", 80 }), nullptr);
     }
 
+    // Guards against calls to a server that has left, by a node that was cut off from the source alone and holds each
+    // deletion back after its return (DRAIN on a day with cut nodes).
+    TEST(ServerDirectoryTest, LaterDeletionsHoldAtOnceWhereOthersHadTheSource)
+    {
+        ServerDirectory directory({ .returnGrace = 2s });
+        directory.apply(entry("1", 5), start);
+        directory.apply(entry("2", 6), start);
+        directory.noteSourceLost();
+        directory.noteSourceBack(start, Revision(9));
+        EXPECT_FALSE(directory.apply(deletion("1", 8), start)) << "may have lapsed while both were cut off";
+        EXPECT_TRUE(directory.apply(deletion("2", 10), start));
+        EXPECT_EQ(listed(directory), 1u);
+        EXPECT_TRUE(directory.advance(start + 2s));
+        EXPECT_EQ(listed(directory), 0u);
+    }
+
     TEST(ServerDirectoryTest, DeletionInCalmTimesHoldsAtOnce)
     {
         ServerDirectory directory({});
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -25,6 +25,10 @@
     // Kept free at the end of stopGrace for the exit itself.
     constexpr Duration stopMargin = 400ms;
     constexpr Duration stopCheckInterval = 50ms;
+    // Longest wait between tries of a lost source. The first nodes of a zone find out soon that it is back and tell the
+    // others, which only cover a fault of all of these.
+    constexpr Duration retryOfLeaders = 500ms;
+    constexpr Duration retryOfFollowers = 2s;
     constexpr size_t mostConfigurationBytes = 16 * 1024 * 1024;
 
     RouterOptions routerOptions(const ProxySettings& settings)
@@ -89,11 +93,11 @@
     void onChanges(const SourceItems& changes) override { deliver(changes, false); }
     void onLost(const std::string& reason) override
     {
-        m_node.m_loop.post([this, reason] { m_node.noteSource(true, reason); });
+        m_node.m_loop.post([this, reason] { m_node.noteSourceLost(reason); });
     }
-    void onBack() override
+    void onBack(std::optional<Revision> revision) override
     {
-        m_node.m_loop.post([this] { m_node.noteSource(false, ""); });
+        m_node.m_loop.post([this, revision] { m_node.noteSourceBack(revision); });
     }
     void onCall(SourceCall call, bool isAnswered) override
     {
@@ -276,21 +280,25 @@
             { "revision", std::to_string(m_directory.revision().value()) }, { "own", own ? own->id.value() : "" } });
 }
 
-void ProxyNode::noteSource(bool isLost, const std::string& reason)
+void ProxyNode::noteSourceLost(const std::string& reason)
+{
+    m_isSourceLost = true;
+    m_sourceLostAt = m_loop.now();
+    m_directory.noteSourceLost();
+    logEvent(LogLevel::Warning, "source-lost", { { "reason", reason } });
+}
+
+void ProxyNode::noteSourceBack(std::optional<Revision> revision)
 {
     const TimePoint now = m_loop.now();
-    m_isSourceLost = isLost;
-    if (isLost) {
-        m_sourceLostAt = now;
-        m_directory.noteSourceLost();
-        logEvent(LogLevel::Warning, "source-lost", { { "reason", reason } });
-    } else {
-        m_directory.noteSourceBack(now);
-        logEvent(LogLevel::Info, "source-back",
-            { { "after_ms",
-                std::to_string(
-                    std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sourceLostAt).count()) } });
-    }
+    m_isSourceLost = false;
+    const bool hadPeersSource = m_exchange.hadPeersSource();
+    m_directory.noteSourceBack(now, hadPeersSource ? revision : std::nullopt);
+    logEvent(LogLevel::Info, "source-back",
+        { { "after_ms",
+              std::to_string(
+                  std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sourceLostAt).count()) },
+            { "peers_had_it", hadPeersSource ? "true" : "false" } });
 }
 
 bool ProxyNode::isReady() const { return !m_stoppingSince && m_forwarder.configuration() && m_directory.size() > 0; }
@@ -335,13 +343,14 @@
 void ProxyNode::setReading(bool isReading)
 {
     if (isReading) {
+        m_watcher->setLongestRetry(m_exchange.isLeading() ? retryOfLeaders : retryOfFollowers);
         m_watcher->resume(m_directory.revision());
         return;
     }
     m_watcher->suspend();
-    // The followed peer has the source.
+    // The followed peer has the source, and has held back what had to be.
     if (std::exchange(m_isSourceLost, false))
-        m_directory.noteSourceBack(m_loop.now());
+        m_directory.noteSourceBack(m_loop.now(), Revision(0));
 }
 
 std::vector<Endpoint> ProxyNode::reachablePeers()
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -58,7 +58,8 @@
     void applyListing(const std::vector<ServerEntry>& entries, Revision revision);
     void applyServers(const std::vector<ServerEntry>& entries);
     void publishServers();
-    void noteSource(bool isLost, const std::string& reason);
+    void noteSourceLost(const std::string& reason);
+    void noteSourceBack(std::optional<Revision> revision);
     bool isReady() const;
 
     PeerClient& peer(const Endpoint& endpoint);
--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -10,6 +10,8 @@
 
     // Older than any patience.
     constexpr Duration incompleteAge = std::chrono::hours(1);
+    // Peers are asked twice a second while the source is lost, and only some of them have it.
+    constexpr Duration recentConfirmation = std::chrono::seconds(2);
 
 } // namespace
 
@@ -21,11 +23,14 @@
     , m_random(m_options.seed)
     // Nothing is confirmed yet.
     , m_confirmedAt(loop.now() - incompleteAge)
+    , m_confirmedByPeerAt(m_confirmedAt)
 {
 }
 
 Duration SourceExchange::age() const { return m_loop.now() - m_confirmedAt; }
 
+bool SourceExchange::hadPeersSource() const { return m_loop.now() - m_confirmedByPeerAt < recentConfirmation; }
+
 void SourceExchange::noteSource(bool isAnswered)
 {
     m_isSourceLost = !isAnswered;
@@ -59,7 +64,8 @@
 void SourceExchange::notePeerReply(const Endpoint& peer, const HeldSource& held)
 {
     const TimePoint now = m_loop.now();
-    m_confirmedAt = std::max(m_confirmedAt, now - held.age);
+    m_confirmedByPeerAt = std::max(m_confirmedByPeerAt, now - held.age);
+    m_confirmedAt = std::max(m_confirmedAt, m_confirmedByPeerAt);
     if (m_role.followed() != peer)
         return;
     m_askedAt.reset();
@@ -70,6 +76,7 @@
 {
     const TimePoint now = m_loop.now();
     m_held.remove_if([&](const Held& held) { return now - held.since >= m_options.holdTime && answer(held, true); });
+    m_role.advance(now);
     const bool isOtherPeer = m_role.followed() != m_askedPeer;
     if (m_role.followed() && (isOtherPeer || !m_askedAt || now - *m_askedAt > m_options.questionTimeout))
         askFollowed(now);
--- a/src/proxy/SourceExchange.h
+++ b/src/proxy/SourceExchange.h
@@ -60,6 +60,10 @@
     void tick();
 
     bool isReading() const { return m_isReading; }
+    // Nodes that others rely on retry a lost source sooner.
+    bool isLeading() const { return m_role.isLeading(); }
+    // A peer that had the source all the while told so this recently.
+    bool hadPeersSource() const;
     // Time since the source confirmed what this node holds, directly or by a chain of peers.
     Duration age() const;
 
@@ -82,6 +86,8 @@
     bool m_isReading { true };
     bool m_isSourceLost { false };
     TimePoint m_confirmedAt;
+    // As m_confirmedAt, by peers alone.
+    TimePoint m_confirmedByPeerAt;
     std::optional<TimePoint> m_askedAt;
     std::optional<Endpoint> m_askedPeer;
     TimePoint m_searchedAt;
--- a/src/source/ReaderRole.h
+++ b/src/source/ReaderRole.h
@@ -3,8 +3,11 @@
 // The nodes of a zone are ordered by a hash of their addresses. The first one reads; the node of place p follows the
 // one of place (p - 1) / degree, so that a zone of 33 nodes is one step deep and one of 1,057 two. Each node decides
 // from what it knows alone. A followed peer tells how old its own knowledge is. When that age passes `patience`, for
-// whatever reason (the peer died, was cut off, or lost the source), the node reads the source itself until the peer is
-// fresh again. So a lost reader costs its followers a few calls and no agreement. Not thread-safe; no input or output.
+// whatever reason (the peer died, was cut off, or lost the source), the node reads the source itself and turns to the
+// next candidate: the peers after its first one in the order, each before its own place, so that no loop can form. Once
+// a candidate is fresh the node follows it and reads no more. So a reader that is lost for long costs each follower a
+// few calls, the second in the order takes its place, and nobody agrees on anything. Not thread-safe; no input or
+// output.
 #pragma once
 
 #include "base/Types.h"
@@ -17,6 +20,10 @@
 struct ReaderRoleOptions {
     size_t degree { 32 };
     Duration patience { std::chrono::milliseconds(1500) };
+    // Peers that a node may follow, the first one included.
+    size_t mostCandidates { 4 };
+    // A candidate has this long to answer before the next one is asked.
+    Duration candidateTime { std::chrono::milliseconds(700) };
 };
 
 class ReaderRole {
@@ -29,13 +36,20 @@
     void notePeer(Duration age, TimePoint now);
 
     // The peer to follow; none for the first of the order.
-    const std::optional<Endpoint>& followed() const { return m_followed; }
+    std::optional<Endpoint> followed() const;
     bool readsSource(TimePoint now) const;
+    // Turns to the next candidate when the present one is stale.
+    void advance(TimePoint now);
+    // Among the first of the zone's order, on whom the others rely.
+    bool isLeading() const { return m_place < m_options.mostCandidates; }
 
 private:
     const Endpoint m_self;
     const ReaderRoleOptions m_options;
-    std::optional<Endpoint> m_followed;
+    size_t m_place { 0 };
+    std::vector<Endpoint> m_candidates;
+    size_t m_current { 0 };
+    TimePoint m_turnedAt;
     // When the knowledge of the peer followed last was true; unset before the first answer. A change of the peer leaves
     // it, so that the new one has the rest of the patience to answer.
     std::optional<TimePoint> m_freshAt;
--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -26,6 +26,7 @@
     , m_clock(clock)
     , m_random(m_options.seed)
     , m_backoff(m_options.retry)
+    , m_longestRetry(m_options.retry.maximum)
     , m_lastChange(clock.now())
     , m_thread([this] { run(); })
 {
@@ -58,6 +59,19 @@
     m_wakeup.notify_all();
 }
 
+void SourceWatcher::setLongestRetry(Duration longest)
+{
+    const std::lock_guard lock(m_mutex);
+    m_longestRetry = longest;
+}
+
+Duration SourceWatcher::nextRetry()
+{
+    const std::lock_guard lock(m_mutex);
+    m_backoff.setMaximum(m_longestRetry);
+    return m_backoff.next(m_random);
+}
+
 bool SourceWatcher::pause(Duration wait)
 {
     std::unique_lock lock(m_mutex);
@@ -87,7 +101,7 @@
         } catch (const Error& error) {
             m_consumer.onCall(m_needsListing ? SourceCall::List : SourceCall::Watch, false);
             noteFailure(error.what());
-            wait = m_backoff.next(m_random);
+            wait = nextRetry();
         }
     }
 }
@@ -98,7 +112,7 @@
     const SourceItems all
         = m_source.list(m_options.prefix, mayBeStale ? ListFreshness::MayBeStale : ListFreshness::Latest);
     m_consumer.onCall(mayBeStale ? SourceCall::ListStale : SourceCall::List, true);
-    noteSuccess();
+    noteSuccess(mayBeStale ? std::nullopt : std::optional(all.revision));
     m_revision = all.revision;
     m_hasListed = true;
     m_needsListing = false;
@@ -112,7 +126,7 @@
     const SourceItems changes
         = m_source.watch(m_options.prefix, m_revision, m_isLost ? Duration(0) : m_options.watchWait);
     m_consumer.onCall(SourceCall::Watch, true);
-    noteSuccess();
+    noteSuccess(changes.revision);
     m_revision = std::max(m_revision, changes.revision);
     const TimePoint now = m_clock.now();
     if (!changes.items.empty()) {
@@ -129,11 +143,11 @@
         m_consumer.onLost(reason);
 }
 
-void SourceWatcher::noteSuccess()
+void SourceWatcher::noteSuccess(std::optional<Revision> revision)
 {
     m_backoff.reset();
     if (std::exchange(m_isLost, false))
-        m_consumer.onBack();
+        m_consumer.onBack(revision);
 }
 
 } // namespace skylark
--- a/src/source/SourceWatcher.h
+++ b/src/source/SourceWatcher.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace skylark {
@@ -37,7 +38,8 @@
     virtual void onListing(const SourceItems& items) = 0;
     virtual void onChanges(const SourceItems& changes) = 0;
     virtual void onLost(const std::string& reason) = 0;
-    virtual void onBack() = 0;
+    // The revision of the answer that ended the outage; none where that answer may be stale.
+    virtual void onBack(std::optional<Revision> revision) = 0;
     virtual void onCall(SourceCall call, bool isAnswered) = 0;
 };
 
@@ -61,15 +63,18 @@
     void suspend();
     // Goes on from this revision, up to which the node knows everything. From any thread.
     void resume(Revision known);
+    // Longest wait after failures in a row, from the next failure on. From any thread.
+    void setLongestRetry(Duration longest);
 
 private:
     void run();
     void listAll();
     void watchOnce();
     void noteFailure(const std::string& reason);
-    void noteSuccess();
+    void noteSuccess(std::optional<Revision> revision);
     // False when the watcher ends.
     bool pause(Duration wait);
+    Duration nextRetry();
 
     KeyValueSource& m_source;
     SourceConsumer& m_consumer;
@@ -77,6 +82,7 @@
     const Clock& m_clock;
     Random m_random;
     Backoff m_backoff;
+    Duration m_longestRetry;
     bool m_needsListing { true };
     bool m_hasListed { false };
     bool m_isLost { false };
--- a/src/source/tests/ReaderRoleTest.cpp
+++ b/src/source/tests/ReaderRoleTest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 #include <map>
+#include <memory>
 
 namespace skylark {
 namespace {
@@ -71,6 +72,41 @@
         }
     }
 
+    // Guards against a zone in which all nodes read the source for as long as its first one is cut off from it: the
+    // second takes its place, and each other node makes a few calls.
+    TEST(ReaderRoleTest, SecondInTheOrderTakesThePlaceOfALostReader)
+    {
+        const auto members = zone(20);
+        std::map<Endpoint, std::unique_ptr<ReaderRole>> roles;
+        std::optional<Endpoint> lost;
+        for (const Endpoint& node : members) {
+            roles[node] = std::make_unique<ReaderRole>(node, ReaderRoleOptions { .patience = 1s });
+            roles[node]->setMembers(members);
+            if (!roles[node]->followed())
+                lost = node;
+        }
+        int secondsRead = 0;
+        for (TimePoint now = start; now < start + 20s; now += 100ms) {
+            for (auto& [node, role] : roles) {
+                role->advance(now);
+                const auto peer = role->followed();
+                // The lost reader knows nothing new; the others do while they read or follow somebody who does.
+                if (peer && *peer != *lost && !roles[*peer]->followed())
+                    role->notePeer(0ms, now);
+                else if (peer && *peer != *lost && roles[*peer]->readsSource(now))
+                    role->notePeer(100ms, now);
+            }
+            for (const auto& [node, role] : roles)
+                secondsRead += node != *lost && role->readsSource(now) ? 1 : 0;
+        }
+        // In steps of 100 ms: the second all the time, the other 18 for less than 3 s each.
+        EXPECT_LE(secondsRead, 200 + 18 * 30);
+        int readers = 0;
+        for (const auto& [node, role] : roles)
+            readers += role->readsSource(start + 20s) ? 1 : 0;
+        EXPECT_EQ(readers, 2) << "the lost one, in vain, and its substitute";
+    }
+
     // A change of the zone's order makes no calls by itself: the new peer has the rest of the patience to answer.
     TEST(ReaderRoleTest, NewPeerToFollowHasTheRestOfThePatience)
     {
