Share the simulators' event queue and one way to write milliseconds

Change: testing/EventQueue.h, millisecondsText in base/Types, proxy/ListedServers; the callback is gone. No behaviour changes: admission_test and the proxy tests named Peer*, BackendGate* and CallLedger* pass as before.

--- a/src/admission/tests/GateSimulator.h
+++ b/src/admission/tests/GateSimulator.h
@@ -4,12 +4,11 @@
 
 #include "admission/AdmissionController.h"
 #include "base/Random.h"
+#include "testing/EventQueue.h"
 #include "testing/FakeClock.h"
 
 #include <deque>
-#include <functional>
 #include <map>
-#include <queue>
 
 namespace skylark {
 
@@ -65,15 +64,6 @@
     void setBackendSlots(int slots) { m_backendSlots = slots; }
 
 private:
-    struct Event {
-        TimePoint time;
-        uint64_t sequence;
-        std::function<void()> action;
-        bool operator<(const Event& other) const
-        {
-            return time != other.time ? time > other.time : sequence > other.sequence;
-        }
-    };
     struct Call {
         Stream stream;
         TimePoint deadline;
@@ -82,14 +72,11 @@
         TimePoint onTimeBy {};
     };
 
-    void at(TimePoint time, std::function<void()> action) { m_events.push({ time, m_sequence++, std::move(action) }); }
+    void at(TimePoint time, std::function<void()> action) { m_events.add(time, std::move(action)); }
 
     void step()
     {
-        const Event event = m_events.top();
-        m_events.pop();
-        m_clock.advance(event.time - m_clock.now());
-        event.action();
+        m_events.runFirst([this](TimePoint time) { m_clock.advance(time - m_clock.now()); });
     }
 
     void tick()
@@ -181,8 +168,7 @@
     AdmissionController m_controller;
     int m_backendSlots;
     Random m_random;
-    std::priority_queue<Event> m_events;
-    uint64_t m_sequence { 0 };
+    EventQueue m_events;
     uint64_t m_nextId { 1 };
     std::map<TicketId, Call> m_calls;
     std::deque<TicketId> m_backendQueue;
--- a/src/base/Types.cpp
+++ b/src/base/Types.cpp
@@ -6,6 +6,11 @@
 
 namespace skylark {
 
+std::string millisecondsText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 std::string Endpoint::toString() const { return host + ":" + std::to_string(port); }
 
 Endpoint Endpoint::fromString(const std::string& text)
--- a/src/base/Types.h
+++ b/src/base/Types.h
@@ -55,6 +55,9 @@
 using TimePoint = std::chrono::steady_clock::time_point;
 using Duration = std::chrono::nanoseconds;
 
+// Whole milliseconds as digits, without a unit.
+std::string millisecondsText(Duration duration);
+
 // An IP number and a TCP port.
 struct Endpoint {
     std::string host;
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -14,11 +14,6 @@
     constexpr Duration pauseSettle = std::chrono::milliseconds(100);
     constexpr double shareOfKeepAlive = 0.8;
 
-    std::string inMilliseconds(Duration duration)
-    {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-    }
-
 } // namespace
 
 BackendGate::BackendGate(EventLoop& loop, GateOptions options, const Dialect& dialect)
@@ -246,7 +241,7 @@
 {
     HttpRequest request = *call.request;
     removeConnectionHeaders(request.headers);
-    setHeader(request.headers, m_dialect.deadline, inMilliseconds(call.deadline - m_loop.now()));
+    setHeader(request.headers, m_dialect.deadline, millisecondsText(call.deadline - m_loop.now()));
     setHeader(request.headers, m_dialect.expectedInstance, m_server ? m_server->id.value() : "");
     return serialize(request);
 }
@@ -336,7 +331,7 @@
 {
     if (m_sweepTimer.isActive() && now - m_lastSeen > m_options.pauseGap) {
         m_refuseUntil = now + pauseSettle;
-        logEvent(LogLevel::Warning, "process-paused", { { "for_ms", inMilliseconds(now - m_lastSeen) } });
+        logEvent(LogLevel::Warning, "process-paused", { { "for_ms", millisecondsText(now - m_lastSeen) } });
     }
     m_lastSeen = now;
 }
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -35,11 +35,6 @@
         return bytes;
     }
 
-    std::string inMilliseconds(Duration duration)
-    {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-    }
-
 } // namespace
 
 CallForwarder::CallForwarder(EventLoop& loop, CallForwarderOptions options, const Dialect& dialect, Router& router,
@@ -173,12 +168,11 @@
     std::vector<InstanceId> excluded = call.tried;
     std::optional<Choice> fallback;
     for (int round = 0; round < mostUnusable; ++round) {
-        auto choice = m_router.choose(
-            { .service = call.service,
-                .excluded = excluded,
-                .isIdempotent = call.route->isIdempotent,
-                .expectedBytes = bytes,
-                .target = call.route->target },
+        auto choice = m_router.choose({ .service = call.service,
+                                          .excluded = excluded,
+                                          .isIdempotent = call.route->isIdempotent,
+                                          .expectedBytes = bytes,
+                                          .target = call.route->target },
             m_random, m_loop.now());
         if (!choice)
             break;
@@ -291,7 +285,7 @@
         { { "id", call->requestId.value() }, { "route", call->route->name }, { "target", call->tried.back().value() },
             { "outcome", isUnknown ? "unknown" : "not-run" }, { "step", refusal.step }, { "reason", refusal.reason },
             { "queued", std::to_string(refusal.load.queued) }, { "limit", std::to_string(refusal.load.limit) },
-            { "remaining_ms", inMilliseconds(call->deadline - m_loop.now()) } });
+            { "remaining_ms", millisecondsText(call->deadline - m_loop.now()) } });
     if (isUnknown || isFromServer)
         ++call->attempts;
     call->mayHaveRun |= isUnknown;
@@ -397,7 +391,7 @@
     m_metrics.countRequest(rank, outcome, latency);
     LogFields fields { { "id", call->requestId.value() }, { "route", call->route ? call->route->name : "" },
         { "service", call->service.value() }, { "rank", rank }, { "outcome", outcome },
-        { "status", std::to_string(response.status) }, { "ms", inMilliseconds(latency) },
+        { "status", std::to_string(response.status) }, { "ms", millisecondsText(latency) },
         { "attempts", std::to_string(call->attempts) }, { "refusals", std::to_string(call->refusals) },
         { "target", call->tried.empty() ? "" : call->tried.back().value() },
         { "version", call->configuration ? std::to_string(call->configuration->manifest().version.value()) : "none" } };
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -14,12 +14,13 @@
 
 } // namespace
 
-PeerClient::PeerClient(EventLoop& loop, Endpoint peer, Hello self, PeerClientOptions options, Callbacks callbacks)
+PeerClient::PeerClient(
+    EventLoop& loop, Endpoint peer, Hello self, PeerClientOptions options, HeldSourceCallback onHeldSource)
     : m_loop(loop)
     , m_peer(std::move(peer))
     , m_self(std::move(self))
     , m_options(options)
-    , m_callbacks(std::move(callbacks))
+    , m_onHeldSource(std::move(onHeldSource))
     , m_assembler(options.mostBodyBytes)
     , m_random(m_self.incarnation.value() ^ std::hash<std::string>()(m_peer.toString()))
     , m_backoff(options.reconnect)
@@ -215,10 +216,9 @@
     if (std::exchange(m_isLeaving, true))
         return;
     logEvent(LogLevel::Info, "peer-leaving", { { "peer", m_peer.toString() } });
-    m_callbacks.onLeaving();
 }
 
-void PeerClient::on(const HeldSource& state) { m_callbacks.onHeldSource(state); }
+void PeerClient::on(const HeldSource& state) { m_onHeldSource(state); }
 
 void PeerClient::reply(StreamId stream, const GateReplyPtr& reply)
 {
--- a/src/proxy/PeerClient.h
+++ b/src/proxy/PeerClient.h
@@ -34,12 +34,9 @@
 
 class PeerClient {
 public:
-    struct Callbacks {
-        std::function<void(const HeldSource&)> onHeldSource;
-        std::function<void()> onLeaving;
-    };
+    using HeldSourceCallback = std::function<void(const HeldSource&)>;
 
-    PeerClient(EventLoop& loop, Endpoint peer, Hello self, PeerClientOptions options, Callbacks callbacks);
+    PeerClient(EventLoop& loop, Endpoint peer, Hello self, PeerClientOptions options, HeldSourceCallback onHeldSource);
     ~PeerClient();
 
     const Endpoint& peer() const { return m_peer; }
@@ -91,7 +88,7 @@
     const Endpoint m_peer;
     const Hello m_self;
     const PeerClientOptions m_options;
-    const Callbacks m_callbacks;
+    const HeldSourceCallback m_onHeldSource;
     const BodyAssembler m_assembler;
     Random m_random;
     Backoff m_backoff;
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -3,6 +3,7 @@
 #include "base/Compression.h"
 #include "base/Error.h"
 #include "base/Invariant.h"
+#include "proxy/ListedServers.h"
 
 #include <algorithm>
 #include <csignal>
@@ -47,38 +48,6 @@
         return Incarnation((static_cast<uint64_t>(device()) << 20 | (device() & 0xfffff)) + 1);
     }
 
-    ListedServer toListed(const ServerEntry& entry)
-    {
-        ListedServer listed { .id = entry.id, .revision = entry.revision, .isDeleted = !entry.record };
-        if (!entry.record)
-            return listed;
-        const ServerRecord& record = *entry.record;
-        listed.incarnation = record.incarnation;
-        listed.service = record.service;
-        listed.zone = record.zone;
-        listed.address = record.address;
-        listed.slots = static_cast<uint32_t>(std::max(0, record.slots));
-        listed.isDraining = record.isDraining;
-        listed.coldFor = record.coldFor;
-        return listed;
-    }
-
-    ServerEntry fromListed(const ListedServer& listed)
-    {
-        ServerEntry entry { .id = listed.id, .revision = listed.revision };
-        if (!listed.isDeleted) {
-            entry.record = ServerRecord { .id = listed.id,
-                .incarnation = listed.incarnation,
-                .service = listed.service,
-                .zone = listed.zone,
-                .address = listed.address,
-                .slots = static_cast<int>(listed.slots),
-                .isDraining = listed.isDraining,
-                .coldFor = listed.coldFor };
-        }
-        return entry;
-    }
-
 } // namespace
 
 // Decodes on the watcher's thread and posts the results to the loop.
@@ -295,9 +264,7 @@
     const bool hadPeersSource = m_exchange.hadPeersSource();
     m_directory.noteSourceBack(now, hadPeersSource ? revision : std::nullopt);
     logEvent(LogLevel::Info, "source-back",
-        { { "after_ms",
-              std::to_string(
-                  std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sourceLostAt).count()) },
+        { { "after_ms", millisecondsText(now - m_sourceLostAt) },
             { "peers_had_it", hadPeersSource ? "true" : "false" } });
 }
 
@@ -308,9 +275,7 @@
     auto& client = m_peers[endpoint];
     if (!client) {
         client = std::make_unique<PeerClient>(m_loop, endpoint, m_self, PeerClientOptions {},
-            PeerClient::Callbacks {
-                .onHeldSource = [this, endpoint](const HeldSource& held) { applyHeldSource(endpoint, held); },
-                .onLeaving = [] {} });
+            [this, endpoint](const HeldSource& held) { applyHeldSource(endpoint, held); });
     }
     return *client;
 }
--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -85,7 +85,7 @@
         m_isReading = readsSource;
         logEvent(LogLevel::Info, readsSource ? "source-reading-started" : "source-reading-ended",
             { { "followed", m_role.followed() ? m_role.followed()->toString() : "" },
-                { "age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age()).count()) } });
+                { "age_ms", millisecondsText(age()) } });
         m_callbacks.setReading(readsSource);
     }
     if (m_isReading && m_isSourceLost && now - m_searchedAt > m_options.searchInterval)
--- a/src/proxy/tests/PeerClientTest.cpp
+++ b/src/proxy/tests/PeerClientTest.cpp
@@ -60,7 +60,7 @@
             : peer(loop)
             , client(loop, peer.address(), Hello { .incarnation = Incarnation(9) },
                   { .connectTimeout = 200ms, .pingAfter = 50ms, .suspectAfter = 50ms, .pongTimeout = 150ms },
-                  { .onHeldSource = [](const HeldSource&) {}, .onLeaving = [] {} })
+                  [](const HeldSource&) {})
         {
         }
         void submit(uint64_t number, bool isIdempotent)
--- a/src/routing/bench/RoutingBench.cpp
+++ b/src/routing/bench/RoutingBench.cpp
@@ -5,12 +5,11 @@
 // Answers carry the load that the server had some time ago, the lag. Prints the latency at p50 and p99 for each
 // policy, number of nodes, load (share of the whole capacity) and lag. The seed is fixed, so the figures repeat.
 #include "routing/Router.h"
+#include "testing/EventQueue.h"
 
 #include <algorithm>
 #include <cstdio>
 #include <deque>
-#include <functional>
-#include <queue>
 
 namespace skylark {
 namespace {
@@ -65,25 +64,13 @@
             at(0s, [this] { arrive(); });
             at(0s, [this] { refresh(); });
             while (m_now < m_start + length) {
-                const Event event = m_events.top();
-                m_events.pop();
-                m_now = event.time;
-                event.action();
+                m_events.runFirst([this](TimePoint time) { m_now = time; });
             }
             std::sort(m_latencies.begin(), m_latencies.end());
             return { m_latencies[m_latencies.size() / 2], m_latencies[m_latencies.size() * 99 / 100] };
         }
 
     private:
-        struct Event {
-            TimePoint time;
-            uint64_t sequence;
-            std::function<void()> action;
-            bool operator<(const Event& other) const
-            {
-                return time != other.time ? time > other.time : sequence > other.sequence;
-            }
-        };
         struct Call {
             Choice choice;
             size_t node { 0 };
@@ -100,10 +87,7 @@
             std::deque<Sample> history;
         };
 
-        void at(Duration delay, std::function<void()> action)
-        {
-            m_events.push({ m_now + delay, m_sequence++, std::move(action) });
-        }
+        void at(Duration delay, std::function<void()> action) { m_events.add(m_now + delay, std::move(action)); }
         Duration exponential(double mean)
         {
             const double seconds = std::exponential_distribution<double>(1 / mean)(m_random.engine());
@@ -168,8 +152,7 @@
         Random m_random { 42 };
         std::vector<Server> m_servers;
         std::vector<std::unique_ptr<Router>> m_routers;
-        std::priority_queue<Event> m_events;
-        uint64_t m_sequence { 0 };
+        EventQueue m_events;
         std::vector<double> m_latencies;
     };
 
