Read the store without OpenSSL, and keep trying while it is lost

An idle node held 14.3 MB, of which 4 MB are libcrypto, libssl, cpp-httplib and its codecs, which Debian's build of that library loads.

--- /dev/null
+++ b/src/http/BlockingHttpClient.h
@@ -0,0 +1,48 @@
+// GET requests on one kept connection, for a thread that may wait.
+//
+// Stands in the node's processes where cpp-httplib would: Debian builds that library with OpenSSL and Brotli, whose
+// pages are a fifth of an idle node's memory. Interprets nothing; redirects are returned as they are. Not thread-safe
+// but for interrupt(). Memory: one response, within the limits given.
+#pragma once
+
+#include "base/Types.h"
+#include "http/HttpMessage.h"
+#include "http/MessageParser.h"
+
+#include <memory>
+
+namespace skylark {
+
+struct BlockingHttpClientOptions {
+    Endpoint server;
+    Duration connectTimeout { std::chrono::milliseconds(700) };
+    HttpLimits limits {};
+};
+
+class BlockingHttpClient {
+public:
+    explicit BlockingHttpClient(BlockingHttpClientOptions options);
+    ~BlockingHttpClient();
+    BlockingHttpClient(const BlockingHttpClient&) = delete;
+    BlockingHttpClient& operator=(const BlockingHttpClient&) = delete;
+
+    // Throws Error with the server as its peer when there is no whole answer in time; the connection is closed then,
+    // since what may still come on it belongs to no later call.
+    HttpResponse get(const std::string& target, Duration timeout);
+    // Ends the present call and all later ones with an Error. From any thread.
+    void interrupt();
+
+private:
+    class Socket;
+    void connect();
+    HttpResponse receive(std::chrono::steady_clock::time_point deadline);
+    [[noreturn]] void fail(const std::string& message) const;
+
+    const BlockingHttpClientOptions m_options;
+    std::unique_ptr<Socket> m_socket;
+    std::unique_ptr<ResponseParser> m_parser;
+    // Readable once interrupt() was called.
+    int m_interruptFd { -1 };
+};
+
+} // namespace skylark
--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -80,7 +80,9 @@
     const bool isOtherPeer = m_role.followed() != m_askedPeer;
     if (m_role.followed() && (isOtherPeer || !m_askedAt || now - *m_askedAt > m_options.questionTimeout))
         askFollowed(now);
-    const bool readsSource = m_role.readsSource(now);
+    // A node that lost the source goes on trying though a peer is fresh: until it is back itself it keeps servers whose
+    // entries may have lapsed because they are cut off like the node.
+    const bool readsSource = m_role.readsSource(now) || (m_isReading && m_isSourceLost);
     if (readsSource != m_isReading) {
         m_isReading = readsSource;
         logEvent(LogLevel::Info, readsSource ? "source-reading-started" : "source-reading-ended",
