Hold deletions back after an outage of the source for everyone only

Change: SourceOutage tells an outage for everyone, after which entries may be missing though their servers live, from one of this node, in which a peer confirmed the source after the node had lost it: then deletions hold at once. Servers that were cut off with the node are back with their next heartbeat. Test: ServerDirectoryTest.DeletionsHoldAtOnceWhereOthersHadTheSource.

--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -86,16 +86,15 @@
 {
     m_isSourceLost = true;
     m_sourceBackAt.reset();
-    m_genuineAfter.reset();
 }
 
-void ServerDirectory::noteSourceBack(TimePoint now, std::optional<Revision> genuineAfter)
+void ServerDirectory::noteSourceBack(TimePoint now, SourceOutage outage)
 {
     if (!m_isSourceLost)
         return;
     m_isSourceLost = false;
-    m_sourceBackAt = now;
-    m_genuineAfter = genuineAfter;
+    if (outage == SourceOutage::Everyone)
+        m_sourceBackAt = now;
 }
 
 bool ServerDirectory::isGraceOver(TimePoint now) const
@@ -108,8 +107,7 @@
     const auto known = m_entries.find(id);
     if (known == m_entries.end() || known->second.revision > revision)
         return false;
-    const bool isGenuine = m_genuineAfter && revision > *m_genuineAfter;
-    if (isGraceOver(now) || isGenuine)
+    if (isGraceOver(now))
         return drop(id, revision, now);
     known->second.missingSince = revision;
     return false;
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -50,6 +50,13 @@
     std::map<ZoneName, RegionName> regions;
 };
 
+enum class SourceOutage : uint8_t {
+    // The source served nobody, so entries may have lapsed though their servers live.
+    Everyone,
+    // It served other nodes all the while: what it deleted meanwhile holds.
+    ThisNode,
+};
+
 class ServerDirectory {
 public:
     explicit ServerDirectory(ServerDirectoryOptions options);
@@ -60,9 +67,7 @@
     bool replaceAll(const std::vector<ServerEntry>& entries, Revision revision, TimePoint now);
     // The source stopped, or began again, to answer this node.
     void noteSourceLost();
-    // Deletions above genuineAfter hold at once: the source served others all the while, so that entries which it lost
-    // meanwhile are none of its own outage.
-    void noteSourceBack(TimePoint now, std::optional<Revision> genuineAfter = std::nullopt);
+    void noteSourceBack(TimePoint now, SourceOutage outage);
     // Deletions may be held back now.
     bool isHoldingBack(TimePoint now) const { return !isGraceOver(now); }
     // Drops entries whose grace is over.
@@ -104,7 +109,6 @@
     Revision m_revision;
     bool m_isSourceLost { false };
     std::optional<TimePoint> m_sourceBackAt;
-    std::optional<Revision> m_genuineAfter;
     uint64_t m_refused { 0 };
 };
 
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -81,7 +81,7 @@
         directory.apply(entry("2", 6), start);
         directory.noteSourceLost();
         EXPECT_FALSE(directory.advance(start + 60s));
-        directory.noteSourceBack(start + 60s);
+        directory.noteSourceBack(start + 60s, SourceOutage::Everyone);
         EXPECT_FALSE(directory.replaceAll({}, Revision(9), start + 60s));
         EXPECT_EQ(listed(directory), 2u);
         directory.apply(entry("1", 11), start + 61s);
@@ -93,17 +93,16 @@
 
     // Guards against calls to a server that has left, by a node that was cut off from the source alone and holds each
     // deletion back after its return (DRAIN on a day with cut nodes).
-    TEST(ServerDirectoryTest, LaterDeletionsHoldAtOnceWhereOthersHadTheSource)
+    TEST(ServerDirectoryTest, DeletionsHoldAtOnceWhereOthersHadTheSource)
     {
         ServerDirectory directory({ .returnGrace = 2s });
         directory.apply(entry("1", 5), start);
         directory.apply(entry("2", 6), start);
         directory.noteSourceLost();
-        directory.noteSourceBack(start, Revision(9));
-        EXPECT_FALSE(directory.apply(deletion("1", 8), start)) << "may have lapsed while both were cut off";
+        EXPECT_FALSE(directory.apply(deletion("1", 8), start)) << "not while the node has no source";
+        directory.noteSourceBack(start, SourceOutage::ThisNode);
         EXPECT_TRUE(directory.apply(deletion("2", 10), start));
-        EXPECT_EQ(listed(directory), 1u);
-        EXPECT_TRUE(directory.advance(start + 2s));
+        EXPECT_TRUE(directory.advance(start));
         EXPECT_EQ(listed(directory), 0u);
     }
 
@@ -112,7 +111,7 @@
         ServerDirectory directory({});
         directory.apply(entry("1", 5), start);
         directory.noteSourceLost();
-        directory.noteSourceBack(start);
+        directory.noteSourceBack(start, SourceOutage::Everyone);
         EXPECT_TRUE(directory.apply(deletion("1", 7), start + 5s));
         EXPECT_EQ(listed(directory), 0u);
     }
@@ -139,7 +138,7 @@
         ServerDirectory directory({ .returnGrace = 2s });
         directory.apply(entry("1", 5), start);
         directory.noteSourceLost();
-        directory.noteSourceBack(start);
+        directory.noteSourceBack(start, SourceOutage::Everyone);
         directory.apply(deletion("1", 7), start);
         directory.noteRevision(Revision(9));
         const Revision peerHolds = directory.revision();
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -64,9 +64,9 @@
     {
         m_node.m_loop.post([this, reason] { m_node.noteSourceLost(reason); });
     }
-    void onBack(std::optional<Revision> revision) override
+    void onBack() override
     {
-        m_node.m_loop.post([this, revision] { m_node.noteSourceBack(revision); });
+        m_node.m_loop.post([this] { m_node.noteSourceBack(); });
     }
     void onCall(SourceCall call, bool isAnswered) override
     {
@@ -257,14 +257,13 @@
     logEvent(LogLevel::Warning, "source-lost", { { "reason", reason } });
 }
 
-void ProxyNode::noteSourceBack(std::optional<Revision> revision)
+void ProxyNode::noteSourceBack()
 {
-    const TimePoint now = m_loop.now();
     m_isSourceLost = false;
-    const bool hadPeersSource = m_exchange.hadPeersSource();
-    m_directory.noteSourceBack(now, hadPeersSource ? revision : std::nullopt);
+    const bool hadPeersSource = m_exchange.hadPeersSourceAfter(m_sourceLostAt);
+    m_directory.noteSourceBack(m_loop.now(), hadPeersSource ? SourceOutage::ThisNode : SourceOutage::Everyone);
     logEvent(LogLevel::Info, "source-back",
-        { { "after_ms", millisecondsText(now - m_sourceLostAt) },
+        { { "after_ms", millisecondsText(m_loop.now() - m_sourceLostAt) },
             { "peers_had_it", hadPeersSource ? "true" : "false" } });
 }
 
@@ -315,7 +314,7 @@
     m_watcher->suspend();
     // The followed peer has the source, and has held back what had to be.
     if (std::exchange(m_isSourceLost, false))
-        m_directory.noteSourceBack(m_loop.now(), Revision(0));
+        m_directory.noteSourceBack(m_loop.now(), SourceOutage::ThisNode);
 }
 
 std::vector<Endpoint> ProxyNode::reachablePeers()
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -59,7 +59,7 @@
     void applyServers(const std::vector<ServerEntry>& entries);
     void publishServers();
     void noteSourceLost(const std::string& reason);
-    void noteSourceBack(std::optional<Revision> revision);
+    void noteSourceBack();
     bool isReady() const;
 
     PeerClient& peer(const Endpoint& endpoint);
--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -10,8 +10,6 @@
 
     // Older than any patience.
     constexpr Duration incompleteAge = std::chrono::hours(1);
-    // Peers are asked twice a second while the source is lost, and only some of them have it.
-    constexpr Duration recentConfirmation = std::chrono::seconds(2);
 
 } // namespace
 
@@ -29,8 +27,6 @@
 
 Duration SourceExchange::age() const { return m_loop.now() - m_confirmedAt; }
 
-bool SourceExchange::hadPeersSource() const { return m_loop.now() - m_confirmedByPeerAt < recentConfirmation; }
-
 void SourceExchange::noteSource(bool isAnswered)
 {
     m_isSourceLost = !isAnswered;
--- a/src/proxy/SourceExchange.h
+++ b/src/proxy/SourceExchange.h
@@ -62,8 +62,8 @@
     bool isReading() const { return m_isReading; }
     // Nodes that others rely on retry a lost source sooner.
     bool isLeading() const { return m_role.isLeading(); }
-    // A peer that had the source all the while told so this recently.
-    bool hadPeersSource() const;
+    // A peer that had the source after this time told so.
+    bool hadPeersSourceAfter(TimePoint time) const { return m_confirmedByPeerAt > time; }
     // Time since the source confirmed what this node holds, directly or by a chain of peers.
     Duration age() const;
 
--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -112,7 +112,7 @@
     const SourceItems all
         = m_source.list(m_options.prefix, mayBeStale ? ListFreshness::MayBeStale : ListFreshness::Latest);
     m_consumer.onCall(mayBeStale ? SourceCall::ListStale : SourceCall::List, true);
-    noteSuccess(mayBeStale ? std::nullopt : std::optional(all.revision));
+    noteSuccess();
     m_revision = all.revision;
     m_hasListed = true;
     m_needsListing = false;
@@ -126,7 +126,7 @@
     const SourceItems changes
         = m_source.watch(m_options.prefix, m_revision, m_isLost ? Duration(0) : m_options.watchWait);
     m_consumer.onCall(SourceCall::Watch, true);
-    noteSuccess(changes.revision);
+    noteSuccess();
     m_revision = std::max(m_revision, changes.revision);
     const TimePoint now = m_clock.now();
     if (!changes.items.empty()) {
@@ -143,11 +143,11 @@
         m_consumer.onLost(reason);
 }
 
-void SourceWatcher::noteSuccess(std::optional<Revision> revision)
+void SourceWatcher::noteSuccess()
 {
     m_backoff.reset();
     if (std::exchange(m_isLost, false))
-        m_consumer.onBack(revision);
+        m_consumer.onBack();
 }
 
 } // namespace skylark
--- a/src/source/SourceWatcher.h
+++ b/src/source/SourceWatcher.h
@@ -18,7 +18,6 @@
 #include <functional>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <thread>
 
 namespace skylark {
@@ -38,8 +37,7 @@
     virtual void onListing(const SourceItems& items) = 0;
     virtual void onChanges(const SourceItems& changes) = 0;
     virtual void onLost(const std::string& reason) = 0;
-    // The revision of the answer that ended the outage; none where that answer may be stale.
-    virtual void onBack(std::optional<Revision> revision) = 0;
+    virtual void onBack() = 0;
     virtual void onCall(SourceCall call, bool isAnswered) = 0;
 };
 
@@ -71,7 +69,7 @@
     void listAll();
     void watchOnce();
     void noteFailure(const std::string& reason);
-    void noteSuccess(std::optional<Revision> revision);
+    void noteSuccess();
     // False when the watcher ends.
     bool pause(Duration wait);
     Duration nextRetry();
--- a/src/source/tests/SourceWatcherTest.cpp
+++ b/src/source/tests/SourceWatcherTest.cpp
@@ -59,7 +59,7 @@
         void onListing(const SourceItems& items) override { note("listing " + std::to_string(items.revision.value())); }
         void onChanges(const SourceItems& changes) override { note("changes " + std::to_string(changes.items.size())); }
         void onLost(const std::string&) override { note("lost"); }
-        void onBack(std::optional<Revision>) override { note("back"); }
+        void onBack() override { note("back"); }
         void onCall(SourceCall, bool) override { }
         // Waits until this many events have come, for two seconds at most.
         std::vector<std::string> events(size_t count)
