Call the store once at a start, then wait for the peer to follow

Cause: a node that starts watched the store every half second until its peer had answered. Change: its own first answer gives the peer the patience that a fresh answer would. Test: ReaderRoleTest.OneAnswerOfTheSourceGivesThePeerTimeAfterAStart.

--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -30,8 +30,10 @@
 void SourceExchange::noteSource(bool isAnswered)
 {
     m_isSourceLost = !isAnswered;
-    if (isAnswered)
-        m_confirmedAt = m_loop.now();
+    if (!isAnswered)
+        return;
+    m_confirmedAt = m_loop.now();
+    m_role.noteOwnAnswer(m_loop.now());
 }
 
 void SourceExchange::noteChange()
--- a/src/source/ReaderRole.cpp
+++ b/src/source/ReaderRole.cpp
@@ -48,6 +48,12 @@
 
 void ReaderRole::notePeer(Duration age, TimePoint now) { m_freshAt = now - age; }
 
+void ReaderRole::noteOwnAnswer(TimePoint now)
+{
+    if (!m_freshAt)
+        m_freshAt = now;
+}
+
 bool ReaderRole::readsSource(TimePoint now) const
 {
     return m_candidates.empty() || !m_freshAt || now - *m_freshAt > m_options.patience;
--- a/src/source/ReaderRole.h
+++ b/src/source/ReaderRole.h
@@ -34,6 +34,9 @@
     void setMembers(std::vector<Endpoint> members);
     // The followed peer answered; its knowledge of the source is this old.
     void notePeer(Duration age, TimePoint now);
+    // The source itself answered. A node that has just started needs no second call before its peer has had the
+    // patience to answer; later only the peer's answers count, so that a stale peer is noticed at any time.
+    void noteOwnAnswer(TimePoint now);
 
     // The peer to follow; none for the first of the order.
     std::optional<Endpoint> followed() const;
--- a/src/source/tests/ReaderRoleTest.cpp
+++ b/src/source/tests/ReaderRoleTest.cpp
@@ -53,6 +53,22 @@
         }
     }
 
+    // Guards against a fleet that starts and calls the source several times a node before its peers have answered.
+    TEST(ReaderRoleTest, OneAnswerOfTheSourceGivesThePeerTimeAfterAStart)
+    {
+        for (const Endpoint& node : zone(2)) {
+            ReaderRole role(node, { .patience = 1s });
+            role.setMembers(zone(2));
+            if (!role.followed())
+                continue;
+            role.noteOwnAnswer(start);
+            EXPECT_FALSE(role.readsSource(start + 900ms));
+            EXPECT_TRUE(role.readsSource(start + 1100ms));
+            role.noteOwnAnswer(start + 1100ms);
+            EXPECT_TRUE(role.readsSource(start + 1200ms)) << "the peer is still stale";
+        }
+    }
+
     // Guards against nodes that wait for a reader that died, was cut off or lost the source.
     TEST(ReaderRoleTest, StalePeerIsReplacedByReadingTheSource)
     {
