--- a/src/admission/tests/MeasuresTest.cpp
+++ b/src/admission/tests/MeasuresTest.cpp
@@ -64,8 +64,8 @@
         EXPECT_EQ(limit.value(), 3);
     }
 
-    // Guards against a limit that drifts to twice the stated slots when it is first measured under overload, and against
-    // one that falls because calls wait for inner calls elsewhere.
+    // Guards against a limit that drifts to twice the stated slots when it is first measured under overload, and
+    // against one that falls because calls wait for inner calls elsewhere.
     TEST(ConcurrencyLimitTest, StatedLimitIsMovedByShedsAlone)
     {
         FakeClock clock;
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -37,7 +37,8 @@
             out << "  " << command.name << std::string(9 - std::string_view(command.name).size(), ' ')
                 << command.summary << '\n';
         out << "\nNODE is the host:port of a node's admin page. PATH is a file NAME.json with the section NAME, or a\n"
-               "directory of such files or of a bundle. LOG is a file of the lines that skylark-node writes. Each command has --json and --help.\n"
+               "directory of such files or of a bundle. LOG is a file of the lines that skylark-node writes. Each "
+               "command has --json and --help.\n"
                "Exit codes: 0 success, 1 fault found, 2 used wrongly.\n";
     }
 
--- a/src/cli/LogCommands.cpp
+++ b/src/cli/LogCommands.cpp
@@ -35,7 +35,7 @@
         LogLine line;
         const auto take = [&json](const char* key) {
             const auto found = json.find(key);
-            const std::string value = found != json.end() && found->is_string() ? found->get<std::string>() : "";
+            std::string value = found != json.end() && found->is_string() ? found->get<std::string>() : "";
             json.erase(key);
             return value;
         };
@@ -71,7 +71,8 @@
     {
         std::string text;
         for (const auto& [key, value] : line.fields.items())
-            text += (text.empty() ? "" : " ") + key + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+            text += (text.empty() ? "" : " ") + key + "="
+                + (value.is_string() ? value.get<std::string>() : value.dump());
         return text;
     }
 
--- a/src/http/BlockingHttpClient.cpp
+++ b/src/http/BlockingHttpClient.cpp
@@ -125,7 +125,7 @@
 
 BlockingHttpClient::~BlockingHttpClient() { ::close(m_interruptFd); }
 
-void BlockingHttpClient::interrupt()
+void BlockingHttpClient::interrupt() const
 {
     const uint64_t one = 1;
     // Fails only where the counter is full, and then the descriptor is readable already.
--- a/src/http/BlockingHttpClient.h
+++ b/src/http/BlockingHttpClient.h
@@ -30,7 +30,7 @@
     // since what may still come on it belongs to no later call.
     HttpResponse get(const std::string& target, Duration timeout);
     // Ends the present call and all later ones with an Error. From any thread.
-    void interrupt();
+    void interrupt() const;
 
 private:
     class Socket;
--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -68,6 +68,10 @@
         return;
     m_askedAt.reset();
     m_role.notePeer(held.age, now);
+    // Without news the next question goes out at once, since the age grows until its answer. With news the question
+    // waits for the tick, by when the news have been applied.
+    if (held.configuration.empty() && held.servers.empty())
+        askFollowed(now);
 }
 
 void SourceExchange::tick()
--- a/src/proxy/tests/BackendGateTest.cpp
+++ b/src/proxy/tests/BackendGateTest.cpp
@@ -20,10 +20,9 @@
         }
         static ServerRecord record(const char* id, const char* service, uint64_t start)
         {
-            return { .id = InstanceId(id),
-                .incarnation = Incarnation(start),
-                .service = ServiceName(service),
-                .slots = 1 };
+            return {
+                .id = InstanceId(id), .incarnation = Incarnation(start), .service = ServiceName(service), .slots = 1
+            };
         }
         void submit(uint64_t number)
         {
--- a/src/routing/ServiceTable.cpp
+++ b/src/routing/ServiceTable.cpp
@@ -196,8 +196,8 @@
     const double coldFactor = 2 - slowStartWeight(options, zone, member, now);
     const double service = statistics.serviceSeconds(m_meanLatency) * coldFactor;
     const double wait = std::max(0.0, load - limit) / limit * service;
-    const double time = service * (1 + slowdownAtLimit * std::min(1.0, load / limit)) + wait
-        + (zone.tier > 0 ? zonePenalty : 0);
+    const double time
+        = service * (1 + slowdownAtLimit * std::min(1.0, load / limit)) + wait + (zone.tier > 0 ? zonePenalty : 0);
     // A failed call costs its time and the next attempt's.
     return time / std::max(leastSuccessRate, statistics.successRate());
 }
--- a/src/source/ReaderRole.cpp
+++ b/src/source/ReaderRole.cpp
@@ -34,7 +34,8 @@
     if (m_place > 0) {
         const size_t first = (m_place - 1) / m_options.degree;
         const size_t end = std::min(m_place, first + m_options.mostCandidates);
-        m_candidates.assign(members.begin() + static_cast<ptrdiff_t>(first), members.begin() + static_cast<ptrdiff_t>(end));
+        m_candidates.assign(
+            members.begin() + static_cast<ptrdiff_t>(first), members.begin() + static_cast<ptrdiff_t>(end));
     }
     // A candidate that is followed already stays so.
     const auto same = before ? std::find(m_candidates.begin(), m_candidates.end(), *before) : m_candidates.end();
--- a/src/source/tests/SourceWatcherTest.cpp
+++ b/src/source/tests/SourceWatcherTest.cpp
@@ -88,9 +88,7 @@
 
     SourceWatcherOptions options(Duration interval = 1ms)
     {
-        return { .prefix = "a/",
-            .leastInterval = interval,
-            .retry = { .initial = 1ms, .maximum = 5ms } };
+        return { .prefix = "a/", .leastInterval = interval, .retry = { .initial = 1ms, .maximum = 5ms } };
     }
 
     // Guards against a fleet that starts and reads everything at the source's full price, and against a change that is
