Try a lost source once a second on every node

A silent call takes 1 s and the next try of a follower came up to 2 s later, so it could learn of a change 3 s after it could reach the store again, when it is held to it. Ruled out: the hold on deletions (peers had the store, so they hold at once). Change: followers wait 1 s at most between tries; both limits stand in ReaderRoleOptions, with the reason. Test: ReaderRoleTest.LostSourceIsTriedOftenEnough fails with 2 s and passes with 1 s.

--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -26,10 +26,6 @@
     // Kept free at the end of stopGrace for the exit itself.
     constexpr Duration stopMargin = 400ms;
     constexpr Duration stopCheckInterval = 50ms;
-    // Longest wait between tries of a lost source. The first nodes of a zone find out soon that it is back and tell the
-    // others, which only cover a fault of all of these.
-    constexpr Duration retryOfLeaders = 500ms;
-    constexpr Duration retryOfFollowers = 2s;
     constexpr size_t mostConfigurationBytes = 16 * 1024 * 1024;
 
     RouterOptions routerOptions(const ProxySettings& settings)
@@ -307,7 +303,7 @@
 void ProxyNode::setReading(bool isReading)
 {
     if (isReading) {
-        m_watcher->setLongestRetry(m_exchange.isLeading() ? retryOfLeaders : retryOfFollowers);
+        m_watcher->setLongestRetry(m_exchange.longestRetry());
         m_watcher->resume(m_directory.revision());
         return;
     }
--- a/src/proxy/SourceExchange.h
+++ b/src/proxy/SourceExchange.h
@@ -60,8 +60,8 @@
     void tick();
 
     bool isReading() const { return m_isReading; }
-    // Nodes that others rely on retry a lost source sooner.
-    bool isLeading() const { return m_role.isLeading(); }
+    // Longest wait between tries of a lost source.
+    Duration longestRetry() const { return m_role.longestRetry(); }
     // A peer that had the source after this time told so.
     bool hadPeersSourceAfter(TimePoint time) const { return m_confirmedByPeerAt > time; }
     // Time since the source confirmed what this node holds, directly or by a chain of peers.
--- a/src/source/ReaderRole.h
+++ b/src/source/ReaderRole.h
@@ -24,6 +24,11 @@
     size_t mostCandidates { 4 };
     // A candidate has this long to answer before the next one is asked.
     Duration candidateTime { std::chrono::milliseconds(700) };
+    // Longest wait between tries of a lost source. The first nodes of a zone find out soon that it is back and tell the
+    // others. Those cover a fault of all the first ones, and an outage of their own, after which they have to know of
+    // every change within 3 s.
+    Duration longestRetryOfLeaders { std::chrono::milliseconds(500) };
+    Duration longestRetryOfFollowers { std::chrono::milliseconds(1000) };
 };
 
 class ReaderRole {
@@ -43,8 +48,11 @@
     bool readsSource(TimePoint now) const;
     // Turns to the next candidate when the present one is stale.
     void advance(TimePoint now);
-    // Among the first of the zone's order, on whom the others rely.
-    bool isLeading() const { return m_place < m_options.mostCandidates; }
+    // Longest wait between tries of a lost source; shorter among the first of the zone's order, on whom others rely.
+    Duration longestRetry() const
+    {
+        return m_place < m_options.mostCandidates ? m_options.longestRetryOfLeaders : m_options.longestRetryOfFollowers;
+    }
 
 private:
     const Endpoint m_self;
--- a/src/source/tests/ReaderRoleTest.cpp
+++ b/src/source/tests/ReaderRoleTest.cpp
@@ -69,6 +69,22 @@
         }
     }
 
+    // Guards against a node that had the source for itself lost, tries it too seldom and sends calls to a server that
+    // left meanwhile (DRAIN on a day on which the store turned nodes away in silence).
+    TEST(ReaderRoleTest, LostSourceIsTriedOftenEnough)
+    {
+        // Nodes are held to what they should know from this long after the source can be reached again.
+        constexpr Duration mostUnknown = 3s;
+        // Of one silent call, and to deliver what it brought.
+        constexpr Duration callTimeout = 1s;
+        constexpr Duration margin = 500ms;
+        for (const Endpoint& node : zone(20)) {
+            ReaderRole role(node, {});
+            role.setMembers(zone(20));
+            EXPECT_LE(callTimeout + role.longestRetry() + margin, mostUnknown);
+        }
+    }
+
     // Guards against nodes that wait for a reader that died, was cut off or lost the source.
     TEST(ReaderRoleTest, StalePeerIsReplacedByReadingTheSource)
     {
