--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -247,6 +247,9 @@
 
 void ProxyNode::noteSourceLost(const std::string& reason)
 {
+    // A call that was still under way when the node began to follow a peer tells nothing: the peer has the source.
+    if (!m_exchange.isReading())
+        return;
     m_isSourceLost = true;
     m_sourceLostAt = m_loop.now();
     m_directory.noteSourceLost();
@@ -255,6 +258,8 @@
 
 void ProxyNode::noteSourceBack()
 {
+    if (!m_isSourceLost)
+        return;
     m_isSourceLost = false;
     const bool hadPeersSource = m_exchange.hadPeersSourceAfter(m_sourceLostAt);
     m_directory.noteSourceBack(m_loop.now(), hadPeersSource ? SourceOutage::ThisNode : SourceOutage::Everyone);
