--- a/soak/backends.py
+++ b/soak/backends.py
@@ -85,15 +85,9 @@
         stream = http11.Stream(reader, writer, h11.SERVER)
         self._connections.add(stream)
         try:
-            while (message := await stream.receive()) is not None:
-                if not await self._answer(stream, message) or not stream.next_cycle():
-                    break
-        except (OSError, h11.ProtocolError):
-            # The node closed the connection: what ran on it is dropped.
-            pass
+            await stream.serve(self._answer)
         finally:
             self._connections.discard(stream)
-            stream.close()
 
     def _drawn_fault(self):
         return self.fault if self.random.random() < self.fault_share else ServerFault.NONE
--- a/soak/http11.py
+++ b/soak/http11.py
@@ -73,6 +73,18 @@
             return True
         return False
 
+    async def serve(self, answer):
+        """Passes each request to answer(stream, message), until that gives False or the peer ends the connection."""
+        try:
+            while (message := await self.receive()) is not None:
+                if not await answer(self, message) or not self.next_cycle():
+                    break
+        except (OSError, h11.ProtocolError):
+            # The peer ended or left this call: nobody waits for an answer.
+            pass
+        finally:
+            self.close()
+
     def close(self):
         self.writer.close()
 
