Answer 504 when the gate sees the deadline before the timer does

Ruled out: an old configuration (its timeout is 1 s, and the answer came at 300 ms) and a lost connection (nothing was stopped). Change: an unknown outcome at or after the deadline is a timeout. Test: DeadlineThatTheGateSeesFirstIsATimeout runs two nodes on a clock that is a fifth faster than the loop's timers, so the gate always sees the deadline first.

--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -346,7 +346,10 @@
 
 void CallForwarder::giveUp(const CallPtr& call)
 {
-    if (call->mayHaveRun)
+    // The gate may see that the deadline has passed before the timer of the call fires.
+    if (call->mayHaveRun && m_loop.now() >= call->deadline)
+        finish(call, failure(statusTimeout, call->lastReason), "timeout");
+    else if (call->mayHaveRun)
         finish(call, failure(statusBadGateway, call->lastReason), "unknown");
     else
         finish(call, refusal(*call), "not-run");
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -198,8 +198,15 @@
     return m_executions;
 }
 
-ProxyFleet::ProxyFleet(size_t nodes)
-    : m_firstPort(nextFirstPort())
+const Clock& ProxyFleet::systemClock()
+{
+    static const SystemClock clock;
+    return clock;
+}
+
+ProxyFleet::ProxyFleet(size_t nodes, const Clock& clock)
+    : m_clock(clock)
+    , m_firstPort(nextFirstPort())
     , m_nodes(nodes)
 {
     configure(1, 1000);
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -61,8 +61,8 @@
 
 class ProxyFleet {
 public:
-    // Servers run the service "work" on all nodes.
-    explicit ProxyFleet(size_t nodes);
+    // Servers run the service "work" on all nodes. The nodes read this clock, which must outlive the fleet.
+    explicit ProxyFleet(size_t nodes, const Clock& clock = systemClock());
     ~ProxyFleet();
 
     FakeStore& store() { return m_store; }
@@ -86,10 +86,11 @@
         std::unique_ptr<ProxyNode> node;
         std::thread thread;
     };
+    static const Clock& systemClock();
     static std::string hostOf(size_t index) { return "127.0.0." + std::to_string(index + 1); }
 
     FakeStore m_store;
-    SystemClock m_clock;
+    const Clock& m_clock;
     const uint16_t m_firstPort;
     std::vector<Node> m_nodes;
 };
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -9,6 +9,17 @@
 
     using namespace std::chrono_literals;
 
+    // Runs a fifth faster than the timers of the event loop, so that a deadline passes before its timer fires.
+    class FastClock final : public Clock {
+    public:
+        TimePoint now() const override { return m_start + (m_system.now() - m_start) * 6 / 5; }
+        std::chrono::system_clock::time_point wallNow() const override { return m_system.wallNow(); }
+
+    private:
+        const SystemClock m_system;
+        const TimePoint m_start { m_system.now() };
+    };
+
     // Guards against an answer that is lost, mixed up or changed on the way over two nodes.
     TEST(ProxyNodeTest, EachCallerGetsTheServersWholeAnswer)
     {
@@ -91,6 +102,22 @@
         EXPECT_LT(took, 1400ms);
     }
 
+    // Guards against 502 for a request whose deadline the gate sees before the timer of the node that answers the
+    // caller.
+    TEST(ProxyNodeTest, DeadlineThatTheGateSeesFirstIsATimeout)
+    {
+        const FastClock clock;
+        ProxyFleet fleet(2, clock);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        for (size_t index = 0; index < 2; ++index)
+            fleet.server(index).setWork(3s);
+        for (int i = 0; i < 4; ++i) {
+            const std::string id = "late" + std::to_string(i);
+            EXPECT_EQ(sendRequest(fleet.callerAddress(0), id, "/read/x", "", 300).status, 504);
+            EXPECT_EQ(sendRequest(fleet.callerAddress(0), id + "b", "/pay/x", "fee", 300).status, 504);
+        }
+    }
+
     // Guards against work that goes on for a caller who left.
     TEST(ProxyNodeTest, WorkOfACallerWhoLeftIsStopped)
     {
