Wait for the tick after a question that was answered at once

Cause: a follower asks again as soon as it has an answer without news. A peer whose list of held questions is full answers at once, so two nodes would exchange questions at the speed of the network. Found by reading; no run showed it. Change: only a question that was out for 100 ms is followed by the next one at once; else the tick asks. Tests: SourceExchangeTest (new), which also covers who reads, held questions and the search for any peer. The case of the full peer fails without the change.

--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -66,11 +66,12 @@
     m_confirmedAt = std::max(m_confirmedAt, m_confirmedByPeerAt);
     if (m_role.followed() != peer)
         return;
+    const bool wasHeld = m_askedAt && now - *m_askedAt >= m_options.leastQuestionTime;
     m_askedAt.reset();
     m_role.notePeer(held.age, now);
     // Without news the next question goes out at once, since the age grows until its answer. With news the question
     // waits for the tick, by when the news have been applied.
-    if (held.configuration.empty() && held.servers.empty())
+    if (wasHeld && held.configuration.empty() && held.servers.empty())
         askFollowed(now);
 }
 
--- a/src/proxy/SourceExchange.h
+++ b/src/proxy/SourceExchange.h
@@ -23,6 +23,9 @@
     Duration holdTime { std::chrono::milliseconds(400) };
     // A question without an answer for this long is asked again.
     Duration questionTimeout { std::chrono::milliseconds(1000) };
+    // A question that is answered sooner than this is followed by the next one at the tick: a peer that holds no
+    // further questions answers each at once.
+    Duration leastQuestionTime { std::chrono::milliseconds(100) };
     // Between two questions to any peer while the source is lost.
     Duration searchInterval { std::chrono::milliseconds(500) };
     size_t mostHeld { 2048 };
--- /dev/null
+++ b/src/proxy/tests/SourceExchangeTest.cpp
@@ -0,0 +1,138 @@
+// The exchange of what is known of the source, without a network: questions, held questions, and who reads.
+#include "proxy/SourceExchange.h"
+#include "testing/FakeClock.h"
+
+#include <gtest/gtest.h>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration tickInterval = 250ms;
+
+    Endpoint node(int number) { return { "127.0.0." + std::to_string(number), 1 }; }
+
+    class SourceExchangeTest : public testing::Test {
+    protected:
+        // The place in the order comes from a hash of the address, so the members are tried until one comes first.
+        void SetUp() override
+        {
+            for (int first = 2; !follows(); ++first) {
+                ASSERT_LT(first, 100);
+                leader = node(first);
+                exchange.setMembers({ node(1), leader });
+                exchange.tick();
+            }
+            asked.clear();
+        }
+        bool follows() const { return !asked.empty(); }
+        SourceExchange::Callbacks callbacks()
+        {
+            return { .held = [this](const HeldSourceRequest&) { return held; },
+                .question = [] { return HeldSourceRequest {}; },
+                .ask =
+                    [this](const Endpoint& peer, const HeldSourceRequest&) {
+                        asked.push_back(peer);
+                        return true;
+                    },
+                .reachablePeers = [this] { return reachable; },
+                .setReading = [this](bool isReading) { readings.push_back(isReading); },
+                .isComplete = [] { return true; } };
+        }
+        // Advances the time tick by tick, while the leader answers each question without news.
+        void run(Duration time, bool isLeaderFresh)
+        {
+            for (Duration passed {}; passed < time; passed += tickInterval) {
+                clock.advance(tickInterval);
+                if (isLeaderFresh)
+                    exchange.notePeerReply(leader, {});
+                exchange.tick();
+            }
+        }
+
+        FakeClock clock;
+        EventLoop loop { clock };
+        HeldSource held;
+        Endpoint leader;
+        std::vector<Endpoint> asked;
+        std::vector<Endpoint> reachable;
+        std::vector<bool> readings;
+        SourceExchange exchange { loop, { .self = node(1) }, callbacks() };
+    };
+
+    // Guards against configurations that reach a follower up to a tick late.
+    TEST_F(SourceExchangeTest, FollowerAsksAgainAtOnceAfterAnAnswerWithoutNews)
+    {
+        clock.advance(400ms);
+        exchange.notePeerReply(leader, {});
+        EXPECT_EQ(asked, std::vector { leader });
+    }
+
+    // Guards against a loop of questions at the speed of the network: a peer that holds no further questions answers
+    // each at once and without news.
+    TEST_F(SourceExchangeTest, FollowerOfAFullPeerAsksNoMoreThanOnceATick)
+    {
+        clock.advance(1ms);
+        exchange.notePeerReply(leader, {});
+        EXPECT_TRUE(asked.empty());
+        clock.advance(tickInterval);
+        exchange.tick();
+        EXPECT_EQ(asked, std::vector { leader });
+    }
+
+    TEST_F(SourceExchangeTest, NodeReadsWhenItsPeerIsStaleAndFollowsOnceThePeerIsFresh)
+    {
+        run(1s, true);
+        EXPECT_FALSE(exchange.isReading());
+        run(2s, false);
+        EXPECT_TRUE(exchange.isReading());
+        run(500ms, true);
+        EXPECT_FALSE(exchange.isReading());
+        EXPECT_EQ(readings, (std::vector { false, true, false }));
+    }
+
+    // Guards against a node that gives up reading while its servers' entries may have lapsed unseen.
+    TEST_F(SourceExchangeTest, NodeThatLostTheSourceGoesOnReadingThoughItsPeerIsFresh)
+    {
+        run(1s, true);
+        run(2s, false);
+        exchange.noteSource(false);
+        run(2s, true);
+        EXPECT_TRUE(exchange.isReading());
+        exchange.noteSource(true);
+        run(250ms, true);
+        EXPECT_FALSE(exchange.isReading());
+    }
+
+    // Guards against a node without source and candidates that hears of no configuration.
+    TEST_F(SourceExchangeTest, NodeWithoutSourceAndPeerAsksAnyReachableOne)
+    {
+        reachable = { node(200) };
+        run(2s, false);
+        exchange.noteSource(false);
+        asked.clear();
+        run(1s, false);
+        EXPECT_EQ(std::count(asked.begin(), asked.end(), node(200)), 2);
+    }
+
+    TEST_F(SourceExchangeTest, QuestionIsHeldUntilThereIsNewsOrTheTimePasses)
+    {
+        int answers = 0;
+        const auto reply = [&answers](const HeldSource&) { ++answers; };
+        exchange.hold({}, reply);
+        exchange.noteChange();
+        EXPECT_EQ(answers, 0);
+        held.servers.push_back({});
+        exchange.noteChange();
+        EXPECT_EQ(answers, 1);
+        held.servers.clear();
+        exchange.hold({}, reply);
+        run(250ms, true);
+        EXPECT_EQ(answers, 1);
+        run(250ms, true);
+        EXPECT_EQ(answers, 2);
+    }
+
+} // namespace
+} // namespace skylark
