Log each call to the store that fails

Only the first failure of an outage was logged. How long the later ones took and why they failed could not be seen, so nodes that stayed without the store for seconds after its return could not be explained.

--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -1,5 +1,7 @@
 #include "source/SourceWatcher.h"
 
+#include "base/Log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -99,7 +101,11 @@
             m_consumer.onCall(SourceCall::Watch, true);
             wait = m_random.upTo(m_options.leastInterval / 2);
         } catch (const Error& error) {
-            m_consumer.onCall(m_needsListing ? SourceCall::List : SourceCall::Watch, false);
+            const SourceCall call = m_needsListing ? SourceCall::List : SourceCall::Watch;
+            logEvent(LogLevel::Warning, "source-call-failed",
+                { { "call", sourceCallName(call) }, { "ms", millisecondsText(m_clock.now() - began) },
+                    { "reason", error.what() } });
+            m_consumer.onCall(call, false);
             noteFailure(error.what());
             wait = nextRetry();
         }
