Search on until a connected peer is asked while the source is lost

Cause: a node that lost the source and has no fresh candidate asks a random peer every 500 ms. On the grown site most of the 79 peers have no connection from a given node; a question to such a peer only opens one, and the turn was spent. Ruled out: questions that are held too long (each that went out was answered within 0.5 s) and large answers (14 KB). Change: a turn tries up to four peers, and counts only when one was asked. Test: SearchGoesOnToThePeerThatIsConnected fails without it.

--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -109,8 +109,15 @@
     const std::vector<Endpoint> peers = m_callbacks.reachablePeers();
     if (peers.empty())
         return;
-    m_searchedAt = now;
-    m_callbacks.ask(peers[m_random.below(peers.size())], m_callbacks.question());
+    // A question to a peer without a connection only opens one.
+    constexpr size_t mostTries = 4;
+    const size_t first = m_random.below(peers.size());
+    for (size_t i = 0; i < std::min(mostTries, peers.size()); ++i) {
+        if (!m_callbacks.ask(peers[(first + i) % peers.size()], m_callbacks.question()))
+            continue;
+        m_searchedAt = now;
+        return;
+    }
 }
 
 } // namespace skylark
--- a/src/proxy/tests/SourceExchangeTest.cpp
+++ b/src/proxy/tests/SourceExchangeTest.cpp
@@ -3,6 +3,7 @@
 #include "testing/FakeClock.h"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace skylark {
 namespace {
@@ -34,7 +35,7 @@
                 .ask =
                     [this](const Endpoint& peer, const HeldSourceRequest&) {
                         asked.push_back(peer);
-                        return true;
+                        return unconnected.count(peer) == 0;
                     },
                 .reachablePeers = [this] { return reachable; },
                 .setReading = [this](bool isReading) { readings.push_back(isReading); },
@@ -57,6 +58,7 @@
         Endpoint leader;
         std::vector<Endpoint> asked;
         std::vector<Endpoint> reachable;
+        std::set<Endpoint> unconnected;
         std::vector<bool> readings;
         SourceExchange exchange { loop, { .self = node(1) }, callbacks() };
     };
@@ -116,6 +118,19 @@
         EXPECT_EQ(std::count(asked.begin(), asked.end(), node(200)), 2);
     }
 
+    // Guards against a node that spends each turn of its search on a peer that it has no connection to (configurations
+    // up to 4.6 s late on a grown day on which the store turned some machines away in silence).
+    TEST_F(SourceExchangeTest, SearchGoesOnToThePeerThatIsConnected)
+    {
+        reachable = { node(200), node(201), node(202) };
+        unconnected = { node(200), node(202) };
+        run(2s, false);
+        asked.clear();
+        exchange.noteSource(false);
+        run(250ms, false);
+        EXPECT_EQ(std::count(asked.begin(), asked.end(), node(201)), 1);
+    }
+
     TEST_F(SourceExchangeTest, QuestionIsHeldUntilThereIsNewsOrTheTimePasses)
     {
         int answers = 0;
