--- /dev/null
+++ b/src/http/tests/BlockingHttpClientTest.cpp
@@ -0,0 +1,117 @@
+// Guards the thread that reads the source against hanging, and against answers that belong to an earlier call.
+#include "http/BlockingHttpClient.h"
+
+#include <gtest/gtest.h>
+#include <httplib.h>
+#include <thread>
+
+namespace skylark {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class BlockingHttpClientTest : public testing::Test {
+    protected:
+        BlockingHttpClientTest()
+        {
+            m_server.Get("/echo", [](const httplib::Request& request, httplib::Response& response) {
+                response.set_content(request.get_param_value("text"), "text/plain");
+            });
+            m_server.Get("/large", [](const httplib::Request&, httplib::Response& response) {
+                response.set_content(std::string(1'000'000, 'x'), "text/plain");
+            });
+            m_server.Get("/slow", [](const httplib::Request&, httplib::Response& response) {
+                std::this_thread::sleep_for(400ms);
+                response.set_content("late", "text/plain");
+            });
+            m_server.Get("/trickle", [](const httplib::Request&, httplib::Response& response) {
+                response.set_content_provider(30, "text/plain", [](size_t offset, size_t, httplib::DataSink& sink) {
+                    if (offset > 0)
+                        std::this_thread::sleep_for(150ms);
+                    return sink.write("0123456789", 10);
+                });
+            });
+            m_port = m_server.bind_to_any_port("127.0.0.1");
+            m_thread = std::thread([this] { m_server.listen_after_bind(); });
+            while (!m_server.is_running())
+                std::this_thread::sleep_for(1ms);
+        }
+        ~BlockingHttpClientTest() override
+        {
+            m_server.stop();
+            m_thread.join();
+        }
+        Endpoint address() const { return { "127.0.0.1", static_cast<uint16_t>(m_port) }; }
+
+    private:
+        httplib::Server m_server;
+        int m_port { 0 };
+        std::thread m_thread;
+    };
+
+    TEST_F(BlockingHttpClientTest, AnswersComeOnOneConnectionAndOnNewOnes)
+    {
+        BlockingHttpClient client({ .server = address() });
+        // The server closes a kept connection after five requests.
+        for (int i = 0; i < 12; ++i) {
+            const auto response = client.get("/echo?text=" + std::to_string(i), 2s).response;
+            EXPECT_EQ(response.status, 200);
+            EXPECT_EQ(response.body, std::to_string(i));
+        }
+        EXPECT_EQ(client.get("/large", 2s).response.body.size(), 1'000'000u);
+        EXPECT_EQ(client.get("/none", 2s).response.status, 404);
+    }
+
+    TEST_F(BlockingHttpClientTest, LateAnswerIsAnErrorAndGoesToNoLaterCall)
+    {
+        BlockingHttpClient client({ .server = address() });
+        const auto began = std::chrono::steady_clock::now();
+        EXPECT_THROW(client.get("/slow", 100ms), Error);
+        EXPECT_LT(std::chrono::steady_clock::now() - began, 300ms);
+        std::this_thread::sleep_for(500ms);
+        EXPECT_EQ(client.get("/echo?text=own", 2s).response.body, "own");
+    }
+
+    // Guards against a client on a slow link that gives up on each large answer and never has one.
+    TEST_F(BlockingHttpClientTest, AnswerThatMakesProgressMayTakeLongerThanTheTimeout)
+    {
+        BlockingHttpClient client({ .server = address(), .progressTimeout = 1s });
+        const auto received = client.get("/trickle", 200ms);
+        EXPECT_EQ(received.response.body, "012345678901234567890123456789");
+        EXPECT_GE(received.transferTime, 250ms);
+        EXPECT_LT(client.get("/echo?text=x", 2s).transferTime, 100ms);
+    }
+
+    TEST_F(BlockingHttpClientTest, AnswerThatStopsIsAnError)
+    {
+        BlockingHttpClient client({ .server = address(), .progressTimeout = 50ms });
+        EXPECT_THROW(client.get("/trickle", 2s), Error);
+    }
+
+    TEST_F(BlockingHttpClientTest, InterruptEndsThePresentCallAndLaterOnes)
+    {
+        BlockingHttpClient client({ .server = address() });
+        std::thread interrupter([&client] {
+            std::this_thread::sleep_for(50ms);
+            client.interrupt();
+        });
+        const auto began = std::chrono::steady_clock::now();
+        EXPECT_THROW(client.get("/slow", 2s), Error);
+        EXPECT_LT(std::chrono::steady_clock::now() - began, 300ms);
+        EXPECT_THROW(client.get("/echo?text=x", 2s), Error);
+        interrupter.join();
+    }
+
+    TEST(BlockingHttpClientFaultTest, RefusedConnectionNamesTheServer)
+    {
+        BlockingHttpClient client({ .server = { "127.0.0.1", 1 } });
+        try {
+            client.get("/", 1s);
+            FAIL() << "no error";
+        } catch (const Error& error) {
+            EXPECT_EQ(error.peer(), "127.0.0.1:1");
+        }
+    }
+
+} // namespace
+} // namespace skylark
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -64,12 +64,18 @@
     {
         m_node.m_loop.post([this] { m_node.noteSourceBack(); });
     }
-    void onCall(SourceCall call, bool isAnswered) override
+    void onCall(const SourceCallResult& result) override
     {
-        m_node.m_metrics.countSourceCall(sourceCallName(call), isAnswered);
+        m_node.m_metrics.countSourceCall(sourceCallName(result.call), result.isAnswered);
         // What may be stale confirms nothing.
-        if (call != SourceCall::ListStale)
-            m_node.m_loop.post([this, isAnswered] { m_node.m_exchange.noteSource(isAnswered); });
+        if (result.call == SourceCall::ListStale)
+            return;
+        m_node.m_loop.post([this, result] {
+            if (result.isAnswered)
+                m_node.m_exchange.noteSourceAnswer(result.age);
+            else
+                m_node.m_exchange.noteSourceFailure();
+        });
     }
 
 private:
--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -27,12 +27,10 @@
 
 Duration SourceExchange::age() const { return m_loop.now() - m_confirmedAt; }
 
-void SourceExchange::noteSource(bool isAnswered)
+void SourceExchange::noteSourceAnswer(Duration age)
 {
-    m_isSourceLost = !isAnswered;
-    if (!isAnswered)
-        return;
-    m_confirmedAt = m_loop.now();
+    m_isSourceLost = false;
+    m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - age);
     m_role.noteOwnAnswer(m_loop.now());
 }
 
--- a/src/proxy/SourceExchange.h
+++ b/src/proxy/SourceExchange.h
@@ -52,8 +52,9 @@
 
     // Nodes of the own zone.
     void setMembers(std::vector<Endpoint> members) { m_role.setMembers(std::move(members)); }
-    // A call to the source was answered, or failed.
-    void noteSource(bool isAnswered);
+    // A call to the source was answered with what was true this long ago.
+    void noteSourceAnswer(Duration age);
+    void noteSourceFailure() { m_isSourceLost = true; }
     // This node holds something new.
     void noteChange();
     // A peer asks.
--- a/src/proxy/tests/SourceExchangeTest.cpp
+++ b/src/proxy/tests/SourceExchangeTest.cpp
@@ -99,10 +99,10 @@
     {
         run(1s, true);
         run(2s, false);
-        exchange.noteSource(false);
+        exchange.noteSourceFailure();
         run(2s, true);
         EXPECT_TRUE(exchange.isReading());
-        exchange.noteSource(true);
+        exchange.noteSourceAnswer({});
         run(250ms, true);
         EXPECT_FALSE(exchange.isReading());
     }
@@ -112,7 +112,7 @@
     {
         reachable = { node(200) };
         run(2s, false);
-        exchange.noteSource(false);
+        exchange.noteSourceFailure();
         asked.clear();
         run(1s, false);
         EXPECT_EQ(std::count(asked.begin(), asked.end(), node(200)), 2);
@@ -126,11 +126,18 @@
         unconnected = { node(200), node(202) };
         run(2s, false);
         asked.clear();
-        exchange.noteSource(false);
+        exchange.noteSourceFailure();
         run(250ms, false);
         EXPECT_EQ(std::count(asked.begin(), asked.end(), node(201)), 1);
     }
 
+    // Guards against peers that take a configuration for the newest that was seconds on its way from the source.
+    TEST_F(SourceExchangeTest, AgeCountsTheTimeThatTheAnswerTook)
+    {
+        exchange.noteSourceAnswer(700ms);
+        EXPECT_EQ(exchange.age(), Duration(700ms));
+    }
+
     TEST_F(SourceExchangeTest, QuestionIsHeldUntilThereIsNewsOrTheTimePasses)
     {
         int answers = 0;
--- a/src/source/KeyValueSource.h
+++ b/src/source/KeyValueSource.h
@@ -30,6 +30,8 @@
 struct SourceItems {
     std::vector<SourceItem> items;
     Revision revision;
+    // How long the answer took to arrive after its first byte. The items were true before that.
+    Duration transferTime {};
 };
 
 // The changes since the revision asked for are no longer to be had; list again.
--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -2,11 +2,33 @@
 
 #include "base/Log.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace skylark {
 
+namespace {
+
+    struct ItemBytes {
+        // Of the last item of each key.
+        uint64_t latest { 0 };
+        // Of items that a later one of the same key replaces.
+        uint64_t replaced { 0 };
+    };
+
+    ItemBytes bytesOf(const std::vector<SourceItem>& items)
+    {
+        ItemBytes bytes;
+        absl::flat_hash_set<std::string_view> keys;
+        for (auto item = items.rbegin(); item != items.rend(); ++item)
+            (keys.insert(item->key).second ? bytes.latest : bytes.replaced) += item->key.size() + item->value.size();
+        return bytes;
+    }
+
+} // namespace
+
 const char* sourceCallName(SourceCall call)
 {
     switch (call) {
@@ -98,14 +120,14 @@
             wait = isFirst ? Duration(0) : std::max(Duration(0), m_options.leastInterval - (m_clock.now() - began));
         } catch (const HistoryLost&) {
             m_needsListing = true;
-            m_consumer.onCall(SourceCall::Watch, true);
+            m_consumer.onCall({ .call = SourceCall::Watch, .isAnswered = true });
             wait = m_random.upTo(m_options.leastInterval / 2);
         } catch (const Error& error) {
             const SourceCall call = m_needsListing ? SourceCall::List : SourceCall::Watch;
             logEvent(LogLevel::Warning, "source-call-failed",
                 { { "call", sourceCallName(call) }, { "ms", millisecondsText(m_clock.now() - began) },
                     { "reason", error.what() } });
-            m_consumer.onCall(call, false);
+            m_consumer.onCall({ .call = call });
             noteFailure(error.what());
             wait = nextRetry();
         }
@@ -117,8 +139,11 @@
     const bool mayBeStale = !m_hasListed;
     const SourceItems all
         = m_source.list(m_options.prefix, mayBeStale ? ListFreshness::MayBeStale : ListFreshness::Latest);
-    m_consumer.onCall(mayBeStale ? SourceCall::ListStale : SourceCall::List, true);
+    m_consumer.onCall({ .call = mayBeStale ? SourceCall::ListStale : SourceCall::List,
+        .isAnswered = true,
+        .age = all.transferTime });
     noteSuccess();
+    m_listedBytes = ByteCount(bytesOf(all.items).latest);
     m_revision = all.revision;
     m_hasListed = true;
     m_needsListing = false;
@@ -131,12 +156,13 @@
     // While the source is lost a call only asks whether it is back.
     const SourceItems changes
         = m_source.watch(m_options.prefix, m_revision, m_isLost ? Duration(0) : m_options.watchWait);
-    m_consumer.onCall(SourceCall::Watch, true);
+    m_consumer.onCall({ .call = SourceCall::Watch, .isAnswered = true, .age = changes.transferTime });
     noteSuccess();
     m_revision = std::max(m_revision, changes.revision);
     const TimePoint now = m_clock.now();
     if (!changes.items.empty()) {
         m_lastChange = now;
+        m_needsListing = bytesOf(changes.items).replaced > m_listedBytes.value();
         m_consumer.onChanges(changes);
     } else if (now - m_lastChange > m_options.silenceLimit) {
         m_needsListing = true;
@@ -145,8 +171,12 @@
 
 void SourceWatcher::noteFailure(const std::string& reason)
 {
-    if (!std::exchange(m_isLost, true))
+    if (!std::exchange(m_isLost, true)) {
+        m_lostAt = m_clock.now();
         m_consumer.onLost(reason);
+    }
+    if (m_clock.now() - m_lostAt >= m_options.relistAfter)
+        m_needsListing = true;
 }
 
 void SourceWatcher::noteSuccess()
--- a/src/source/SourceWatcher.h
+++ b/src/source/SourceWatcher.h
@@ -5,8 +5,11 @@
 //
 // The consumer is called on that thread. A watch that ends with a change is followed by the next one no sooner than
 // leastInterval after it began, since each call is counted and servers' heartbeats would end each watch at once.
-// After a failure the thread waits with backoff and goes on from the revision that it holds; when the history is lost
-// it lists again. Silence of silenceLimit while heartbeats should come makes it list again too.
+// After a failure the thread waits with backoff and goes on from the revision that it holds. It lists again where that
+// tells less history: when the history is lost, after an outage of relistAfter, and when a watch brought more of what
+// later changes in the same answer replaced than a listing holds. A watch after an outage brings every version of a
+// configuration in between, which takes seconds on a slow link, while more versions come. Silence of silenceLimit while
+// heartbeats should come makes it list again too.
 #pragma once
 
 #include "base/Backoff.h"
@@ -30,6 +33,13 @@
 
 const char* sourceCallName(SourceCall call);
 
+struct SourceCallResult {
+    SourceCall call { SourceCall::Watch };
+    bool isAnswered { false };
+    // For an answer, how old its content was when it had arrived.
+    Duration age {};
+};
+
 class SourceConsumer {
 public:
     virtual ~SourceConsumer() = default;
@@ -38,7 +48,7 @@
     virtual void onChanges(const SourceItems& changes) = 0;
     virtual void onLost(const std::string& reason) = 0;
     virtual void onBack() = 0;
-    virtual void onCall(SourceCall call, bool isAnswered) = 0;
+    virtual void onCall(const SourceCallResult& result) = 0;
 };
 
 struct SourceWatcherOptions {
@@ -46,6 +56,7 @@
     Duration watchWait { std::chrono::milliseconds(500) };
     Duration leastInterval { std::chrono::milliseconds(400) };
     Duration silenceLimit { std::chrono::seconds(6) };
+    Duration relistAfter { std::chrono::seconds(2) };
     BackoffOptions retry { .initial = std::chrono::milliseconds(200), .maximum = std::chrono::milliseconds(800) };
     uint64_t seed { 1 };
 };
@@ -84,6 +95,9 @@
     bool m_needsListing { true };
     bool m_hasListed { false };
     bool m_isLost { false };
+    TimePoint m_lostAt;
+    // Of the last listing.
+    ByteCount m_listedBytes;
     Revision m_revision;
     TimePoint m_lastChange;
     std::mutex m_mutex;
--- a/src/source/tests/SourceWatcherTest.cpp
+++ b/src/source/tests/SourceWatcherTest.cpp
@@ -60,7 +60,7 @@
         void onChanges(const SourceItems& changes) override { note("changes " + std::to_string(changes.items.size())); }
         void onLost(const std::string&) override { note("lost"); }
         void onBack() override { note("back"); }
-        void onCall(SourceCall, bool) override { }
+        void onCall(const SourceCallResult&) override { }
         // Waits until this many events have come, for two seconds at most.
         std::vector<std::string> events(size_t count)
         {
@@ -143,6 +143,52 @@
         EXPECT_EQ(consumer.events(4), (std::vector<std::string> { "listing 7", "lost", "back", "changes 1" }));
     }
 
+    // Guards against a node on a slow link that fetches every version of a long outage, which lasts until the next ones
+    // have come (CONFIG on a grown day on which the store turned some machines away in silence).
+    TEST(SourceWatcherTest, LongOutageEndsWithAListing)
+    {
+        ScriptedSource source;
+        RecordingConsumer consumer;
+        SystemClock clock;
+        source.expect([](const auto&) { return items(7); });
+        for (int i = 0; i < 3; ++i)
+            source.expect([](const auto&) -> SourceItems {
+                std::this_thread::sleep_for(20ms);
+                throw Error({ .message = "down" });
+            });
+        source.expect([](const auto& call) {
+            EXPECT_EQ(call, "list a/");
+            return items(30);
+        });
+        SourceWatcherOptions withRelisting = options();
+        withRelisting.relistAfter = 30ms;
+        const SourceWatcher watcher(source, consumer, withRelisting, clock);
+        EXPECT_EQ(consumer.events(4), (std::vector<std::string> { "listing 7", "lost", "back", "listing 30" }));
+    }
+
+    // Guards against a node that falls behind a storm of configurations, each answer being larger than the one before.
+    TEST(SourceWatcherTest, WatchThatBringsMoreHistoryThanAListingIsFollowedByOne)
+    {
+        ScriptedSource source;
+        RecordingConsumer consumer;
+        SystemClock clock;
+        const SourceItem small { .key = "a/server", .value = "x", .revision = Revision(5) };
+        const SourceItem large { .key = "a/configuration", .value = std::string(1000, 'x'), .revision = Revision(6) };
+        source.expect([&](const auto&) { return SourceItems { .items = { small, large }, .revision = Revision(7) }; });
+        source.expect([&](const auto&) { return SourceItems { .items = { large, large }, .revision = Revision(9) }; });
+        source.expect([&](const auto& call) {
+            EXPECT_EQ(call, "watch a/ 9") << "a listing would not be smaller";
+            return SourceItems { .items = { large, large, large }, .revision = Revision(12) };
+        });
+        source.expect([](const auto& call) {
+            EXPECT_EQ(call, "list a/");
+            return items(15);
+        });
+        const SourceWatcher watcher(source, consumer, options(), clock);
+        EXPECT_EQ(consumer.events(4),
+            (std::vector<std::string> { "listing 7", "changes 2", "changes 3", "listing 15" }));
+    }
+
     // Guards against a call for each heartbeat of each server.
     TEST(SourceWatcherTest, CallsAreAtLeastAnIntervalApart)
     {
