Keep the compressed configuration for peers

Cause: a node compressed the configuration anew for each peer that asked. A reader of a zone of 20 nodes did so 19 times a version, on a tenth of a core, while versions came each 0.2 s. Found by reading. Change: the text is compressed once, when a peer first asks, and dropped; what came from a peer is passed on as it came.

--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -212,6 +212,7 @@
         { .headerBytes = limits.headerBytes, .bodyBytes = std::min(HttpLimits().bodyBytes, limits.bodyBytes) },
         limits.headerTimeout, limits.idleTimeout);
     m_configurationText = update.text;
+    m_compressedConfiguration = update.compressed;
     m_metrics.setVersion(offered.manifest().version);
     m_exchange.noteChange();
     logEvent(LogLevel::Info, "configuration-applied",
@@ -347,12 +348,21 @@
     return members;
 }
 
-HeldSource ProxyNode::heldSourceFor(const HeldSourceRequest& request) const
+const std::string& ProxyNode::compressedConfiguration()
+{
+    if (m_compressedConfiguration.empty()) {
+        m_compressedConfiguration = compress(m_configurationText);
+        std::string().swap(m_configurationText);
+    }
+    return m_compressedConfiguration;
+}
+
+HeldSource ProxyNode::heldSourceFor(const HeldSourceRequest& request)
 {
     HeldSource state;
     if (const auto& held = m_forwarder.configuration(); held && held->manifest().version > request.version) {
         state.version = held->manifest().version;
-        state.configuration = compress(m_configurationText);
+        state.configuration = compressedConfiguration();
     }
     state.revision = m_directory.revision();
     for (const ServerEntry& entry : m_directory.entriesSince(request.revision))
@@ -370,8 +380,9 @@
                 logEvent(LogLevel::Error, "configuration-refused",
                     { { "origin", "peer" }, { "reason", "the compressed text is damaged or too large" } });
             else
-                applyConfiguration(
-                    { .configuration = m_adapter.decodeConfiguration(*text, state.revision), .text = *text }, "peer");
+                applyConfiguration({ .configuration = m_adapter.decodeConfiguration(*text, state.revision),
+                                       .compressed = state.configuration },
+                    "peer");
         } catch (const Error& error) {
             logEvent(LogLevel::Error, "configuration-refused", { { "origin", "peer" }, { "reason", error.what() } });
         }
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -25,7 +25,9 @@
 // A version of the configuration with the text that it was decoded from.
 struct ConfigurationUpdate {
     std::shared_ptr<const Configuration> configuration;
+    // Its text, plain from the source or compressed from a peer.
     std::string text;
+    std::string compressed;
 };
 
 // What the platform's adapter gives the node. The functions are called on the loop's and the watcher's thread.
@@ -68,7 +70,8 @@
     void setReading(bool isReading);
     std::vector<Endpoint> reachablePeers();
     std::vector<Endpoint> zoneMembers() const;
-    HeldSource heldSourceFor(const HeldSourceRequest& request) const;
+    HeldSource heldSourceFor(const HeldSourceRequest& request);
+    const std::string& compressedConfiguration();
     void applyHeldSource(const Endpoint& peer, const HeldSource& held);
 
     void handleReady(const std::shared_ptr<HttpConnection>& connection);
@@ -100,7 +103,10 @@
     HttpListener m_readyPage;
     HttpListener m_admin;
     // As the source holds it, for peers without the source.
+    // The configuration's text until a peer first asks for it, then its compressed form: compressing it for each peer
+    // would take most of a small instance's processor while configurations follow each other.
     std::string m_configurationText;
+    std::string m_compressedConfiguration;
     bool m_hasServers { false };
     bool m_isSourceLost { false };
     TimePoint m_sourceLostAt;
