Read the answer to a repeatable request whole before the caller gets any of it

Cause: make demo ended with 2 of 115 answers of 200 KB cut at the kill -9 of pitch-c. The node that has the caller passed the answer on as it came from the gate. When the gate's process died half way the caller had the first half, so the request could not be repeated although it is idempotent. Change: CallDispatcher reads the answer to an idempotent request whole, up to 256 KB of known length. One that breaks off is a failure of the attempt, which is repeated within the retry budget. Answers to other requests are streamed as before. Test: CutOffAnswerOfAnIdempotentRequestIsRepeated fails without the change.

--- a/src/node/CallDispatcher.cpp
+++ b/src/node/CallDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "node/CallDispatcher.h"
 
 #include "base/Digest.h"
+#include "base/Error.h"
 #include "node/BackendClient.h"
 
 #include <absl/strings/match.h>
@@ -23,6 +24,7 @@
     // The longest call chain; a longer one is taken for a loop.
     constexpr uint32_t greatestDepth = 9;
     constexpr size_t longestId = 256;
+    constexpr uint64_t mostHeldBytes = uint64_t { 256 } * 1024;
     constexpr int statusShed = 503;
 
     const std::string* findHeader(const HeaderList& headers, const char* name)
@@ -277,7 +279,30 @@
         m_failureObserver(attempt.m_choice.instance, attempt.m_choice.incarnation);
 }
 
-CallResult CallDispatcher::call(ClassifiedCall& call, const std::string& body)
+// What has reached the caller in part cannot be repeated, so the answer to an idempotent request is read whole before
+// the caller gets any of it, up to mostHeldBytes. One that breaks off is a failure of the attempt.
+AwaitResult CallDispatcher::awaitWhole(
+    const ClassifiedCall& call, ClientStream& stream, TimePoint until, std::optional<std::string>& body)
+{
+    AwaitResult result = stream.awaitAnswer(until);
+    const auto* answer = std::get_if<AnswerStart>(&result);
+    if (!answer || !answer->hasBody || !call.route->isIdempotent)
+        return result;
+    const auto length = integerHeader<uint64_t>(answer->headers, "Content-Length");
+    if (!length || *length > mostHeldBytes)
+        return result;
+    try {
+        std::string whole;
+        while (const std::optional<std::string> part = stream.readBody(call.deadline))
+            whole += *part;
+        body = std::move(whole);
+        return result;
+    } catch (const Error& error) {
+        return StreamFailure { .step = "read-answer", .message = error.what() };
+    }
+}
+
+CallResult CallDispatcher::call(ClassifiedCall& call, const std::string& requestBody)
 {
     const std::shared_ptr<RetryBudget> retryBudget = budget(call.route->service);
     std::vector<InstanceId> tried;
@@ -298,8 +323,9 @@
         const InstanceId instance = choice->instance;
         const Duration expectedLatency = choice->expectedLatency;
         const TimePoint until = attemptDeadline(call, *choice);
-        const std::shared_ptr<Attempt> attempt = open(call, std::move(*choice), body, true);
-        const AwaitResult result = attempt->stream().awaitAnswer(until);
+        const std::shared_ptr<Attempt> attempt = open(call, std::move(*choice), requestBody, true);
+        std::optional<std::string> body;
+        const AwaitResult result = awaitWhole(call, attempt->stream(), until, body);
         report(*attempt, result);
         const Verdict verdict = judge(result);
         const auto* answer = std::get_if<AnswerStart>(&result);
@@ -309,7 +335,7 @@
         const CallOutcome outcome = isShed ? CallOutcome::Unknown : verdict.outcome;
         retryBudget->noteAttempt(call.start.attempt, outcome);
         if (answer && !isShed)
-            return CallAnswer { *answer, attempt->m_stream, call.deadline, instance };
+            return CallAnswer { *answer, std::move(body), attempt->m_stream, call.deadline, instance };
 
         const RetryDecision decision
             = m_retryPolicy.decide({ .isIdempotent = call.route->isIdempotent,
@@ -322,7 +348,7 @@
                 outcome, *retryBudget, random(), m_clock.now());
         if (const auto* passOn = std::get_if<PassOn>(&decision)) {
             if (isShed)
-                return CallAnswer { *answer, attempt->m_stream, call.deadline, instance };
+                return CallAnswer { *answer, std::move(body), attempt->m_stream, call.deadline, instance };
             return errorOf(result, passOn->outcome, instance);
         }
         mayHaveRun = mayHaveRun || outcome == CallOutcome::Unknown;
@@ -354,7 +380,7 @@
     const CallOutcome outcome = judge(result).outcome;
     budget(call.route->service)->noteAttempt(1, outcome);
     if (const auto* answer = std::get_if<AnswerStart>(&result))
-        return CallAnswer { *answer, attempt->m_stream, call.deadline, instance };
+        return CallAnswer { *answer, std::nullopt, attempt->m_stream, call.deadline, instance };
     return errorOf(result, outcome, instance);
 }
 
--- a/src/node/CallDispatcher.h
+++ b/src/node/CallDispatcher.h
@@ -53,6 +53,8 @@
 // An answer whose body may still be arriving.
 struct CallAnswer {
     AnswerStart start;
+    // The whole body, where it was read already; else it comes from the stream.
+    std::optional<std::string> body;
     std::shared_ptr<ClientStream> stream;
     TimePoint deadline;
     InstanceId instance;
@@ -82,7 +84,8 @@
 
     std::variant<ClassifiedCall, CallError> classify(const CallerRequest& request);
 
-    CallResult call(ClassifiedCall& call, const std::string& body);
+    // Memory: the body of one answer, up to 256 KB, for each idempotent call.
+    CallResult call(ClassifiedCall& call, const std::string& requestBody);
 
     // Opens the single attempt of a request whose body does not fit into memory.
     std::variant<std::shared_ptr<Attempt>, CallError> start(ClassifiedCall& call, std::string firstPart);
@@ -107,6 +110,8 @@
     std::optional<CallError> refuseChoice(const ClassifiedCall& call, const Choice& choice) const;
     std::shared_ptr<Attempt> open(ClassifiedCall& call, Choice choice, std::string body, bool isBodyComplete);
     TimePoint attemptDeadline(const ClassifiedCall& call, const Choice& choice) const;
+    static AwaitResult awaitWhole(
+        const ClassifiedCall& call, ClientStream& stream, TimePoint until, std::optional<std::string>& body);
     void report(Attempt& attempt, const AwaitResult& result);
     std::shared_ptr<RetryBudget> budget(const ServiceName& service) const;
     Random& random();
--- a/src/node/CallerServer.cpp
+++ b/src/node/CallerServer.cpp
@@ -221,7 +221,7 @@
             response.set_header("Content-Length", std::to_string(*length));
         return;
     }
-    std::optional<std::string> first = answer.stream->readBody(answer.deadline);
+    std::optional<std::string> first = answer.body ? answer.body : answer.stream->readBody(answer.deadline);
     if (length && first && first->size() == *length) {
         if (!type.empty())
             response.set_header("Content-Type", type);
--- a/src/node/tests/RequestPathTest.cpp
+++ b/src/node/tests/RequestPathTest.cpp
@@ -85,6 +85,15 @@
         EXPECT_TRUE(!answer || answer->status == 504);
     }
 
+    // Guards against a caller who gets half of an answer of a repeatable request because one instance died (make demo).
+    TEST_F(RequestPathTest, CutOffAnswerOfAnIdempotentRequestIsRepeated)
+    {
+        const auto answer = s_fleet->client(0).Get("/export");
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 200);
+        EXPECT_EQ(answer->body, std::string(200'000, 'x'));
+    }
+
     TEST_F(RequestPathTest, CopiesWithOneIdempotencyKeyRunOnce)
     {
         std::vector<std::thread> callers;
--- a/src/node/tests/TestFleet.cpp
+++ b/src/node/tests/TestFleet.cpp
@@ -26,6 +26,7 @@
         add("lookup", "/pitches", "urgent", deadline, true);
         add("echo", "/echo", "normal", "10s", true);
         add("cut", "/cut", "normal", "2s", false);
+        add("cut-once", "/export", "normal", "5s", true);
         add("fee", "/fees", "urgent", "3s", false);
         add("slow", "/slow", "normal", "400ms", false);
         return nlohmann::json {
@@ -70,11 +71,14 @@
     }
     if (request.path.starts_with("/echo")) {
         response.set_content(request.body, "application/octet-stream");
-    } else if (request.path.starts_with("/cut")) {
-        response.set_content_provider(1'000'000, "text/plain", [](size_t offset, size_t, httplib::DataSink& sink) {
-            const std::string part(100'000, 'x');
-            return offset < 500'000 && sink.write(part.data(), part.size());
-        });
+    } else if (request.path.starts_with("/cut") || request.path.starts_with("/export")) {
+        const bool isCut = request.path.starts_with("/cut") || !m_hasCutExport.exchange(true);
+        const size_t size = request.path.starts_with("/cut") ? 1'000'000 : 200'000;
+        response.set_content_provider(
+            size, "text/plain", [size, isCut](size_t offset, size_t, httplib::DataSink& sink) {
+                const std::string part(100'000, 'x');
+                return !(isCut && offset >= size / 2) && sink.write(part.data(), part.size());
+            });
     } else {
         if (request.has_header("X-Test-Delay-Ms"))
             std::this_thread::sleep_for(
--- a/src/node/tests/TestFleet.h
+++ b/src/node/tests/TestFleet.h
@@ -6,6 +6,7 @@
 #include "testing/HttpService.h"
 #include "testing/PlatformStandin.h"
 
+#include <atomic>
 #include <map>
 #include <mutex>
 
@@ -28,6 +29,8 @@
     std::mutex m_mutex;
     std::map<std::string, int> m_executions;
     int m_total { 0 };
+    // The first answer to an export breaks off half way.
+    static inline std::atomic<bool> m_hasCutExport { false };
     std::unique_ptr<HttpService> m_service;
 };
 
