--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -10,7 +10,6 @@
 
     constexpr const char* step = "gate";
     constexpr int statusMisdirected = 421;
-    constexpr int firstServerError = 500;
     // After a pause, buffered calls are read within this time.
     constexpr Duration pauseSettle = std::chrono::milliseconds(100);
     constexpr double shareOfKeepAlive = 0.8;
@@ -23,7 +22,6 @@
     , m_dialect(dialect)
     , m_ledger(m_options.ledger)
     , m_admission(admissionOptions(), loop.now())
-    , m_random(m_options.seed)
     , m_lastSeen(loop.now())
     , m_sweepTimer(loop, [this] { sweep(); })
 {
@@ -133,8 +131,6 @@
         m_sweepTimer.startRepeating(m_options.sweepInterval);
     if (const char* cause = refusalCause(entry->call))
         refuse(entry, cause);
-    else if (!m_innerCallThrottle.admits(entry->call.rank, m_random, now))
-        refuse(entry, "calls that such requests make are refused");
     else
         admit(entry);
 }
@@ -158,7 +154,7 @@
 void BackendGate::run(const CallPtr& call)
 {
     call->isRunning = true;
-    m_running[call->call.requestId.value()] = call;
+    m_runningIds.insert(call->call.requestId.value());
     call->startedAt = m_loop.now();
     try {
         call->connection = takeConnection(call->call);
@@ -193,8 +189,6 @@
                     "the server refused the call with " + std::to_string(response.status), load()));
             return;
         }
-        m_innerCallThrottle.noteRun(
-            call->call.rank, call->hasFailedInnerCall && response.status >= firstServerError, m_loop.now());
         removeConnectionHeaders(response.headers);
         end(call, std::make_shared<const GateReply>(GateAnswer { .response = std::move(response), .load = load() }));
         return;
@@ -207,12 +201,6 @@
     end(call, makeRefusal(CallOutcome::Unknown, "backend-server", std::get<BackendBroken>(result).reason, load()));
 }
 
-void BackendGate::noteInnerCallFailed(const std::string& requestId)
-{
-    if (const auto found = m_running.find(requestId); found != m_running.end())
-        found->second->hasFailedInnerCall = true;
-}
-
 bool BackendGate::isFresh(const BackendConnection& connection, const GateCall& call) const
 {
     Duration most = call.isIdempotent ? m_options.mostIdleTime : m_options.mostIdleTimeNonIdempotent;
@@ -262,7 +250,7 @@
 {
     const TimePoint now = m_loop.now();
     call->isRunning = false;
-    m_running.erase(call->call.requestId.value());
+    m_runningIds.erase(call->call.requestId.value());
     m_byTicket.erase(call->ticket);
     if (result == ServiceResult::Answered)
         m_serviceTime.add(now - call->startedAt, now);
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -13,13 +13,12 @@
 #pragma once
 
 #include "admission/AdmissionController.h"
-#include "admission/InnerCallThrottle.h"
 #include "base/Log.h"
 #include "membership/ServerDirectory.h"
 #include "proxy/BackendConnection.h"
 #include "proxy/CallLedger.h"
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <deque>
 #include <list>
 
@@ -27,7 +26,6 @@
 
 struct GateOptions {
     Endpoint server;
-    uint64_t seed { 1 };
     // Calls for which no slot count is known yet.
     int defaultSlots { 8 };
     int mostQueued { 256 };
@@ -63,9 +61,7 @@
     void setServer(const std::optional<ServerRecord>& server);
     void setRanks(std::vector<RankPolicy> ranks);
     // The backend server runs the request with this id now.
-    bool isRunning(const std::string& requestId) const { return m_running.contains(requestId); }
-    // A call that the backend server made for this request was refused or came too late.
-    void noteInnerCallFailed(const std::string& requestId);
+    bool isRunning(const std::string& requestId) const { return m_runningIds.contains(requestId); }
     // No new calls from now on.
     void drain();
     bool isIdle() const { return m_calls.empty(); }
@@ -85,7 +81,6 @@
         std::shared_ptr<BackendConnection> connection;
         // Written to a connection, or about to be as soon as that opens.
         bool isRunning { false };
-        bool hasFailedInnerCall { false };
     };
     using CallPtr = std::shared_ptr<Call>;
 
@@ -120,10 +115,8 @@
     ServiceTimeEstimate m_serviceTime;
     absl::flat_hash_map<CallKey, CallPtr> m_calls;
     absl::flat_hash_map<TicketId, CallPtr> m_byTicket;
-    // The calls that the server runs, by request id; callers' attempts have ids of their own.
-    absl::flat_hash_map<std::string, CallPtr> m_running;
-    InnerCallThrottle m_innerCallThrottle;
-    Random m_random;
+    // Ids of the requests that the server runs; callers' attempts have ids of their own.
+    absl::flat_hash_set<std::string> m_runningIds;
     uint64_t m_lastTicket { 0 };
     // The connection used last is at the back.
     std::deque<std::shared_ptr<BackendConnection>> m_idle;
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -78,8 +78,8 @@
         return;
     }
     call->service = m_splits.choose(*call->route);
-    call->parent = parentOf(call->requestId);
-    call->rank = call->parent ? 0 : call->route->rank;
+    call->isInnerCall = isInnerCall(call->requestId);
+    call->rank = call->isInnerCall ? 0 : call->route->rank;
     setDeadlines(*call);
     m_retryBudget.noteRequest(call->service, call->receivedAt);
     m_calls.emplace(call->number, call);
@@ -123,13 +123,11 @@
 // A backend server that calls on behalf of a request puts the request's id before its own, with a dot between. That
 // request holds a slot and fails with the call, so such calls go with the most urgent rank and are never late before
 // their deadline.
-std::optional<std::string> CallForwarder::parentOf(const RequestId& id) const
+bool CallForwarder::isInnerCall(const RequestId& id) const
 {
     const std::string& text = id.value();
     const size_t dot = text.rfind('.');
-    if (dot == std::string::npos || !m_gate.isRunning(text.substr(0, dot)))
-        return std::nullopt;
-    return text.substr(0, dot);
+    return dot != std::string::npos && m_gate.isRunning(text.substr(0, dot));
 }
 
 void CallForwarder::setDeadlines(Call& call)
@@ -140,7 +138,7 @@
     usual.note(patience);
     call.deadline
         = call.receivedAt + (route.deadline > Duration::zero() ? std::min(patience, route.deadline) : patience);
-    if (call.parent) {
+    if (call.isInnerCall) {
         call.onTimeBy = call.deadline;
         return;
     }
@@ -349,16 +347,12 @@
 void CallForwarder::giveUp(const CallPtr& call)
 {
     // The gate may see that the deadline has passed before the timer of the call fires.
-    if (call->mayHaveRun && m_loop.now() >= call->deadline) {
-        finishLate(call);
-        return;
-    }
-    if (call->mayHaveRun) {
+    if (call->mayHaveRun && m_loop.now() >= call->deadline)
+        finish(call, failure(statusTimeout, call->lastReason), "timeout");
+    else if (call->mayHaveRun)
         finish(call, failure(statusBadGateway, call->lastReason), "unknown");
-        return;
-    }
-    noteInnerCallFailed(*call);
-    finish(call, refusal(*call), "not-run");
+    else
+        finish(call, refusal(*call), "not-run");
 }
 
 void CallForwarder::cancelAttempt(Call& call)
@@ -379,23 +373,11 @@
     cancelAttempt(*call);
     call->lastReason = "the timeout passed" + (call->lastReason.empty() ? "" : "; " + call->lastReason);
     if (isOutstanding || call->mayHaveRun)
-        finishLate(call);
+        finish(call, failure(statusTimeout, call->lastReason), "timeout");
     else
         giveUp(call);
 }
 
-void CallForwarder::finishLate(const CallPtr& call)
-{
-    noteInnerCallFailed(*call);
-    finish(call, failure(statusTimeout, call->lastReason), "timeout");
-}
-
-void CallForwarder::noteInnerCallFailed(const Call& call)
-{
-    if (call.parent)
-        m_gate.noteInnerCallFailed(*call.parent);
-}
-
 void CallForwarder::handleCallerGone(const CallPtr& call)
 {
     cancelAttempt(*call);
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -82,7 +82,7 @@
         TimePoint onTimeBy;
         int rank { 0 };
         // Made by a request that runs at the backend server beside this node.
-        std::optional<std::string> parent;
+        bool isInnerCall { false };
         // Attempts that reached a backend server, or may have.
         uint32_t attempts { 0 };
         int refusals { 0 };
@@ -101,8 +101,7 @@
     CallPtr makeCall(HttpRequest request, const std::shared_ptr<HttpConnection>& caller);
     // What the caller still waits, as it says.
     Duration patienceOf(const HttpRequest& request) const;
-    // The id of the request that a backend server works on and makes this call for; nothing for a caller's request.
-    std::optional<std::string> parentOf(const RequestId& id) const;
+    bool isInnerCall(const RequestId& id) const;
     void setDeadlines(Call& call);
     ByteCount expectedBytes(const Call& call) const;
     void noteAnswerBytes(const Route& route, const HttpResponse& response);
@@ -117,9 +116,6 @@
     void report(Call& call, CallOutcome outcome, bool isFault, const std::optional<LoadHint>& load);
     void giveUp(const CallPtr& call);
     void handleTimeout(const CallPtr& call);
-    void finishLate(const CallPtr& call);
-    // Tells the gate beside this node that the run which made the call is likely to fail.
-    void noteInnerCallFailed(const Call& call);
     void handleCallerGone(const CallPtr& call);
     void cancelAttempt(Call& call);
     void finish(const CallPtr& call, HttpResponse response, const char* outcome);
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -130,7 +130,7 @@
     , m_router(routerOptions(m_settings))
     , m_directory({ .peerPort = m_settings.peerAddress.port, .regions = m_settings.regions })
     , m_view(m_directory.view())
-    , m_gate(m_loop, { .server = m_settings.serverAddress, .seed = m_self.incarnation.value() }, m_adapter.dialect)
+    , m_gate(m_loop, { .server = m_settings.serverAddress }, m_adapter.dialect)
     , m_forwarder(
           m_loop,
           { .self = m_self.incarnation,
