--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -46,75 +46,6 @@
 
 } // namespace
 
-// Decodes on the watcher's thread and posts the results to the loop.
-class ProxyNode::Consumer final : public SourceConsumer {
-public:
-    explicit Consumer(ProxyNode& node)
-        : m_node(node)
-    {
-    }
-
-    void onListing(const SourceItems& items) override { deliver(items, true); }
-    void onChanges(const SourceItems& changes) override { deliver(changes, false); }
-    void onLost(const std::string& reason) override
-    {
-        m_node.m_loop.post([this, reason] { m_node.noteSourceLost(reason); });
-    }
-    void onBack() override
-    {
-        m_node.m_loop.post([this] { m_node.noteSourceBack(); });
-    }
-    void onCall(const SourceCallResult& result) override
-    {
-        m_node.m_metrics.countSourceCall(sourceCallName(result.call), result.isAnswered);
-        // What may be stale confirms nothing.
-        if (result.call == SourceCall::ListStale)
-            return;
-        m_node.m_loop.post([this, result] {
-            if (result.isAnswered)
-                m_node.m_exchange.noteSourceAnswer(result.age);
-            else
-                m_node.m_exchange.noteSourceFailure();
-        });
-    }
-
-private:
-    void deliver(const SourceItems& items, bool isListing)
-    {
-        std::vector<ServerEntry> servers;
-        const SourceItem* configuration = nullptr;
-        for (const SourceItem& item : items.items) {
-            if (m_node.m_adapter.isServer(item))
-                servers.push_back(m_node.m_adapter.decodeServer(item));
-            else if (m_node.m_adapter.isConfiguration(item) && !item.isDeleted)
-                configuration = &item;
-        }
-        if (configuration)
-            deliverConfiguration(*configuration);
-        m_node.m_loop.post([this, servers = std::move(servers), revision = items.revision, isListing] {
-            if (isListing)
-                m_node.applyListing(servers, revision);
-            else
-                m_node.applyServers(servers);
-        });
-    }
-
-    void deliverConfiguration(const SourceItem& item)
-    {
-        try {
-            ConfigurationUpdate update {
-                .configuration = m_node.m_adapter.decodeConfiguration(item.value, item.revision), .text = item.value
-            };
-            m_node.m_loop.post([this, update = std::move(update)] { m_node.applyConfiguration(update, "source"); });
-        } catch (const Error& error) {
-            logEvent(LogLevel::Error, "configuration-refused",
-                { { "revision", std::to_string(item.revision.value()) }, { "reason", error.what() } });
-        }
-    }
-
-    ProxyNode& m_node;
-};
-
 ProxyNode::ProxyNode(ProxySettings settings, PlatformAdapter adapter, const Clock& clock)
     : m_settings(std::move(settings))
     , m_adapter(std::move(adapter))
@@ -172,7 +103,7 @@
     , m_terminate(m_loop, SIGTERM, [this] { beginStop(); })
     , m_interrupt(m_loop, SIGINT, [this] { beginStop(); })
     , m_reload(m_loop, SIGHUP, [this] { reloadSettings(); })
-    , m_consumer(std::make_unique<Consumer>(*this))
+    , m_sourceDecoder(m_loop, m_adapter, sourceCallbacks())
 {
 }
 
@@ -187,7 +118,7 @@
     SourceWatcherOptions options = m_adapter.watcher;
     options.leastInterval = m_settings.sourceInterval;
     options.seed = m_self.incarnation.value();
-    m_watcher = std::make_unique<SourceWatcher>(*m_adapter.source, *m_consumer, options, m_clock);
+    m_watcher = std::make_unique<SourceWatcher>(*m_adapter.source, m_sourceDecoder, options, m_clock);
     m_ticker.startRepeating(tickInterval);
     m_loop.run();
     m_watcher.reset();
@@ -199,6 +130,29 @@
     m_loop.post([this] { beginStop(); });
 }
 
+SourceDecoder::Callbacks ProxyNode::sourceCallbacks()
+{
+    return { .onConfiguration = [this](const ConfigurationUpdate& update) { applyConfiguration(update, "source"); },
+        .onListing
+        = [this](const std::vector<ServerEntry>& entries, Revision revision) { applyListing(entries, revision); },
+        .onServers = [this](const std::vector<ServerEntry>& entries) { applyServers(entries); },
+        .onLost = [this](const std::string& reason) { noteSourceLost(reason); },
+        .onBack = [this] { noteSourceBack(); },
+        .onCall = [this](const SourceCallResult& result) { noteSourceCall(result); } };
+}
+
+void ProxyNode::noteSourceCall(const SourceCallResult& result)
+{
+    m_metrics.countSourceCall(sourceCallName(result.call), result.isAnswered);
+    // What may be stale confirms nothing.
+    if (result.call == SourceCall::ListStale)
+        return;
+    if (result.isAnswered)
+        m_exchange.noteSourceAnswer(result.age);
+    else
+        m_exchange.noteSourceFailure();
+}
+
 void ProxyNode::applyConfiguration(const ConfigurationUpdate& update, const char* origin)
 {
     const Configuration& offered = *update.configuration;
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -12,37 +12,16 @@
 #include "eventloop/EventLoop.h"
 #include "proxy/CallForwarder.h"
 #include "proxy/PeerServer.h"
+#include "proxy/PlatformAdapter.h"
 #include "proxy/ProxySettings.h"
+#include "proxy/SourceDecoder.h"
 #include "proxy/SourceExchange.h"
-#include "source/SourceWatcher.h"
 
 #include <atomic>
-#include <functional>
 #include <memory>
 
 namespace skylark {
 
-// A version of the configuration with the text that it was decoded from.
-struct ConfigurationUpdate {
-    std::shared_ptr<const Configuration> configuration;
-    // Its text, plain from the source or compressed from a peer.
-    std::string text;
-    std::string compressed;
-};
-
-// What the platform's adapter gives the node. The functions are called on the loop's and the watcher's thread.
-struct PlatformAdapter {
-    std::unique_ptr<KeyValueSource> source;
-    SourceWatcherOptions watcher;
-    Dialect dialect;
-    std::function<bool(const SourceItem&)> isConfiguration;
-    // Throws Error for a text that is not a whole, consistent configuration.
-    std::function<std::shared_ptr<const Configuration>(const std::string& text, Revision revision)> decodeConfiguration;
-    std::function<bool(const SourceItem&)> isServer;
-    // A record that names no server that can be used is absent from the entry; the reason is logged by the adapter.
-    std::function<ServerEntry(const SourceItem&)> decodeServer;
-};
-
 class ProxyNode {
 public:
     ProxyNode(ProxySettings settings, PlatformAdapter adapter, const Clock& clock);
@@ -54,12 +33,12 @@
     void requestStop();
 
 private:
-    class Consumer;
-
+    SourceDecoder::Callbacks sourceCallbacks();
     void applyConfiguration(const ConfigurationUpdate& update, const char* origin);
     void applyListing(const std::vector<ServerEntry>& entries, Revision revision);
     void applyServers(const std::vector<ServerEntry>& entries);
     void publishServers();
+    void noteSourceCall(const SourceCallResult& result);
     void noteSourceLost(const std::string& reason);
     void noteSourceBack();
     bool isReady() const;
@@ -102,7 +81,6 @@
     HttpListener m_callers;
     HttpListener m_readyPage;
     HttpListener m_admin;
-    // As the source holds it, for peers without the source.
     // The configuration's text until a peer first asks for it, then its compressed form: compressing it for each peer
     // would take most of a small instance's processor while configurations follow each other.
     std::string m_configurationText;
@@ -116,7 +94,7 @@
     SignalWatcher m_terminate;
     SignalWatcher m_interrupt;
     SignalWatcher m_reload;
-    std::unique_ptr<Consumer> m_consumer;
+    SourceDecoder m_sourceDecoder;
     std::unique_ptr<SourceWatcher> m_watcher;
 };
 
--- /dev/null
+++ b/src/proxy/SourceDecoder.cpp
@@ -0,0 +1,63 @@
+#include "proxy/SourceDecoder.h"
+
+#include "base/Error.h"
+#include "base/Log.h"
+
+namespace skylark {
+
+SourceDecoder::SourceDecoder(EventLoop& loop, const PlatformAdapter& adapter, Callbacks callbacks)
+    : m_loop(loop)
+    , m_adapter(adapter)
+    , m_callbacks(std::move(callbacks))
+{
+}
+
+void SourceDecoder::onLost(const std::string& reason)
+{
+    m_loop.post([this, reason] { m_callbacks.onLost(reason); });
+}
+
+void SourceDecoder::onBack()
+{
+    m_loop.post([this] { m_callbacks.onBack(); });
+}
+
+void SourceDecoder::onCall(const SourceCallResult& result)
+{
+    m_loop.post([this, result] { m_callbacks.onCall(result); });
+}
+
+void SourceDecoder::deliver(const SourceItems& items, bool isListing)
+{
+    std::vector<ServerEntry> servers;
+    const SourceItem* configuration = nullptr;
+    for (const SourceItem& item : items.items) {
+        if (m_adapter.isServer(item))
+            servers.push_back(m_adapter.decodeServer(item));
+        else if (m_adapter.isConfiguration(item) && !item.isDeleted)
+            configuration = &item;
+    }
+    if (configuration)
+        deliverConfiguration(*configuration);
+    m_loop.post([this, servers = std::move(servers), revision = items.revision, isListing] {
+        if (isListing)
+            m_callbacks.onListing(servers, revision);
+        else
+            m_callbacks.onServers(servers);
+    });
+}
+
+void SourceDecoder::deliverConfiguration(const SourceItem& item)
+{
+    try {
+        ConfigurationUpdate update { .configuration = m_adapter.decodeConfiguration(item.value, item.revision),
+            .text = item.value };
+        m_loop.post([this, update = std::move(update)] { m_callbacks.onConfiguration(update); });
+    } catch (const Error& error) {
+        logEvent(LogLevel::Error, "configuration-refused",
+            { { "origin", "source" }, { "revision", std::to_string(item.revision.value()) },
+                { "reason", error.what() } });
+    }
+}
+
+} // namespace skylark
