--- a/src/http/BlockingHttpClient.h
+++ b/src/http/BlockingHttpClient.h
@@ -16,8 +16,8 @@
 struct BlockingHttpClientOptions {
     Endpoint server;
     Duration connectTimeout { std::chrono::milliseconds(700) };
-    // Between two pieces of an answer that has begun. The whole answer has no time limit: a large one takes seconds on a
-    // slow link, and a limit that it cannot keep would fail every call in turn.
+    // Between two pieces of an answer that has begun. The whole answer has no time limit: a large one takes seconds on
+    // a slow link, and a limit that it cannot keep would fail every call in turn.
     Duration progressTimeout { std::chrono::milliseconds(1000) };
     HttpLimits limits {};
 };
--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -139,9 +139,8 @@
     const bool mayBeStale = !m_hasListed;
     const SourceItems all
         = m_source.list(m_options.prefix, mayBeStale ? ListFreshness::MayBeStale : ListFreshness::Latest);
-    m_consumer.onCall({ .call = mayBeStale ? SourceCall::ListStale : SourceCall::List,
-        .isAnswered = true,
-        .age = all.transferTime });
+    m_consumer.onCall(
+        { .call = mayBeStale ? SourceCall::ListStale : SourceCall::List, .isAnswered = true, .age = all.transferTime });
     noteSuccess();
     m_listedBytes = ByteCount(bytesOf(all.items).latest);
     m_revision = all.revision;
--- a/src/source/tests/SourceWatcherTest.cpp
+++ b/src/source/tests/SourceWatcherTest.cpp
@@ -185,8 +185,8 @@
             return items(15);
         });
         const SourceWatcher watcher(source, consumer, options(), clock);
-        EXPECT_EQ(consumer.events(4),
-            (std::vector<std::string> { "listing 7", "changes 2", "changes 3", "listing 15" }));
+        EXPECT_EQ(
+            consumer.events(4), (std::vector<std::string> { "listing 7", "changes 2", "changes 3", "listing 15" }));
     }
 
     // Guards against a call for each heartbeat of each server.
