--- a/src/proxy/tests/FakeSource.cpp
+++ b/src/proxy/tests/FakeSource.cpp
@@ -47,6 +47,8 @@
     SourceItems result;
     const auto isDone = [&] {
         check();
+        if (m_holdsWatches)
+            return false;
         result = { .revision = Revision(m_store.m_revision) };
         for (const auto& [key, item] : m_store.m_items) {
             if (key.rfind(prefix, 0) == 0 && item.revision > after)
@@ -54,7 +56,7 @@
         }
         return !result.items.empty();
     };
-    m_store.m_changed.wait_for(lock, wait, isDone);
+    m_store.m_changed.wait_for(lock, m_holdsWatches ? std::chrono::hours(1) : wait, isDone);
     return result;
 }
 
@@ -65,6 +67,12 @@
     m_store.m_changed.notify_all();
 }
 
+void FakeSource::holdWatches()
+{
+    const std::lock_guard lock(m_store.m_mutex);
+    m_holdsWatches = true;
+}
+
 void FakeSource::setTurnedAway(bool isTurnedAway)
 {
     const std::lock_guard lock(m_store.m_mutex);
--- a/src/proxy/tests/FakeSource.h
+++ b/src/proxy/tests/FakeSource.h
@@ -36,6 +36,8 @@
     SourceItems list(const std::string& prefix, ListFreshness freshness) override;
     SourceItems watch(const std::string& prefix, Revision after, Duration wait) override;
     void interrupt() override;
+    // From now on watches wait until they fail.
+    void holdWatches();
     // Fails the calls of this node alone.
     void setTurnedAway(bool isTurnedAway);
 
@@ -45,6 +47,7 @@
     FakeStore& m_store;
     bool m_isInterrupted { false };
     bool m_isTurnedAway { false };
+    bool m_holdsWatches { false };
 };
 
 } // namespace skylark
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -204,8 +204,9 @@
     return clock;
 }
 
-ProxyFleet::ProxyFleet(size_t nodes, const Clock& clock)
+ProxyFleet::ProxyFleet(size_t nodes, const Clock& clock, std::set<size_t> heldNodes)
     : m_clock(clock)
+    , m_heldNodes(std::move(heldNodes))
     , m_firstPort(nextFirstPort())
     , m_nodes(nodes)
 {
@@ -260,6 +261,8 @@
     Node& node = m_nodes[index];
     auto source = std::make_unique<FakeSource>(m_store);
     node.source = source.get();
+    if (m_heldNodes.contains(index))
+        source->holdWatches();
     PlatformAdapter adapter { .source = std::move(source),
         .watcher = { .watchWait = 500ms },
         .isConfiguration = [](const SourceItem& item) { return item.key == "op/config"; },
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -62,7 +62,8 @@
 class ProxyFleet {
 public:
     // Servers run the service "work" on all nodes. The nodes read this clock, which must outlive the fleet.
-    explicit ProxyFleet(size_t nodes, const Clock& clock = systemClock());
+    // The watches of the nodes in heldNodes wait until they fail.
+    explicit ProxyFleet(size_t nodes, const Clock& clock = systemClock(), std::set<size_t> heldNodes = {});
     ~ProxyFleet();
 
     FakeStore& store() { return m_store; }
@@ -91,6 +92,7 @@
 
     FakeStore m_store;
     const Clock& m_clock;
+    const std::set<size_t> m_heldNodes;
     const uint16_t m_firstPort;
     std::vector<Node> m_nodes;
 };
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -164,6 +164,32 @@
         EXPECT_LT(std::chrono::steady_clock::now() - began, 700ms);
     }
 
+    // Guards against a follower that takes the end of a call from before for the loss of the source, and then ignores
+    // the deletions that its peer tells of (a server that had left was used on a grown day).
+    TEST(ProxyNodeTest, CallThatFailsAfterFollowingBeganIsNoLossOfTheSource)
+    {
+        const SystemClock clock;
+        int followers = 0;
+        for (const size_t held : { size_t { 0 }, size_t { 1 } }) {
+            ProxyFleet fleet(2, clock, { held });
+            ASSERT_TRUE(fleet.waitUntilReady());
+            std::this_thread::sleep_for(1500ms);
+            httplib::Client client(fleet.adminAddress(held).host, fleet.adminAddress(held).port);
+            const auto before = client.Get("/metrics");
+            ASSERT_TRUE(before);
+            // The first node of the zone's order reads and follows nobody.
+            if (before->body.find("{value=\"is_reader\"} 0") == std::string::npos)
+                continue;
+            ++followers;
+            fleet.setTurnedAway(held, true);
+            std::this_thread::sleep_for(300ms);
+            const auto after = client.Get("/metrics");
+            ASSERT_TRUE(after);
+            EXPECT_NE(after->body.find("{value=\"source_lost\"} 0"), std::string::npos) << after->body;
+        }
+        EXPECT_EQ(followers, 1);
+    }
+
     // Guards against crashes and lost or doubled requests while servers restart, leave, fail and configurations change.
     TEST(ProxyNodeTest, RequestsSurviveChangesUnderLoad)
     {
