--- a/src/http/BlockingHttpClient.h
+++ b/src/http/BlockingHttpClient.h
@@ -1,8 +1,8 @@
 // GET requests on one kept connection, for a thread that may wait.
 //
 // Stands in the node's processes where cpp-httplib would: Debian builds that library with OpenSSL and Brotli, whose
-// pages are a fifth of an idle node's memory. Interprets nothing; redirects are returned as they are. Not thread-safe
-// but for interrupt(). Memory: one response, within the limits given.
+// pages are a third of an idle node's resident memory. Interprets nothing; redirects are returned as they are. Not
+// thread-safe but for interrupt(). Memory: one response, within the limits given.
 #pragma once
 
 #include "base/Types.h"
