Decode a configuration once

Cause: since the node lists after outages and storms, each listing brought the configuration again and the watcher's thread decoded it again; a version that two peers, or a peer and the store, tell of was decompressed and decoded twice before applyConfiguration ignored it. Found by reading the change again. Change: SourceDecoder skips a revision that it has decoded, and the node an answer of a peer that is no newer than what it holds. What is applied stays the same.

--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -327,7 +327,10 @@
 void ProxyNode::applyHeldSource(const Endpoint& peer, const HeldSource& state)
 {
     m_exchange.notePeerReply(peer, state);
-    if (!state.configuration.empty()) {
+    const auto& configuration = m_forwarder.configuration();
+    // Two peers, or a peer and the source, may have told of the same version; decoding it again takes long.
+    const bool isNews = !configuration || state.version > configuration->manifest().version;
+    if (isNews && !state.configuration.empty()) {
         const auto text = decompress(state.configuration, mostConfigurationBytes);
         try {
             if (!text)
--- a/src/proxy/SourceDecoder.cpp
+++ b/src/proxy/SourceDecoder.cpp
@@ -37,7 +37,7 @@
         else if (m_adapter.isConfiguration(item) && !item.isDeleted)
             configuration = &item;
     }
-    if (configuration)
+    if (configuration && configuration->revision > m_decoded)
         deliverConfiguration(*configuration);
     m_loop.post([this, servers = std::move(servers), revision = items.revision, isListing] {
         if (isListing)
@@ -52,6 +52,7 @@
     try {
         ConfigurationUpdate update { .configuration = m_adapter.decodeConfiguration(item.value, item.revision),
             .text = item.value };
+        m_decoded = item.revision;
         m_loop.post([this, update = std::move(update)] { m_callbacks.onConfiguration(update); });
     } catch (const Error& error) {
         logEvent(LogLevel::Error, "configuration-refused",
--- a/src/proxy/SourceDecoder.h
+++ b/src/proxy/SourceDecoder.h
@@ -1,7 +1,7 @@
 // Decodes what the watcher reads, on the watcher's thread, and hands the results over on the loop.
 //
-// Of several versions of the configuration in one answer only the last is decoded. One that cannot be decoded is logged
-// and changes nothing.
+// Of several versions of the configuration in one answer only the last is decoded, and none again that a listing brings
+// once more. One that cannot be decoded is logged and changes nothing.
 #pragma once
 
 #include "eventloop/EventLoop.h"
@@ -40,6 +40,8 @@
     EventLoop& m_loop;
     const PlatformAdapter& m_adapter;
     const Callbacks m_callbacks;
+    // Of the configuration decoded last; only for the watcher's thread.
+    Revision m_decoded;
 };
 
 } // namespace skylark
