Use the one socket, the one signal mask and one way to cut a test answer

BlockingHttpClient had written its own socket, connect and error query beside transport/Socket, which now stands in base and serves both. skylarkd and the stand-ins blocked the same signals in two places; both call blockStopSignals. The test backend chose what to cut by comparing the path three times. No change of behaviour but the text of a failed connect to the store, which comes from the shared function.

--- a/src/transport/Socket.cpp
+++ b/src/base/Socket.cpp
@@ -1,4 +1,4 @@
-#include "transport/Socket.h"
+#include "base/Socket.h"
 
 #include "base/Error.h"
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -44,6 +44,17 @@
 
 } // namespace
 
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
 int runDaemon(const DaemonDescription& description, int argumentCount, char** arguments)
 {
     cxxopts::Options options = makeOptions(description);
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -1,6 +1,7 @@
 // The command line of a process that runs until it is told to stop: --config FILE, --help and --version.
 #pragma once
 
+#include <csignal>
 #include <functional>
 #include <optional>
 #include <string>
@@ -25,4 +26,8 @@
 // Gives the process's exit code: exitUsage for a wrong command line. Prints to standard output and standard error.
 int runDaemon(const DaemonDescription& description, int argumentCount, char** arguments);
 
+// Blocks SIGINT and SIGTERM and ignores SIGPIPE. To be called before any thread starts, so that every thread inherits
+// the mask and only the one that waits for the set takes the signals.
+sigset_t blockStopSignals();
+
 } // namespace skylark
--- a/src/http/BlockingHttpClient.cpp
+++ b/src/http/BlockingHttpClient.cpp
@@ -1,10 +1,8 @@
 #include "http/BlockingHttpClient.h"
 
-#include <arpa/inet.h>
 #include <array>
 #include <cerrno>
 #include <cstring>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
@@ -28,43 +26,26 @@
 // A connected non-blocking socket that is waited for together with the interrupt.
 class BlockingHttpClient::Socket {
 public:
-    explicit Socket(int interruptFd)
-        : m_fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
-        , m_interruptFd(interruptFd)
+    // Starts to connect; throws Error.
+    Socket(const Endpoint& server, const FileDescriptor& interrupt)
+        : m_socket(startConnect(server))
+        , m_interrupt(interrupt)
     {
     }
-    ~Socket()
-    {
-        if (m_fd >= 0)
-            ::close(m_fd);
-    }
-    Socket(const Socket&) = delete;
-    Socket& operator=(const Socket&) = delete;
 
-    // Nothing on success, else what went wrong.
-    const char* connect(const Endpoint& server, Deadline deadline)
+    // Nothing on success, as for all calls below, else what went wrong.
+    const char* awaitConnect(Deadline deadline)
     {
-        sockaddr_in address { .sin_family = AF_INET, .sin_port = htons(server.port) };
-        if (m_fd < 0 || inet_pton(AF_INET, server.host.c_str(), &address.sin_addr) != 1)
-            return "the address cannot be used";
-        const int on = 1;
-        setsockopt(m_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        if (::connect(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0)
-            return nullptr;
-        if (errno != EINPROGRESS)
-            return std::strerror(errno);
         if (const char* reason = wait(POLLOUT, deadline))
             return reason;
-        int error = 0;
-        socklen_t length = sizeof(error);
-        getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &length);
+        const int error = pendingError(m_socket);
         return error == 0 ? nullptr : std::strerror(error);
     }
 
     const char* sendAll(std::string_view bytes, Deadline deadline)
     {
         while (!bytes.empty()) {
-            const ssize_t count = ::send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            const ssize_t count = ::send(m_socket.value(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
             if (count > 0) {
                 bytes.remove_prefix(static_cast<size_t>(count));
                 continue;
@@ -83,7 +64,7 @@
         if (const char* reason = wait(POLLIN, deadline))
             return reason;
         std::array<char, readBytes> bytes;
-        const ssize_t count = ::recv(m_fd, bytes.data(), bytes.size(), 0);
+        const ssize_t count = ::recv(m_socket.value(), bytes.data(), bytes.size(), 0);
         if (count < 0)
             return errno == EAGAIN || errno == EINTR ? nullptr : std::strerror(errno);
         isClosed = count == 0;
@@ -94,15 +75,15 @@
     // The server has closed the idle connection, or sent what nobody asked for.
     bool isStale() const
     {
-        pollfd entry { .fd = m_fd, .events = POLLIN };
+        pollfd entry { .fd = m_socket.value(), .events = POLLIN };
         return poll(&entry, 1, 0) != 0;
     }
 
 private:
     const char* wait(short events, Deadline deadline)
     {
-        std::array<pollfd, 2> entries { pollfd { .fd = m_fd, .events = events },
-            pollfd { .fd = m_interruptFd, .events = POLLIN } };
+        std::array<pollfd, 2> entries { pollfd { .fd = m_socket.value(), .events = events },
+            pollfd { .fd = m_interrupt.value(), .events = POLLIN } };
         const int ready = poll(entries.data(), entries.size(), millisecondsUntil(deadline));
         if (entries[1].revents != 0)
             return "the call was interrupted";
@@ -111,25 +92,25 @@
         return ready == 0 ? "no answer in time" : nullptr;
     }
 
-    const int m_fd;
-    const int m_interruptFd;
+    const FileDescriptor m_socket;
+    const FileDescriptor& m_interrupt;
 };
 
 BlockingHttpClient::BlockingHttpClient(BlockingHttpClientOptions options)
     : m_options(std::move(options))
-    , m_interruptFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    , m_interrupt(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
-    if (m_interruptFd < 0)
+    if (!m_interrupt)
         throw Error({ .step = "start-http-client", .message = std::strerror(errno) });
 }
 
-BlockingHttpClient::~BlockingHttpClient() { ::close(m_interruptFd); }
+BlockingHttpClient::~BlockingHttpClient() = default;
 
 void BlockingHttpClient::interrupt() const
 {
     const uint64_t one = 1;
     // Fails only where the counter is full, and then the descriptor is readable already.
-    [[maybe_unused]] const ssize_t count = ::write(m_interruptFd, &one, sizeof(one));
+    [[maybe_unused]] const ssize_t count = ::write(m_interrupt.value(), &one, sizeof(one));
 }
 
 void BlockingHttpClient::fail(const std::string& message) const
@@ -139,9 +120,9 @@
 
 void BlockingHttpClient::connect()
 {
-    auto socket = std::make_unique<Socket>(m_interruptFd);
+    auto socket = std::make_unique<Socket>(m_options.server, m_interrupt);
     const Deadline deadline = std::chrono::steady_clock::now() + m_options.connectTimeout;
-    if (const char* reason = socket->connect(m_options.server, deadline))
+    if (const char* reason = socket->awaitConnect(deadline))
         fail(std::string("cannot connect: ") + reason);
     m_socket = std::move(socket);
     m_parser = std::make_unique<ResponseParser>(m_options.limits);
--- a/src/http/BlockingHttpClient.h
+++ b/src/http/BlockingHttpClient.h
@@ -5,6 +5,7 @@
 // thread-safe but for interrupt(). Memory: one response, within the limits given.
 #pragma once
 
+#include "base/Socket.h"
 #include "base/Types.h"
 #include "http/HttpMessage.h"
 #include "http/MessageParser.h"
@@ -51,7 +52,7 @@
     std::unique_ptr<Socket> m_socket;
     std::unique_ptr<ResponseParser> m_parser;
     // Readable once interrupt() was called.
-    int m_interruptFd { -1 };
+    const FileDescriptor m_interrupt;
 };
 
 } // namespace skylark
--- a/src/node/skylarkd.cpp
+++ b/src/node/skylarkd.cpp
@@ -6,18 +6,6 @@
 
 namespace {
 
-// Blocked before any thread starts, so that every thread inherits the mask and only main takes signals.
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
-
 bool isSignalPending(const sigset_t& signals)
 {
     const timespec noWait {};
@@ -27,7 +15,7 @@
 int runNode(const std::string& settingsFile)
 {
     const skylark::NodeSettings settings = skylark::nodeSettingsFromFile(settingsFile);
-    const sigset_t signals = blockStopSignals();
+    const sigset_t signals = skylark::blockStopSignals();
     skylark::configureLogs(
         { .level = settings.logLevel, .format = settings.logFormat, .instance = settings.instance.value() });
     const skylark::SystemClock clock;
--- a/src/node/tests/TestFleet.cpp
+++ b/src/node/tests/TestFleet.cpp
@@ -49,6 +49,15 @@
         return true;
     }
 
+    // Announces `size` bytes and breaks off after `sent` of them.
+    void answerInParts(httplib::Response& response, size_t size, size_t sent)
+    {
+        response.set_content_provider(size, "text/plain", [sent](size_t offset, size_t, httplib::DataSink& sink) {
+            const std::string part(100'000, 'x');
+            return offset < sent && sink.write(part.data(), part.size());
+        });
+    }
+
 } // namespace
 
 TestBackend::TestBackend()
@@ -71,14 +80,11 @@
     }
     if (request.path.starts_with("/echo")) {
         response.set_content(request.body, "application/octet-stream");
-    } else if (request.path.starts_with("/cut") || request.path.starts_with("/export")) {
-        const bool isCut = request.path.starts_with("/cut") || !m_hasCutExport.exchange(true);
-        const size_t size = request.path.starts_with("/cut") ? 1'000'000 : 200'000;
-        response.set_content_provider(
-            size, "text/plain", [size, isCut](size_t offset, size_t, httplib::DataSink& sink) {
-                const std::string part(100'000, 'x');
-                return !(isCut && offset >= size / 2) && sink.write(part.data(), part.size());
-            });
+    } else if (request.path.starts_with("/cut")) {
+        answerInParts(response, 1'000'000, 500'000);
+    } else if (request.path.starts_with("/export")) {
+        constexpr size_t size = 200'000;
+        answerInParts(response, size, s_hasCutExport.exchange(true) ? size : size / 2);
     } else {
         if (request.has_header("X-Test-Delay-Ms"))
             std::this_thread::sleep_for(
--- a/src/node/tests/TestFleet.h
+++ b/src/node/tests/TestFleet.h
@@ -30,7 +30,7 @@
     std::map<std::string, int> m_executions;
     int m_total { 0 };
     // The first answer to an export breaks off half way.
-    static inline std::atomic<bool> m_hasCutExport { false };
+    static inline std::atomic<bool> s_hasCutExport { false };
     std::unique_ptr<HttpService> m_service;
 };
 
--- a/src/testing/StandinMain.cpp
+++ b/src/testing/StandinMain.cpp
@@ -1,40 +1,33 @@
 #include "testing/StandinMain.h"
 
-#include <csignal>
+#include "daemon/Daemon.h"
+
 #include <iostream>
-#include <pthread.h>
 
 namespace skylark {
 
 int runStandin(cxxopts::Options& options, int argc, char** argv,
     const std::function<std::shared_ptr<void>(const cxxopts::ParseResult&)>& start)
 {
-    // Blocked before any thread starts, so that only sigwait() below takes the signals.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    signal(SIGPIPE, SIG_IGN);
-
+    const sigset_t signals = blockStopSignals();
     std::shared_ptr<void> service;
     try {
         const cxxopts::ParseResult values = options.parse(argc, argv);
         if (values.count("help") > 0) {
             std::cout << options.help();
-            return 0;
+            return exitSuccess;
         }
         service = start(values);
     } catch (const cxxopts::exceptions::exception& error) {
         std::cerr << options.program() << ": " << error.what() << "\n" << options.help();
-        return 2;
+        return exitUsage;
     } catch (const std::exception& error) {
         std::cerr << options.program() << ": " << error.what() << "\n";
-        return 1;
+        return exitFault;
     }
     int received = 0;
     sigwait(&signals, &received);
-    return 0;
+    return exitSuccess;
 }
 
 } // namespace skylark
--- a/src/transport/Connection.h
+++ b/src/transport/Connection.h
@@ -7,8 +7,8 @@
 // maximumCallQueueBytes.
 #pragma once
 
+#include "base/Socket.h"
 #include "transport/PeerNetwork.h"
-#include "transport/Socket.h"
 #include "transport/Stream.h"
 #include "wire/Frame.h"
 
--- a/src/transport/tests/TransportFixture.h
+++ b/src/transport/tests/TransportFixture.h
@@ -1,8 +1,8 @@
 // Real networks on loopback, a gate that answers on worker threads, a relay that fails and a raw peer.
 #pragma once
 
+#include "base/Socket.h"
 #include "transport/PeerNetwork.h"
-#include "transport/Socket.h"
 #include "wire/Frame.h"
 
 #include <condition_variable>
