--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -125,6 +125,9 @@
         return;
     if (m_hasReceivedHello && found->second.sentTo != Incarnation())
         m_channel->send(Cancel { .stream = stream });
+    else if (found->second.sentTo != Incarnation())
+        logEvent(LogLevel::Info, "cancel-not-sent",
+            { { "peer", m_peer.toString() }, { "id", found->second.call.requestId.value() } });
     m_calls.erase(found);
 }
 
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -137,7 +137,7 @@
     return { .onConfiguration = [this](const ConfigurationUpdate& update) { applyConfiguration(update, "source"); },
         .onListing
         = [this](const std::vector<ServerEntry>& entries, Revision revision) { applyListing(entries, revision); },
-        .onServers = [this](const std::vector<ServerEntry>& entries) { applyServers(entries); },
+        .onServers = [this](const std::vector<ServerEntry>& entries) { applyServers(entries, "source"); },
         .onLost = [this](const std::string& reason) { handleSourceLost(reason); },
         .onRecovered = [this] { handleSourceRecovered(); },
         .onCall = [this](const SourceCallResult& result) { recordSourceCall(result); } };
@@ -181,19 +181,19 @@
 {
     const bool isFirst = !std::exchange(m_hasServers, true);
     if (m_directory.replaceAll(entries, revision, m_loop.now()) || isFirst)
-        publishServers();
+        publishServers("source");
 }
 
-void ProxyNode::applyServers(const std::vector<ServerEntry>& entries)
+void ProxyNode::applyServers(const std::vector<ServerEntry>& entries, const char* origin)
 {
     bool isChanged = false;
     for (const ServerEntry& entry : entries)
         isChanged |= m_directory.apply(entry, m_loop.now());
     if (isChanged)
-        publishServers();
+        publishServers(origin);
 }
 
-void ProxyNode::publishServers()
+void ProxyNode::publishServers(const char* origin)
 {
     m_view = m_directory.view();
     m_router.update(m_view, m_loop.now());
@@ -206,7 +206,8 @@
     logEvent(LogLevel::Info, "servers-changed",
         { { "servers", std::to_string(m_view->instances().size()) },
             { "revision", std::to_string(m_directory.revision().value()) },
-            { "own", ownServer ? ownServer->id.value() : "" } });
+            { "own", ownServer ? ownServer->id.value() : "" }, { "origin", origin },
+            { "age_ms", millisecondsText(m_exchange.age()) } });
 }
 
 void ProxyNode::handleSourceLost(const std::string& reason)
@@ -259,7 +260,7 @@
 {
     const TimePoint now = m_loop.now();
     if (m_directory.advance(now))
-        publishServers();
+        publishServers("grace-ended");
     m_router.advance(now);
     const LoadHint load = m_gate.load();
     m_metrics.setConcurrency(
@@ -355,7 +356,7 @@
             entries.push_back(fromListed(listed));
     }
     m_hasServers |= !entries.empty();
-    applyServers(entries);
+    applyServers(entries, "peer");
     if (!m_isSourceLost)
         m_directory.recordRevision(update.revision);
 }
