Raise a directory's revision only over changes that it knows

Cause: an answer to a peer held the entries that changed and the deletions that the asked process remembered, and the asker raised its revision as if it were whole. A process that had started or listed after the deletion, or had forgotten it, had none to send. Class of fault: a position in a log that is advanced past records that were not received.

The fleet test against a full copy of the source's history found the same fault in five more places: a revision told to peers while a deletion is deferred, an absence found by a listing recorded at the listing's revision, an entry that overtakes the deletion (during an outage, or after a minute, when the record was gone), and a server that was deleted and listed again between two answers.

Change: changes carry the revisions that they cover; only changes without a gap raise the revision, and an asker from before the known deletions gets a listing. Deletions from peers during an outage are deferred, not dropped. Messages of earlier releases lack the new fields and are taken as before.

--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    // Long enough that no peer without the source requests changes since an earlier revision and misses the deletion.
+    // A peer that asks for changes since an earlier revision gets a listing.
     constexpr Duration deletionRetention = std::chrono::seconds(60);
     // Age of a server that is not cold, so that the router applies no slow start to it.
     constexpr Duration warmServerAge = std::chrono::hours(1);
@@ -25,9 +25,8 @@
 {
 }
 
-bool ServerDirectory::apply(const ServerEntry& entry, TimePoint now)
+bool ServerDirectory::apply(const ServerEntry& entry, const EntryContext& context, TimePoint now)
 {
-    m_revision = std::max(m_revision, entry.revision);
     if (!entry.record)
         return removeOrDefer(entry.id, entry.revision, now);
     if (const auto deletion = m_deletions.find(entry.id); deletion != m_deletions.end()) {
@@ -38,6 +37,8 @@
     const auto found = m_entries.find(entry.id);
     const TimePoint firstSeen = entry.record->remainingSlowStart > Duration::zero() ? now : now - warmServerAge;
     if (found == m_entries.end()) {
+        if (entry.revision <= context.knownUpTo)
+            return false;
         if (m_entries.size() >= m_options.maxEntries) {
             ++m_refusedCount;
             return false;
@@ -52,33 +53,51 @@
     Entry& current = found->second;
     if (current.revision >= entry.revision || current.record.incarnation > entry.record->incarnation)
         return false;
+    if (current.absence && current.absence->revision >= entry.revision)
+        return false;
     const bool isChanged = !isSameForRouting(current.record, *entry.record);
     if (current.record.incarnation != entry.record->incarnation)
         current.firstSeen = firstSeen;
     current.record = *entry.record;
     current.revision = entry.revision;
-    if (isChanged)
+    // Peers may have dropped a server that was absent here.
+    if (isChanged || current.absence || context.mayHideDeletion)
         current.lastChangeRevision = entry.revision;
-    current.missingSince.reset();
+    current.absence.reset();
     return isChanged;
 }
 
-bool ServerDirectory::replaceAll(const std::vector<ServerEntry>& entries, Revision revision, TimePoint now)
+bool ServerDirectory::apply(const ServerChanges& changes, TimePoint now)
 {
     bool isChanged = false;
+    const bool isNewerListing = changes.isListing && changes.revision >= m_revision;
+    const EntryContext context { .knownUpTo = isNewerListing ? Revision() : m_revision,
+        .mayHideDeletion = changes.isFromPeer };
+    for (const ServerEntry& entry : changes.entries)
+        isChanged |= apply(entry, context, now);
+    if (changes.isListing) {
+        isChanged |= removeAbsent(changes, now);
+        // A server that came and went between two listings leaves no deletion here, but a peer may know it.
+        m_deletionsKnownSince = std::max(m_deletionsKnownSince, changes.revision);
+    }
+    if (changes.isListing || changes.since <= m_revision)
+        m_revision = std::max(m_revision, changes.revision);
+    return isChanged;
+}
+
+bool ServerDirectory::removeAbsent(const ServerChanges& listing, TimePoint now)
+{
     std::set<InstanceId> presentIds;
-    for (const ServerEntry& entry : entries) {
+    for (const ServerEntry& entry : listing.entries)
         presentIds.insert(entry.id);
-        isChanged |= apply(entry, now);
-    }
     std::vector<InstanceId> absentIds;
     for (const auto& [id, entry] : m_entries) {
         if (!presentIds.contains(id))
             absentIds.push_back(id);
     }
+    bool isChanged = false;
     for (const InstanceId& id : absentIds)
-        isChanged |= removeOrDefer(id, revision, now);
-    m_revision = std::max(m_revision, revision);
+        isChanged |= removeOrDefer(id, listing.revision, now);
     return isChanged;
 }
 
@@ -105,35 +124,62 @@
 bool ServerDirectory::removeOrDefer(const InstanceId& id, Revision revision, TimePoint now)
 {
     const auto found = m_entries.find(id);
-    if (found == m_entries.end() || found->second.revision > revision)
+    if (found == m_entries.end()) {
+        // Recorded all the same: a peer that asks may know the server.
+        const auto deletion = m_deletions.find(id);
+        if (deletion == m_deletions.end() || deletion->second.revision < revision)
+            drop(id, revision, now);
+        return false;
+    }
+    if (found->second.revision > revision)
         return false;
     if (isGraceOver(now))
         return drop(id, revision, now);
-    found->second.missingSince = revision;
+    if (!found->second.absence)
+        found->second.absence = Absence { .lastListedAt = m_revision };
+    found->second.absence->revision = std::max(found->second.absence->revision, revision);
     return false;
 }
 
 bool ServerDirectory::drop(const InstanceId& id, Revision revision, TimePoint now)
 {
+    if (m_deletions.size() >= m_options.maxEntries) {
+        for (const auto& [deletedId, deletion] : m_deletions)
+            m_deletionsKnownSince = std::max(m_deletionsKnownSince, deletion.revision);
+        m_deletions.clear();
+    }
     m_deletions[id] = { .revision = revision, .deletedAt = now };
     return m_entries.erase(id) > 0;
 }
 
 bool ServerDirectory::advance(TimePoint now)
 {
-    std::erase_if(
-        m_deletions, [now](const auto& deletion) { return now - deletion.second.deletedAt > deletionRetention; });
+    std::erase_if(m_deletions, [this, now](const auto& deletion) {
+        if (now - deletion.second.deletedAt <= deletionRetention)
+            return false;
+        m_deletionsKnownSince = std::max(m_deletionsKnownSince, deletion.second.revision);
+        return true;
+    });
     if (!isGraceOver(now))
         return false;
-    std::vector<InstanceId> missingIds;
+    std::vector<std::pair<InstanceId, Revision>> missing;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.absence)
+            missing.emplace_back(id, entry.absence->revision);
+    }
+    for (const auto& [id, revision] : missing)
+        drop(id, revision, now);
+    return !missing.empty();
+}
+
+Revision ServerDirectory::revisionForPeers() const
+{
+    Revision revision = m_revision;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.missingSince)
-            missingIds.push_back(id);
+        if (entry.absence)
+            revision = std::min(revision, entry.absence->lastListedAt);
     }
-    // Uses the current revision, since peers may already have all other changes up to it.
-    for (const InstanceId& id : missingIds)
-        drop(id, m_revision, now);
-    return !missingIds.empty();
+    return revision;
 }
 
 const ServerRecord* ServerDirectory::atAddress(const Endpoint& address) const
@@ -175,18 +221,23 @@
     return std::make_shared<const MembershipView>(std::move(instances));
 }
 
-std::vector<ServerEntry> ServerDirectory::entriesSince(Revision revision) const
+ServerChanges ServerDirectory::changesSince(Revision revision) const
 {
-    std::vector<ServerEntry> entries;
+    ServerChanges changes { .since = revision,
+        .revision = revisionForPeers(),
+        .isListing = revision < m_deletionsKnownSince,
+        .isFromPeer = true };
     for (const auto& [id, entry] : m_entries) {
-        if (entry.lastChangeRevision > revision)
-            entries.push_back({ .id = id, .revision = entry.revision, .record = entry.record });
+        if (changes.isListing || entry.lastChangeRevision > revision)
+            changes.entries.push_back({ .id = id, .revision = entry.revision, .record = entry.record });
     }
+    if (changes.isListing)
+        return changes;
     for (const auto& [id, deletion] : m_deletions) {
         if (deletion.revision > revision)
-            entries.push_back({ .id = id, .revision = deletion.revision });
+            changes.entries.push_back({ .id = id, .revision = deletion.revision });
     }
-    return entries;
+    return changes;
 }
 
 } // namespace skylark
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -8,6 +8,10 @@
 // - Entries expire during an outage of the source although their servers are alive. An entry that is missing within
 //   `returnGrace` after the source's return is therefore kept until that time ends and dropped only if still missing.
 // - At most maxEntries entries are kept; further ones are refused and counted.
+//
+// Invariant: a directory with revision() r knows every change up to r; deletions that it defers are known too. A peer
+// asks for the changes since its revision, so a revision that is raised past an unknown deletion keeps a server that
+// has left for good. Only apply(ServerChanges) raises the revision, and only if the changes leave no gap.
 #pragma once
 
 #include "membership/MembershipView.h"
@@ -42,6 +46,19 @@
     std::optional<ServerRecord> record;
 };
 
+// The servers' entries for a range of revisions.
+struct ServerChanges {
+    std::vector<ServerEntry> entries;
+    // The entries hold the last state of each server that changed after `since` and up to `revision`, deletions
+    // included. Ignored in a listing.
+    Revision since;
+    Revision revision;
+    // The entries are all servers at the revision; an absent server is deleted.
+    bool isListing { false };
+    // From changesSince() of a peer, which leaves out heartbeats and deletions that a later entry replaced.
+    bool isFromPeer { false };
+};
+
 struct ServerDirectoryOptions {
     Duration returnGrace { std::chrono::milliseconds(2000) };
     size_t maxEntries { 32768 };
@@ -61,10 +78,15 @@
 public:
     explicit ServerDirectory(ServerDirectoryOptions options);
 
-    // Returns true if the change affects routing.
-    bool apply(const ServerEntry& entry, TimePoint now);
-    // Replaces all entries by those of one revision; an absent entry was deleted.
-    bool replaceAll(const std::vector<ServerEntry>& entries, Revision revision, TimePoint now);
+    // Applies one entry. It says nothing about other servers, so the revision stays. Returns true if the change
+    // affects routing.
+    bool apply(const ServerEntry& entry, TimePoint now)
+    {
+        return apply(entry, { .knownUpTo = m_revision, .mayHideDeletion = true }, now);
+    }
+    // Applies all changes, and raises the revision unless changes between it and `since` are missing. Returns true if
+    // routing is affected.
+    bool apply(const ServerChanges& changes, TimePoint now);
     // Records that the source stopped responding to this node.
     void recordSourceLost();
     // Records that the source responds to this node again.
@@ -77,15 +99,21 @@
     // Returns the server that currently has this address, or null.
     const ServerRecord* atAddress(const Endpoint& address) const;
     std::shared_ptr<const MembershipView> view() const;
-    // Returns the changes since the revision that affect routing, with the deletions of the last minute, for a peer.
-    std::vector<ServerEntry> entriesSince(Revision revision) const;
+    // Returns the changes since the revision that affect routing, for a peer; a listing if deletions since then are no
+    // longer known.
+    ServerChanges changesSince(Revision revision) const;
+    // The revision up to which every change is known.
     Revision revision() const { return m_revision; }
-    // Records that everything up to this revision has been applied.
-    void recordRevision(Revision revision) { m_revision = std::max(m_revision, revision); }
     size_t size() const { return m_entries.size(); }
     uint64_t refusedCount() const { return m_refusedCount; }
 
 private:
+    // A server that is missing at `revision` and was still listed at `lastListedAt`. The revision of the deletion
+    // itself is not known, since listings and peers report it later.
+    struct Absence {
+        Revision lastListedAt;
+        Revision revision;
+    };
     struct Entry {
         ServerRecord record;
         Revision revision;
@@ -93,22 +121,35 @@
         Revision lastChangeRevision;
         TimePoint firstSeen;
         // Set while the entry is missing and its grace period runs.
-        std::optional<Revision> missingSince;
+        std::optional<Absence> absence;
     };
     struct Deletion {
         Revision revision;
         TimePoint deletedAt;
     };
 
+    struct EntryContext {
+        // A server that is not listed and whose entry is no newer was deleted since.
+        Revision knownUpTo;
+        // The server may have been deleted and listed again, unseen, so its entry counts as changed.
+        bool mayHideDeletion { false };
+    };
+    bool apply(const ServerEntry& entry, const EntryContext& context, TimePoint now);
     // Deletes the entry, or marks it as missing while deletions are deferred. Returns true if it was deleted.
     bool removeOrDefer(const InstanceId& id, Revision revision, TimePoint now);
     bool drop(const InstanceId& id, Revision revision, TimePoint now);
+    // Drops the entries that are not among those of the listing.
+    bool removeAbsent(const ServerChanges& listing, TimePoint now);
+    // Limits what the directory tells peers to the time before the first deletion that it defers.
+    Revision revisionForPeers() const;
     bool isGraceOver(TimePoint now) const;
 
     ServerDirectoryOptions m_options;
     std::map<InstanceId, Entry> m_entries;
     std::map<InstanceId, Deletion> m_deletions;
     Revision m_revision;
+    // Every deletion after this revision is in m_deletions.
+    Revision m_deletionsKnownSince;
     bool m_isSourceLost { false };
     std::optional<TimePoint> m_sourceReturnedAt;
     uint64_t m_refusedCount { 0 };
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -28,6 +28,16 @@
         return { .id = InstanceId(id), .revision = Revision(revision) };
     }
 
+    ServerChanges listing(std::vector<ServerEntry> entries, uint64_t revision)
+    {
+        return { .entries = std::move(entries), .revision = Revision(revision), .isListing = true };
+    }
+
+    ServerChanges changes(std::vector<ServerEntry> entries, uint64_t since, uint64_t revision)
+    {
+        return { .entries = std::move(entries), .since = Revision(since), .revision = Revision(revision) };
+    }
+
     size_t listedCount(const ServerDirectory& directory) { return directory.view()->instances().size(); }
 
     TEST(ServerDirectoryTest, NewestRevisionWinsInAnyOrderOfArrival)
@@ -46,8 +56,8 @@
     TEST(ServerDirectoryTest, HeartbeatsDoNotAffectRouting)
     {
         ServerDirectory directory({});
-        EXPECT_TRUE(directory.apply(entry("1", 5), start));
-        EXPECT_FALSE(directory.apply(entry("1", 6), start));
+        EXPECT_TRUE(directory.apply(listing({ entry("1", 5) }, 5), start));
+        EXPECT_FALSE(directory.apply(changes({ entry("1", 6) }, 5, 6), start));
         EXPECT_EQ(directory.revision(), Revision(6));
     }
 
@@ -82,7 +92,7 @@
         directory.recordSourceLost();
         EXPECT_FALSE(directory.advance(start + 60s));
         directory.recordSourceReturn(start + 60s, SourceOutage::AllNodes);
-        EXPECT_FALSE(directory.replaceAll({}, Revision(9), start + 60s));
+        EXPECT_FALSE(directory.apply(listing({}, 9), start + 60s));
         EXPECT_EQ(listedCount(directory), 2u);
         directory.apply(entry("1", 11), start + 61s);
         EXPECT_FALSE(directory.advance(start + 62s));
@@ -120,32 +130,71 @@
     TEST(ServerDirectoryTest, PeerReceivesMissingChanges)
     {
         ServerDirectory directory({});
-        directory.apply(entry("1", 5), start);
-        directory.apply(entry("2", 6), start);
-        directory.apply(deletion("1", 8), start);
-        const auto entries = directory.entriesSince(Revision(5));
+        directory.apply(listing({ entry("1", 5) }, 5), start);
+        directory.apply(changes({ entry("2", 6), deletion("1", 8) }, 5, 8), start);
         ServerDirectory peer({});
-        peer.apply(entry("1", 5), start);
-        for (const ServerEntry& change : entries)
-            peer.apply(change, start);
+        peer.apply(listing({ entry("1", 5) }, 5), start);
+        peer.apply(directory.changesSince(peer.revision()), start);
         EXPECT_EQ(listedCount(peer), 1u);
         EXPECT_NE(peer.atAddress({ "10.0.0.2", 80 }), nullptr);
+        EXPECT_EQ(peer.revision(), Revision(8));
     }
 
     // Guards against a peer that requests changes since its revision and never receives a deferred deletion.
     TEST(ServerDirectoryTest, PeerReceivesADeferredDeletion)
     {
         ServerDirectory directory({ .returnGrace = 2s });
-        directory.apply(entry("1", 5), start);
+        ServerDirectory peer({});
+        directory.apply(listing({ entry("1", 5) }, 5), start);
+        peer.apply(directory.changesSince({}), start);
         directory.recordSourceLost();
         directory.recordSourceReturn(start, SourceOutage::AllNodes);
-        directory.apply(deletion("1", 7), start);
-        directory.recordRevision(Revision(9));
-        const Revision peerRevision = directory.revision();
-        directory.recordRevision(Revision(12));
+        directory.apply(changes({ deletion("1", 7) }, 5, 9), start);
+        EXPECT_EQ(directory.revision(), Revision(9));
+        peer.apply(directory.changesSince(peer.revision()), start);
+        EXPECT_EQ(listedCount(peer), 1u);
+        directory.apply(changes({}, 9, 12), start);
         EXPECT_TRUE(directory.advance(start + 2s));
-        ASSERT_EQ(directory.entriesSince(peerRevision).size(), 1u);
-        EXPECT_FALSE(directory.entriesSince(peerRevision)[0].record);
+        peer.apply(directory.changesSince(peer.revision()), start + 2s);
+        EXPECT_EQ(listedCount(peer), 0u);
+        EXPECT_EQ(peer.revision(), Revision(12));
+    }
+
+    // Guards against a server that a peer keeps for good: the asked node started after the deletion and has no record
+    // of it.
+    TEST(ServerDirectoryTest, PeerLearnsOfADeletionBeforeTheAskedNodeStarted)
+    {
+        ServerDirectory peer({});
+        peer.apply(listing({ entry("1", 5), entry("2", 6) }, 116), start);
+        ServerDirectory started({});
+        started.apply(listing({ entry("2", 6) }, 125), start);
+        peer.apply(started.changesSince(peer.revision()), start);
+        EXPECT_EQ(peer.atAddress({ "10.0.0.1", 80 }), nullptr);
+        EXPECT_EQ(peer.revision(), Revision(125));
+    }
+
+    // The same after the asked node has forgotten the deletion.
+    TEST(ServerDirectoryTest, PeerLearnsOfADeletionThatTheAskedNodeNoLongerRemembers)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ entry("1", 5), entry("2", 6) }, 10), start);
+        ServerDirectory peer({});
+        peer.apply(directory.changesSince({}), start);
+        directory.apply(changes({ deletion("1", 11) }, 10, 11), start);
+        directory.advance(start + 2min);
+        peer.apply(directory.changesSince(peer.revision()), start + 2min);
+        EXPECT_EQ(peer.atAddress({ "10.0.0.1", 80 }), nullptr);
+    }
+
+    // Guards against a revision raised past a change that was not received: the change is never asked for again.
+    TEST(ServerDirectoryTest, ChangesAfterAGapDoNotRaiseTheRevision)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ entry("1", 5) }, 10), start);
+        EXPECT_TRUE(directory.apply(changes({ entry("2", 21) }, 20, 21), start));
+        EXPECT_EQ(directory.revision(), Revision(10));
+        EXPECT_TRUE(directory.apply(entry("3", 30), start));
+        EXPECT_EQ(directory.revision(), Revision(10));
     }
 
     TEST(ServerDirectoryTest, RefusesEntriesBeyondTheBound)
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -135,9 +135,7 @@
 SourceDecoder::Callbacks ProxyNode::sourceCallbacks()
 {
     return { .onConfiguration = [this](const ConfigurationUpdate& update) { applyConfiguration(update, "source"); },
-        .onListing
-        = [this](const std::vector<ServerEntry>& entries, Revision revision) { applyListing(entries, revision); },
-        .onServers = [this](const std::vector<ServerEntry>& entries) { applyServers(entries, "source"); },
+        .onServers = [this](const ServerChanges& changes) { applyServers(changes, "source"); },
         .onLost = [this](const std::string& reason) { handleSourceLost(reason); },
         .onRecovered = [this] { handleSourceRecovered(); },
         .onCall = [this](const SourceCallResult& result) { recordSourceCall(result); } };
@@ -177,19 +175,11 @@
             { "routes", std::to_string(configuration.routes().size()) }, { "origin", origin } });
 }
 
-void ProxyNode::applyListing(const std::vector<ServerEntry>& entries, Revision revision)
+void ProxyNode::applyServers(const ServerChanges& changes, const char* origin)
 {
-    const bool isFirst = !std::exchange(m_hasServers, true);
-    if (m_directory.replaceAll(entries, revision, m_loop.now()) || isFirst)
-        publishServers("source");
-}
-
-void ProxyNode::applyServers(const std::vector<ServerEntry>& entries, const char* origin)
-{
-    bool isChanged = false;
-    for (const ServerEntry& entry : entries)
-        isChanged |= m_directory.apply(entry, m_loop.now());
-    if (isChanged)
+    const bool isFirstListing = changes.isListing && !m_hasServers;
+    m_hasServers |= changes.isListing || !changes.entries.empty();
+    if (m_directory.apply(changes, m_loop.now()) || isFirstListing)
         publishServers(origin);
 }
 
@@ -322,8 +312,11 @@
         update.version = current->manifest().version;
         update.configuration = compressedConfiguration();
     }
-    update.revision = m_directory.revision();
-    for (const ServerEntry& entry : m_directory.entriesSince(request.revision))
+    const ServerChanges changes = m_directory.changesSince(request.revision);
+    update.since = changes.since;
+    update.revision = changes.revision;
+    update.isListing = changes.isListing;
+    for (const ServerEntry& entry : changes.entries)
         update.servers.push_back(toListed(entry));
     return update;
 }
@@ -348,17 +341,14 @@
             logEvent(LogLevel::Error, "configuration-refused", { { "origin", "peer" }, { "reason", error.what() } });
         }
     }
-    std::vector<ServerEntry> entries;
-    // A node without the source keeps its known servers: their entries may have expired only because the servers cannot
-    // reach the source either, and the servers may still be reachable.
-    for (const ListedServer& listed : update.servers) {
-        if (!listed.isDeleted || !m_isSourceLost)
-            entries.push_back(fromListed(listed));
-    }
-    m_hasServers |= !entries.empty();
-    applyServers(entries, "peer");
-    if (!m_isSourceLost)
-        m_directory.recordRevision(update.revision);
+    // A node without the source defers the deletions: entries may have expired only because the servers cannot reach
+    // the source either, and the servers may still be reachable.
+    ServerChanges changes {
+        .since = update.since, .revision = update.revision, .isListing = update.isListing, .isFromPeer = true
+    };
+    for (const ListedServer& listed : update.servers)
+        changes.entries.push_back(fromListed(listed));
+    applyServers(changes, "peer");
 }
 
 void ProxyNode::handleReady(const std::shared_ptr<HttpConnection>& connection)
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -42,8 +42,7 @@
 private:
     SourceDecoder::Callbacks sourceCallbacks();
     void applyConfiguration(const ConfigurationUpdate& update, const char* origin);
-    void applyListing(const std::vector<ServerEntry>& entries, Revision revision);
-    void applyServers(const std::vector<ServerEntry>& entries, const char* origin);
+    void applyServers(const ServerChanges& changes, const char* origin);
     // `origin` names in the log what brought the change.
     void publishServers(const char* origin);
     void recordSourceCall(const SourceCallResult& result);
--- a/src/proxy/SourceDecoder.cpp
+++ b/src/proxy/SourceDecoder.cpp
@@ -29,22 +29,17 @@
 
 void SourceDecoder::deliver(const SourceItems& items, bool isListing)
 {
-    std::vector<ServerEntry> servers;
+    ServerChanges servers { .since = items.since, .revision = items.revision, .isListing = isListing };
     const SourceItem* configuration = nullptr;
     for (const SourceItem& item : items.items) {
         if (m_adapter.isServer(item))
-            servers.push_back(m_adapter.decodeServer(item));
+            servers.entries.push_back(m_adapter.decodeServer(item));
         else if (m_adapter.isConfiguration(item) && !item.isDeleted)
             configuration = &item;
     }
     if (configuration && configuration->revision > m_lastDecodedRevision)
         deliverConfiguration(*configuration);
-    m_loop.post([this, servers = std::move(servers), revision = items.revision, isListing] {
-        if (isListing)
-            m_callbacks.onListing(servers, revision);
-        else
-            m_callbacks.onServers(servers);
-    });
+    m_loop.post([this, servers = std::move(servers)] { m_callbacks.onServers(servers); });
 }
 
 void SourceDecoder::deliverConfiguration(const SourceItem& item)
--- a/src/proxy/SourceDecoder.h
+++ b/src/proxy/SourceDecoder.h
@@ -17,8 +17,7 @@
     // All callbacks run on the loop.
     struct Callbacks {
         std::function<void(const ConfigurationUpdate&)> onConfiguration;
-        std::function<void(const std::vector<ServerEntry>&, Revision)> onListing;
-        std::function<void(const std::vector<ServerEntry>&)> onServers;
+        std::function<void(const ServerChanges&)> onServers;
         std::function<void(const std::string& reason)> onLost;
         std::function<void()> onRecovered;
         std::function<void(const SourceCallResult&)> onCall;
--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -50,7 +50,7 @@
 bool SourceExchange::respond(const PendingRequest& pending, bool mayBeEmpty)
 {
     SourceUpdate update = m_callbacks.makeUpdate(pending.request);
-    if (!mayBeEmpty && update.configuration.empty() && update.servers.empty())
+    if (!mayBeEmpty && update.configuration.empty() && update.servers.empty() && !update.isListing)
         return false;
     update.age = m_callbacks.isComplete() ? age() : incompleteAge;
     pending.reply(update);
--- a/src/proxy/tests/SourceDecoderTest.cpp
+++ b/src/proxy/tests/SourceDecoderTest.cpp
@@ -37,7 +37,7 @@
         int listingCount { 0 };
         SourceDecoder decoder { loop, adapter,
             { .onConfiguration = [this](const ConfigurationUpdate&) { ++deliveryCount; },
-                .onListing = [this](const std::vector<ServerEntry>&, Revision) { ++listingCount; } } };
+                .onServers = [this](const ServerChanges& changes) { listingCount += changes.isListing ? 1 : 0; } } };
     };
 
     // Guards against decoding a large configuration again with each listing, which is expensive on a tenth of a core.
--- a/src/source/KeyValueSource.h
+++ b/src/source/KeyValueSource.h
@@ -30,6 +30,8 @@
 // All items under a prefix, or those that changed, as of a revision.
 struct SourceItems {
     std::vector<SourceItem> items;
+    // For changes: the items hold every change after this revision.
+    Revision since;
     Revision revision;
     // Time from the first byte of the response to its end. The items were current when the first byte arrived.
     Duration transferTime {};
--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -102,6 +102,7 @@
     m_wakeup.wait_for(lock, wait, [this] { return m_isStopping; });
     m_wakeup.wait(lock, [this] { return m_isStopping || !m_isSuspended; });
     m_revision = std::max(m_revision, m_knownRevision);
+    m_deliveredRevision = std::max(m_deliveredRevision, m_knownRevision);
     return !m_isStopping;
 }
 
@@ -146,6 +147,7 @@
     recordSuccess();
     m_listedBytes = ByteCount(bytesOf(listing.items).latest);
     m_revision = listing.revision;
+    m_deliveredRevision = listing.revision;
     m_hasListed = true;
     m_needsListing = false;
     m_lastChange = m_clock.now();
@@ -155,7 +157,7 @@
 void SourceWatcher::watchOnce()
 {
     // While the source is lost, the call only checks whether it is back, so it does not wait for a change.
-    const SourceItems changes
+    SourceItems changes
         = m_source.watch(m_options.prefix, m_revision, m_isSourceLost ? Duration(0) : m_options.watchWait);
     m_consumer.onCall({ .call = SourceCall::Watch, .isAnswered = true, .age = changes.transferTime });
     recordSuccess();
@@ -164,6 +166,7 @@
     if (!changes.items.empty()) {
         m_lastChange = now;
         m_needsListing = bytesOf(changes.items).replaced > m_listedBytes.value();
+        changes.since = std::exchange(m_deliveredRevision, m_revision);
         m_consumer.onChanges(changes);
     } else if (now - m_lastChange > m_options.maxSilence) {
         m_needsListing = true;
--- a/src/source/SourceWatcher.h
+++ b/src/source/SourceWatcher.h
@@ -104,6 +104,8 @@
     // Size of the last listing.
     ByteCount m_listedBytes;
     Revision m_revision;
+    // Revision of the last items that the consumer received. Later ones up to m_revision brought no change.
+    Revision m_deliveredRevision;
     TimePoint m_lastChange;
     std::mutex m_mutex;
     std::condition_variable m_wakeup;
--- a/src/wire/Codec.cpp
+++ b/src/wire/Codec.cpp
@@ -199,16 +199,22 @@
             readValue(elements[i], values[i]);
     }
 
-    template <typename Fields> void readFields(const Object* elements, const Fields& fields)
+    // Fields beyond `count` keep their values.
+    template <typename Fields> void readFields(const Object* elements, size_t count, const Fields& fields)
     {
-        std::apply([&](auto&... field) { (readValue(*elements++, field), ...); }, fields);
+        const Object* const end = elements + count;
+        const auto readNext = [&](auto& field) {
+            if (elements != end)
+                readValue(*elements++, field);
+        };
+        std::apply([&](auto&... field) { (readNext(field), ...); }, fields);
     }
 
     template <typename T> void readValue(const Object& object, T& value)
     {
         if constexpr (HasFields<T>) {
-            const auto fields = fieldsOf(value);
-            readFields(elementsOf(object, std::tuple_size_v<decltype(fields)>), fields);
+            const Object* elements = elementsOf(object, requiredFields<T>);
+            readFields(elements, object.via.array.size, fieldsOf(value));
         } else if constexpr (std::is_enum_v<T>) {
             static_assert(enumeratorCount<T> > 0);
             value = static_cast<T>(unsignedOf(object, enumeratorCount<T> - 1));
@@ -221,11 +227,10 @@
     template <typename T> Message readMessage(const Object* elements, size_t count)
     {
         T message;
-        const auto fields = fieldsOf(message);
-        constexpr size_t expected = std::tuple_size_v<decltype(fields)>;
-        if (count < expected)
-            failDecode("a message has only " + std::to_string(count) + " of " + std::to_string(expected) + " fields");
-        readFields(elements, fields);
+        if (count < requiredFields<T>)
+            failDecode(
+                "a message has only " + std::to_string(count) + " of " + std::to_string(requiredFields<T>) + " fields");
+        readFields(elements, count, fieldsOf(message));
         return message;
     }
 
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -82,7 +82,7 @@
 }
 auto fieldsOf(MaybeConst<SourceUpdate> auto& m)
 {
-    return std::tie(m.version, m.configuration, m.revision, m.servers, m.age);
+    return std::tie(m.version, m.configuration, m.revision, m.servers, m.age, m.since, m.isListing);
 }
 
 template <typename T>
@@ -97,6 +97,11 @@
 template <> inline constexpr unsigned enumeratorCount<Condition> = 4;
 template <> inline constexpr unsigned enumeratorCount<CallOutcome> = 3;
 
+// The number of fields that a message must have; fields that were added later keep their defaults when an earlier
+// release sent the message.
+template <typename T> constexpr size_t requiredFields = std::tuple_size_v<decltype(fieldsOf(std::declval<T&>()))>;
+template <> inline constexpr size_t requiredFields<SourceUpdate> = 5;
+
 // The maximum number of elements in a list of this type. Lists of the largest fleet that the design supports stay well
 // below these bounds.
 template <typename T> constexpr size_t maxElements = 0;
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -302,6 +302,10 @@
     std::vector<ListedServer> servers;
     // The time since the source confirmed the sender's data, directly or through a chain of peers.
     Duration age {};
+    // The servers hold every change after this revision and up to `revision`; earlier senders do not set it.
+    Revision since;
+    // The servers are all servers at `revision`; an absent one is deleted.
+    bool isListing { false };
     bool operator==(const SourceUpdate&) const = default;
 };
 
