Send a cancellation again over the next connection to the peer

Work went on for callers that had left (GONE). Cause: a node told the gate of a caller's leave only while its connection to the gate's node was open. A cancellation during a reconnect was dropped, and one written to a connection that then failed was lost; outstanding calls are sent again, cancellations were not. The gate ran or queued the call until its deadline.

Ruled out by reading: a caller's close is read while its request is in progress; a queued or running call ends at once when its cancellation arrives.

Change: a client remembers its cancellations for 5 s, at most 4,096, and sends them after the Hello of the same process. It reconnects to deliver them.

Before: CallCancelledDuringAReconnectIsCancelledAtThePeer and CancellationThatTheConnectionLosesIsSentAgain failed. After: they pass.

--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -123,14 +123,32 @@
     const auto found = m_calls.find(stream);
     if (found == m_calls.end())
         return;
-    if (m_hasReceivedHello && found->second.sentTo != Incarnation())
-        m_channel->send(Cancel { .stream = stream });
-    else if (found->second.sentTo != Incarnation())
-        logEvent(LogLevel::Info, "cancel-not-sent",
-            { { "peer", m_peer.toString() }, { "id", found->second.call.requestId.value() } });
+    if (found->second.sentTo != Incarnation()) {
+        recordCancel(stream);
+        if (m_hasReceivedHello)
+            m_channel->send(Cancel { .stream = stream });
+        else
+            logEvent(LogLevel::Info, "cancel-deferred",
+                { { "peer", m_peer.toString() }, { "id", found->second.call.requestId.value() } });
+    }
     m_calls.erase(found);
 }
 
+void PeerClient::recordCancel(StreamId stream)
+{
+    removeOldCancels();
+    if (m_cancels.size() >= m_options.maxCancels)
+        m_cancels.pop_front();
+    m_cancels.push_back({ .stream = stream, .cancelledAt = m_loop.now() });
+}
+
+void PeerClient::removeOldCancels()
+{
+    const TimePoint oldest = m_loop.now() - m_options.cancelRetention;
+    while (!m_cancels.empty() && m_cancels.front().cancelledAt < oldest)
+        m_cancels.pop_front();
+}
+
 bool PeerClient::requestSourceUpdate(const SourceUpdateRequest& request)
 {
     if (!m_hasReceivedHello) {
@@ -160,6 +178,11 @@
     m_isUnreachable = false;
     m_pingSentAt.reset();
     m_backoff.reset();
+    if (isNewProcess)
+        m_cancels.clear();
+    removeOldCancels();
+    for (const SentCancel& cancel : m_cancels)
+        m_channel->send(Cancel { .stream = cancel.stream });
     std::vector<StreamId> lostStreams;
     for (auto& [stream, outstanding] : m_calls) {
         outstanding.head.reset();
@@ -242,7 +265,8 @@
     m_channel.reset();
     m_silenceTimer.stop();
     m_pingSentAt.reset();
-    if (hadReceivedHello && !m_calls.empty()) {
+    removeOldCancels();
+    if (hadReceivedHello && (!m_calls.empty() || !m_cancels.empty())) {
         logEvent(LogLevel::Info, "peer-connection-lost",
             { { "peer", m_peer.toString() }, { "outstanding", std::to_string(m_calls.size()) },
                 { "end", end == StreamEnd::Closed ? "closed" : "failed" } });
--- a/src/proxy/PeerClient.h
+++ b/src/proxy/PeerClient.h
@@ -6,16 +6,21 @@
 //   * NotRun if it was never written to a connection that the peer's process had accepted with Hello;
 //   * Unknown if the peer cannot be reached again or a new process has replaced it.
 //
+// A cancellation is sent again over the next connection to the same process, since the connection may have lost it or
+// may not be open. Without it the peer runs a call for which nobody waits.
+//
 // A peer that does not answer a ping within `suspectAfter` is suspect; it is unreachable if no connection can be
 // opened. The client reconnects by itself with backoff, so that no call has to probe the peer.
 //
-// Bound: maxPendingBytes of unsent frames; beyond it calls are refused as NotRun.
+// Bounds: maxPendingBytes of unsent frames, beyond which calls are refused as NotRun; the last maxCancels
+// cancellations.
 #pragma once
 
 #include "base/Backoff.h"
 #include "proxy/FrameChannel.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <deque>
 #include <map>
 
 namespace skylark {
@@ -31,6 +36,9 @@
     BackoffOptions reconnect { .initial = std::chrono::milliseconds(100), .maximum = std::chrono::seconds(1) };
     size_t maxPendingBytes { 8 * 1024 * 1024 };
     size_t maxBodyBytes { 16 * 1024 * 1024 };
+    // A cancellation is sent again for this long; most calls end sooner.
+    Duration cancelRetention { std::chrono::seconds(5) };
+    size_t maxCancels { 4096 };
 };
 
 class PeerClient {
@@ -68,7 +76,14 @@
         std::string body;
     };
 
+    struct SentCancel {
+        StreamId stream;
+        TimePoint cancelledAt;
+    };
+
     void open();
+    void recordCancel(StreamId stream);
+    void removeOldCancels();
     void write(Outstanding& outstanding);
     void handle(Message message);
     void on(const Hello& hello);
@@ -102,6 +117,8 @@
     Incarnation m_peerIncarnation;
     // In order of submission, which resends preserve.
     std::map<StreamId, Outstanding> m_calls;
+    // Cancellations of calls that were written to the process m_peerIncarnation.
+    std::deque<SentCancel> m_cancels;
     std::optional<TimePoint> m_pingSentAt;
     uint64_t m_pingNonce { 0 };
     TimePoint m_openedAt;
--- a/src/proxy/tests/PeerClientTest.cpp
+++ b/src/proxy/tests/PeerClientTest.cpp
@@ -104,6 +104,45 @@
         EXPECT_TRUE(std::holds_alternative<GateResponse>(*replies.at(1)));
     }
 
+    // Guards against work for callers that have left: the gate runs a call until its deadline if it never learns that
+    // the caller left while the connection between the nodes was being opened again.
+    TEST_F(PeerClientTest, CallCancelledDuringAReconnectIsCancelledAtThePeer)
+    {
+        submit(1, true);
+        runFor(50ms);
+        peer.isSilent = true;
+        peer.dropConnection();
+        runFor(50ms);
+        client.cancel(StreamId(1));
+        peer.isSilent = false;
+        runFor(1s);
+        ASSERT_FALSE(peer.cancelledStreams.empty());
+        EXPECT_EQ(peer.cancelledStreams.front(), StreamId(1));
+        EXPECT_EQ(peer.calls.size(), 1u);
+    }
+
+    // The same for a cancellation that was written to a connection which the peer no longer has.
+    TEST_F(PeerClientTest, CancellationThatTheConnectionLosesIsSentAgain)
+    {
+        submit(1, true);
+        runFor(50ms);
+        peer.dropConnection();
+        client.cancel(StreamId(1));
+        runFor(300ms);
+        EXPECT_EQ(peer.cancelledStreams, std::vector { StreamId(1) });
+    }
+
+    TEST_F(PeerClientTest, NewProcessGetsNoCancellationsOfTheFormerOne)
+    {
+        submit(1, true);
+        runFor(50ms);
+        peer.incarnation = Incarnation(2);
+        peer.dropConnection();
+        client.cancel(StreamId(1));
+        runFor(300ms);
+        EXPECT_TRUE(peer.cancelledStreams.empty());
+    }
+
     // Guards against a second run: the new process has no record of the first copy of the call.
     TEST_F(PeerClientTest, CallsOfAReplacedProcessAreUnknown)
     {
