Take back calls whose connection is being opened when the server leaves

A request could reach a server up to a second after the gate knew that it leaves: a call counted as running from the moment its connection was requested, and the request was written when the connection opened. A server whose accept queue is full answers a connection attempt late. Same class as the queue that refuseInadmissible() already empties: a decision that is not checked again before the request is sent.

Found by reading.

Before: CallWhoseConnectionIsBeingOpenedIsRefusedWhenTheServerLeaves failed (the request ran). After: it passes, and the call is refused as not run.

--- a/src/proxy/BackendConnection.h
+++ b/src/proxy/BackendConnection.h
@@ -46,6 +46,8 @@
     void send(BackendRequest request, ResultCallback onResult);
     // Closes the connection; the callback of a request in progress does not run.
     void close();
+    // False while the connection is being opened, when nothing of the request has been sent.
+    bool hasSentRequest() const { return m_stream && m_stream->isConnected(); }
     // True if the last response left the connection open, without unread or unsent bytes.
     bool isReusable() const { return m_isReusable; }
     TimePoint idleSince() const { return m_idleSince; }
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -279,15 +279,23 @@
 
 void BackendGate::refuseInadmissible()
 {
-    std::vector<CallPtr> inadmissibleCalls;
+    std::vector<CallPtr> queuedCalls;
+    std::vector<CallPtr> connectingCalls;
     for (const auto& [ticket, call] : m_callsByTicket) {
-        if (!call->isRunning && refusalCause(call->gateCall))
-            inadmissibleCalls.push_back(call);
+        if (isUnsent(*call) && refusalCause(call->gateCall))
+            (call->isRunning ? connectingCalls : queuedCalls).push_back(call);
     }
-    for (const CallPtr& call : inadmissibleCalls) {
+    // The queued calls go first, so that no slot that a connecting call leaves is given to them.
+    for (const CallPtr& call : queuedCalls) {
         if (m_admission.cancel(call->ticket))
             refuse(call, refusalCause(call->gateCall));
     }
+    for (const CallPtr& call : connectingCalls) {
+        call->connection->close();
+        call->connection.reset();
+        release(call, ServiceResult::Failed);
+        refuse(call, refusalCause(call->gateCall));
+    }
 }
 
 void BackendGate::end(const CallPtr& call, const GateReplyPtr& reply)
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -86,6 +86,7 @@
     };
     using CallPtr = std::shared_ptr<Call>;
 
+    static bool isUnsent(const Call& call) { return !call.isRunning || !call.connection->hasSentRequest(); }
     const char* refusalCause(const GateCall& call) const;
     void admit(const CallPtr& call);
     void run(const CallPtr& call);
@@ -99,8 +100,8 @@
     CallPtr callOf(const Ticket& ticket) const;
     void apply(const Dispatch& dispatch);
     void refuse(const CallPtr& call, const std::string& reason);
-    // Refuses the queued calls that may no longer run: the server drains or is gone, or another service has taken
-    // its address since they were queued.
+    // Refuses the calls that may no longer run and of which nothing was sent yet, because they are queued or their
+    // connection is being opened: the server drains or is gone, or another service has taken its address since.
     void refuseInadmissible();
     void end(const CallPtr& call, const GateReplyPtr& reply);
     void sweep();
--- a/src/proxy/tests/BackendGateTest.cpp
+++ b/src/proxy/tests/BackendGateTest.cpp
@@ -82,6 +82,19 @@
         EXPECT_EQ(server.executions().count("2"), 1u);
     }
 
+    // Guards against a request that reaches a leaving server up to a second late, when its connection is open at last.
+    TEST_F(BackendGateTest, CallWhoseConnectionIsBeingOpenedIsRefusedWhenTheServerLeaves)
+    {
+        submit(1);
+        ServerRecord leaving = record("first", "work", 1);
+        leaving.isDraining = true;
+        gate.setServer(leaving);
+        runFor(300ms);
+        ASSERT_NE(refusal(1), nullptr);
+        EXPECT_EQ(refusal(1)->outcome, CallOutcome::NotRun);
+        EXPECT_TRUE(server.executions().empty());
+    }
+
     TEST_F(BackendGateTest, QueuedCallsAreRefusedWhenTheServerIsGone)
     {
         submit(1);
