Read the entry of the local server when the node's knowledge is old

Cause: the gate beside a server, which all its requests pass, knew of the leave only through a chain (the reader's watch, the reader's link, the follower's link and loop) in which small entries wait behind configurations of 350 KB, and no wait on the chain was derived from the bound. The age that a node gave its knowledge left out the transfer from a peer, the decoding and the loop's queue, so nothing noticed. Class of fault: a deadline that no single place is responsible for.

Change: a node whose knowledge is older than half of the drain time, a new setting, reads its own server's entry (one key) on a thread that starts with the first such read. Worst case by sum, with a reachable source: 0.5 of the drain time, a tick of 250 ms, and a read of 0.25 at most. The age now counts the way from the peer, decoding and queues. Requests of followers end when the source confirms the followed node's state, not 400 ms later. A peer's server entries are applied before its configuration is decoded.

Before: GateLearnsThatItsServerLeavesWhenNoReaderReportsIt failed with the read disabled (200 and a run after the drain time). After: it passes.

--- a/src/proxy/PlatformAdapter.h
+++ b/src/proxy/PlatformAdapter.h
@@ -23,6 +23,9 @@
 // The functions are called on the threads of the event loop and of the source watcher.
 struct PlatformAdapter {
     std::unique_ptr<KeyValueSource> source;
+    // Reads the entry of the local server.
+    std::unique_ptr<KeyValueSource> entrySource;
+    std::function<std::string(const InstanceId&)> serverKey;
     SourceWatcherOptions watcher;
     HttpConventions httpConventions;
     std::function<bool(const SourceItem&)> isConfiguration;
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -26,8 +26,18 @@
     // Reserved at the end of stopGrace for the process exit.
     constexpr Duration stopMargin = 400ms;
     constexpr Duration stopCheckInterval = 50ms;
+    // Share of the drain time at which the node reads its server's entry itself. The rest is for the wait until the
+    // next tick, the read and a second one, and the way to the server.
+    constexpr double maxEntryAgeFraction = 0.5;
+    // Share of the drain time after which a follower reads the source itself, for the configuration.
+    constexpr double maxPeerAgeFraction = 0.7;
     constexpr size_t maxConfigurationBytes = 16 * 1024 * 1024;
 
+    Duration fraction(Duration duration, double share)
+    {
+        return std::chrono::duration_cast<Duration>(duration * share);
+    }
+
     RouterOptions routerOptions(const ProxySettings& settings)
     {
         const auto region = settings.regions.find(settings.zone);
@@ -71,7 +81,10 @@
               = { .ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow } },
           m_adapter.httpConventions, m_router, m_gate,
           [this](const Endpoint& endpoint) -> PeerClient& { return ensurePeer(endpoint); }, m_log, m_metrics)
-    , m_exchange(m_loop, { .self = m_settings.advertisedAddress(), .seed = m_self.incarnation.value() },
+    , m_exchange(m_loop,
+          { .self = m_settings.advertisedAddress(),
+              .seed = m_self.incarnation.value(),
+              .role = { .maxPeerAge = fraction(m_settings.drainTime, maxPeerAgeFraction) } },
           { .makeUpdate = [this](const SourceUpdateRequest& request) { return sourceUpdateFor(request); },
               .makeRequest =
                   [this] {
@@ -106,6 +119,9 @@
     , m_interrupt(m_loop, SIGINT, [this] { beginStop(); })
     , m_reload(m_loop, SIGHUP, [this] { logReloadRequest(); })
     , m_sourceDecoder(m_loop, m_adapter, sourceCallbacks())
+    , m_entryCheck({ .maxAge = fraction(m_settings.drainTime, maxEntryAgeFraction) })
+    , m_entryReader(*m_adapter.entrySource, m_clock,
+          [this](const KeyReadResult& result) { m_loop.post([this, result] { recordOwnServerRead(result); }); })
 {
 }
 
@@ -141,6 +157,23 @@
         .onCall = [this](const SourceCallResult& result) { recordSourceCall(result); } };
 }
 
+void ProxyNode::checkOwnServer()
+{
+    const std::optional<ServerRecord>& server = m_gate.server();
+    if (!server || server->isDraining || m_isSourceLost)
+        return;
+    if (m_entryCheck.startIfDue(m_exchange.confirmedAt(), m_loop.now()))
+        m_entryReader.request(m_adapter.serverKey(server->id));
+}
+
+void ProxyNode::recordOwnServerRead(const KeyReadResult& result)
+{
+    m_metrics.countSourceCall("read", result.item.has_value());
+    m_entryCheck.recordResult(result.item ? std::optional(result.requestedAt) : std::nullopt, m_loop.now());
+    if (result.item && m_directory.apply(m_adapter.decodeServer(*result.item), m_loop.now()))
+        publishServers("own-entry");
+}
+
 void ProxyNode::recordSourceCall(const SourceCallResult& result)
 {
     m_metrics.countSourceCall(sourceCallName(result.call), result.isAnswered);
@@ -256,6 +289,7 @@
     m_metrics.setConcurrency(
         static_cast<int>(load.limit), static_cast<int>(load.inFlight), static_cast<int>(load.queued));
     m_exchange.tick();
+    checkOwnServer();
     if (!m_isSourceLost)
         removeUnlistedPeers();
 }
@@ -323,24 +357,6 @@
 
 void ProxyNode::applySourceUpdate(const Endpoint& peer, const SourceUpdate& update)
 {
-    m_exchange.handlePeerUpdate(peer, update);
-    const auto& configuration = m_forwarder.configuration();
-    // The same version may arrive from two peers or from a peer and the source; decoding it twice is expensive.
-    const bool isNewer = !configuration || update.version > configuration->manifest().version;
-    if (isNewer && !update.configuration.empty()) {
-        const auto text = decompress(update.configuration, maxConfigurationBytes);
-        try {
-            if (!text)
-                logEvent(LogLevel::Error, "configuration-refused",
-                    { { "origin", "peer" }, { "reason", "the compressed configuration is damaged or too large" } });
-            else
-                applyConfiguration({ .configuration = m_adapter.decodeConfiguration(*text, update.revision),
-                                       .compressed = update.configuration },
-                    "peer");
-        } catch (const Error& error) {
-            logEvent(LogLevel::Error, "configuration-refused", { { "origin", "peer" }, { "reason", error.what() } });
-        }
-    }
     // A node without the source defers the deletions: entries may have expired only because the servers cannot reach
     // the source either, and the servers may still be reachable.
     ServerChanges changes {
@@ -348,7 +364,31 @@
     };
     for (const ListedServer& listed : update.servers)
         changes.entries.push_back(fromListed(listed));
+    // The servers go first: decoding a configuration takes a slow instance tenths of a second.
     applyServers(changes, "peer");
+    m_exchange.handlePeerUpdate(peer, update, m_directory.revision() >= update.revision);
+    applyPeerConfiguration(update);
+}
+
+void ProxyNode::applyPeerConfiguration(const SourceUpdate& update)
+{
+    const auto& configuration = m_forwarder.configuration();
+    // The same version may arrive from two peers or from a peer and the source; decoding it twice is expensive.
+    const bool isNewer = !configuration || update.version > configuration->manifest().version;
+    if (!isNewer || update.configuration.empty())
+        return;
+    const auto text = decompress(update.configuration, maxConfigurationBytes);
+    try {
+        if (!text)
+            logEvent(LogLevel::Error, "configuration-refused",
+                { { "origin", "peer" }, { "reason", "the compressed configuration is damaged or too large" } });
+        else
+            applyConfiguration({ .configuration = m_adapter.decodeConfiguration(*text, update.revision),
+                                   .compressed = update.configuration },
+                "peer");
+    } catch (const Error& error) {
+        logEvent(LogLevel::Error, "configuration-refused", { { "origin", "peer" }, { "reason", error.what() } });
+    }
 }
 
 void ProxyNode::handleReady(const std::shared_ptr<HttpConnection>& connection)
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -23,6 +23,8 @@
 #include "proxy/ProxySettings.h"
 #include "proxy/SourceDecoder.h"
 #include "proxy/SourceExchange.h"
+#include "source/EntryCheckSchedule.h"
+#include "source/KeyReader.h"
 
 #include <atomic>
 #include <memory>
@@ -45,6 +47,9 @@
     void applyServers(const ServerChanges& changes, const char* origin);
     // `origin` names in the log what brought the change.
     void publishServers(const char* origin);
+    // Reads the local server's entry if the node's knowledge is old.
+    void checkOwnServer();
+    void recordOwnServerRead(const KeyReadResult& result);
     void recordSourceCall(const SourceCallResult& result);
     void handleSourceLost(const std::string& reason);
     void handleSourceRecovered();
@@ -59,6 +64,7 @@
     SourceUpdate sourceUpdateFor(const SourceUpdateRequest& request);
     const std::string& compressedConfiguration();
     void applySourceUpdate(const Endpoint& peer, const SourceUpdate& update);
+    void applyPeerConfiguration(const SourceUpdate& update);
 
     void handleReady(const std::shared_ptr<HttpConnection>& connection);
     void handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection);
@@ -103,6 +109,8 @@
     SignalWatcher m_reload;
     SourceDecoder m_sourceDecoder;
     std::unique_ptr<SourceWatcher> m_watcher;
+    EntryCheckSchedule m_entryCheck;
+    KeyReader m_entryReader;
 };
 
 } // namespace skylark
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -46,6 +46,7 @@
     settings.serverAddress = reader.endpoint("serverAddress");
     settings.sourceAddress = reader.endpoint("sourceAddress");
     settings.stopGrace = reader.duration("stopGrace", settings.stopGrace, 500ms, 10min);
+    settings.drainTime = reader.duration("drainTime", settings.drainTime, 500ms, 10min);
     settings.retryRatio = reader.number("retryRatio", settings.retryRatio, 0, maxRatio);
     settings.retrySlack = reader.number("retrySlack", settings.retrySlack, 0, maxSlack);
     settings.retryWindow = reader.duration("retryWindow", settings.retryWindow, 1s, 10min);
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -28,6 +28,8 @@
 
     // The platform kills the process this long after requesting its stop.
     Duration stopGrace { std::chrono::seconds(6) };
+    // A server that gives notice that it leaves gets no request after this long.
+    Duration drainTime { std::chrono::milliseconds(2500) };
     // The fleet sends at most ratio * requests + slack retries to a service in any window.
     double retryRatio { 0.2 };
     double retrySlack { 10 };
--- a/src/proxy/SourceDecoder.cpp
+++ b/src/proxy/SourceDecoder.cpp
@@ -24,7 +24,10 @@
 
 void SourceDecoder::onCall(const SourceCallResult& result)
 {
-    m_loop.post([this, result] { m_callbacks.onCall(result); });
+    m_loop.post([this, result, postedAt = m_loop.now()] {
+        const Duration queueTime = m_loop.now() - postedAt;
+        m_callbacks.onCall({ .call = result.call, .isAnswered = result.isAnswered, .age = result.age + queueTime });
+    });
 }
 
 void SourceDecoder::deliver(const SourceItems& items, bool isListing)
--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -17,7 +17,7 @@
     : m_loop(loop)
     , m_options(std::move(options))
     , m_callbacks(std::move(callbacks))
-    , m_role(m_options.self, {})
+    , m_role(m_options.self, m_options.role)
     , m_random(m_options.seed)
     // Nothing is confirmed yet.
     , m_confirmedAt(loop.now() - incompleteAge)
@@ -30,8 +30,17 @@
 void SourceExchange::recordSourceResponse(Duration age)
 {
     m_isSourceLost = false;
-    m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - age);
     m_role.recordSourceResponse(m_loop.now());
+    confirm(m_loop.now() - age);
+}
+
+// Ends the pending requests, so that the followers' states are as new as this one.
+void SourceExchange::confirm(TimePoint time)
+{
+    if (time <= m_confirmedAt)
+        return;
+    m_confirmedAt = time;
+    m_pendingRequests.remove_if([this](const PendingRequest& pending) { return respond(pending, true); });
 }
 
 void SourceExchange::handleChange()
@@ -53,19 +62,33 @@
     if (!mayBeEmpty && update.configuration.empty() && update.servers.empty() && !update.isListing)
         return false;
     update.age = m_callbacks.isComplete() ? age() : incompleteAge;
+    update.heldFor = m_loop.now() - pending.receivedAt;
     pending.reply(update);
     return true;
 }
 
-void SourceExchange::handlePeerUpdate(const Endpoint& peer, const SourceUpdate& update)
+Duration SourceExchange::transitTime(const Endpoint& peer, const SourceUpdate& update, TimePoint now) const
+{
+    std::optional<TimePoint> requestedAt;
+    if (m_queriedPeer == peer && m_queriedAt)
+        requestedAt = m_queriedAt;
+    else if (m_searchedPeer == peer)
+        requestedAt = m_searchedAt;
+    return requestedAt ? std::max(Duration(0), now - *requestedAt - update.heldFor) : Duration(0);
+}
+
+void SourceExchange::handlePeerUpdate(const Endpoint& peer, const SourceUpdate& update, bool isWhole)
 {
     const TimePoint now = m_loop.now();
-    m_confirmedByPeerAt = std::max(m_confirmedByPeerAt, now - update.age);
-    m_confirmedAt = std::max(m_confirmedAt, m_confirmedByPeerAt);
+    if (isWhole) {
+        m_confirmedByPeerAt = std::max(m_confirmedByPeerAt, now - update.age - transitTime(peer, update, now));
+        confirm(m_confirmedByPeerAt);
+    }
     if (m_role.followedPeer() != peer)
         return;
     const bool wasHeld = m_queriedAt && now - *m_queriedAt >= m_options.minRequestTime;
     m_queriedAt.reset();
+    // Without the time on the way: a node whose own processor or link is slow gains nothing from reading the source.
     m_role.recordPeerAge(update.age, now);
     // After an empty update the next request is sent immediately, since the age grows until its answer. Otherwise it
     // waits for the tick, so that the update has been applied by then.
@@ -116,6 +139,7 @@
         if (!m_callbacks.sendRequest(peers[(first + i) % peers.size()], m_callbacks.makeRequest()))
             continue;
         m_searchedAt = now;
+        m_searchedPeer = peers[(first + i) % peers.size()];
         return;
     }
 }
--- a/src/proxy/SourceExchange.h
+++ b/src/proxy/SourceExchange.h
@@ -1,8 +1,10 @@
 // Shares among the nodes of a zone what a few of them read from the source.
 //
 // ReaderRole decides whether this node reads the source or follows a peer. A follower keeps one request open at the
-// followed peer. The peer holds the request until it has something newer than the follower, or for holdTime, and
-// reports the age of its state. A node that can neither read the source nor follow a peer queries any reachable peer.
+// followed peer. The peer holds the request until it has something newer than the follower, the source confirms its
+// state again, or holdTime has passed, and reports the age of its state. The follower adds the time that the request
+// and the update spent on their way. A node that can neither read the source nor follow a peer queries any reachable
+// peer.
 //
 // Bound: maxPendingRequests requests are held; further ones are answered immediately.
 #pragma once
@@ -20,7 +22,8 @@
 struct SourceExchangeOptions {
     Endpoint self;
     uint64_t seed { 1 };
-    Duration holdTime { std::chrono::milliseconds(400) };
+    // Longer than the time between two responses of the source, which usually end a request.
+    Duration holdTime { std::chrono::milliseconds(600) };
     // A request without an answer for this long is sent again.
     Duration requestTimeout { std::chrono::milliseconds(1000) };
     // After an answer that came sooner than this, the next request waits for the tick: a peer at capacity answers each
@@ -29,6 +32,7 @@
     // Time between two requests to arbitrary peers while the source is lost.
     Duration searchInterval { std::chrono::milliseconds(500) };
     size_t maxPendingRequests { 2048 };
+    ReaderRoleOptions role {};
 };
 
 class SourceExchange {
@@ -59,8 +63,9 @@
     void handleChange();
     // Answers a peer's request now or holds it.
     void handleRequest(const SourceUpdateRequest& request, Reply reply);
-    // Processes a peer's answer.
-    void handlePeerUpdate(const Endpoint& peer, const SourceUpdate& update);
+    // Processes a peer's answer after its servers have been applied. If changes before them are missing, isWhole is
+    // false and the answer confirms nothing.
+    void handlePeerUpdate(const Endpoint& peer, const SourceUpdate& update, bool isWhole = true);
     void tick();
 
     bool isReading() const { return m_isReading; }
@@ -68,6 +73,7 @@
     Duration maxRetryDelay() const { return m_role.maxRetryDelay(); }
     // True if a peer reported that it had the source after this time.
     bool peersHadSourceAfter(TimePoint time) const { return m_confirmedByPeerAt > time; }
+    TimePoint confirmedAt() const { return m_confirmedAt; }
     // Time since the source confirmed this node's state, directly or through a chain of peers.
     Duration age() const;
 
@@ -78,6 +84,9 @@
         TimePoint receivedAt;
     };
 
+    void confirm(TimePoint time);
+    // Time since the request to this peer that its answer belongs to, as far as the peer did not hold it.
+    Duration transitTime(const Endpoint& peer, const SourceUpdate& update, TimePoint now) const;
     // Returns false without responding if the update is empty and mayBeEmpty is false.
     bool respond(const PendingRequest& pending, bool mayBeEmpty);
     void queryFollowedPeer(TimePoint now);
@@ -97,6 +106,7 @@
     std::optional<Endpoint> m_queriedPeer;
     // Time of the last request to an arbitrary peer.
     TimePoint m_searchedAt;
+    std::optional<Endpoint> m_searchedPeer;
     std::list<PendingRequest> m_pendingRequests;
 };
 
--- a/src/proxy/tests/FakeSource.cpp
+++ b/src/proxy/tests/FakeSource.cpp
@@ -60,6 +60,16 @@
     return result;
 }
 
+SourceItem FakeSource::read(const std::string& key)
+{
+    const std::lock_guard lock(m_store.m_mutex);
+    throwIfUnavailable();
+    const auto found = m_store.m_items.find(key);
+    if (found != m_store.m_items.end())
+        return found->second;
+    return { .key = key, .revision = Revision(m_store.m_revision), .isDeleted = true };
+}
+
 void FakeSource::interrupt()
 {
     const std::lock_guard lock(m_store.m_mutex);
--- a/src/proxy/tests/FakeSource.h
+++ b/src/proxy/tests/FakeSource.h
@@ -35,6 +35,7 @@
     }
     SourceItems list(const std::string& prefix, ListFreshness freshness) override;
     SourceItems watch(const std::string& prefix, Revision after, Duration wait) override;
+    SourceItem read(const std::string& key) override;
     void interrupt() override;
     // From now on watches return only by failing.
     void blockWatches();
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -269,6 +269,8 @@
     if (m_stalledNodes.contains(index))
         source->blockWatches();
     PlatformAdapter adapter { .source = std::move(source),
+        .entrySource = std::make_unique<FakeSource>(m_store),
+        .serverKey = [](const InstanceId& id) { return "servers/" + id.value(); },
         .watcher = { .watchWait = 500ms },
         .isConfiguration = [](const SourceItem& item) { return item.key == "op/config"; },
         .decodeConfiguration = decodeTestConfiguration,
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -69,6 +69,8 @@
     FakeStore& store() { return m_store; }
     TestServer& server(size_t index) { return *m_nodes[index].server; }
     void setSourceFailing(size_t index, bool isFailing) { m_nodes[index].source->setSourceFailing(isFailing); }
+    // From now on the watches of this node return only by failing.
+    void blockWatches(size_t index) { m_nodes[index].source->blockWatches(); }
     Endpoint callerAddress(size_t index) const;
     Endpoint readyAddress(size_t index) const;
     Endpoint adminAddress(size_t index) const;
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -148,6 +148,22 @@
         EXPECT_EQ(fleet.server(0).executions().size(), executionsBefore);
     }
 
+    // Guards against requests to a leaving server whose node depends on a reader that is slow, frozen or silent.
+    TEST(ProxyNodeTest, GateLearnsThatItsServerLeavesWhenNoReaderReportsIt)
+    {
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.blockWatches(0);
+        fleet.blockWatches(1);
+        fleet.putServerEntry(0, true, 1);
+        fleet.putServerEntry(1, true, 1);
+        std::this_thread::sleep_for(ProxySettings().drainTime);
+        EXPECT_EQ(sendRequest(fleet.callerAddress(0), "late-0", "/read/x").status, 503);
+        EXPECT_EQ(sendRequest(fleet.callerAddress(1), "late-1", "/read/x").status, 503);
+        EXPECT_TRUE(fleet.server(0).executions().empty());
+        EXPECT_TRUE(fleet.server(1).executions().empty());
+    }
+
     TEST(ProxyNodeTest, NodeWithoutTheSourceReceivesTheConfigurationFromAPeer)
     {
         ProxyFleet fleet(2);
--- a/src/source/KeyValueSource.h
+++ b/src/source/KeyValueSource.h
@@ -1,7 +1,7 @@
-// Interface to the platform's store as the node needs it: lists the keys under a prefix and watches for changes after
-// a revision.
+// Interface to the platform's store as the node needs it: lists the keys under a prefix, watches for changes after a
+// revision and reads one key.
 //
-// list() and watch() block, and one thread makes all calls to them. A failed call throws Error, which names the step
+// All calls block, and one thread makes all calls to one source. A failed call throws Error, which names the step
 // and the source. The source may or may not have counted such a call.
 #pragma once
 
@@ -49,6 +49,8 @@
     virtual SourceItems list(const std::string& prefix, ListFreshness freshness) = 0;
     // Waits at most `wait` for a change after the revision; returns no items when there was none.
     virtual SourceItems watch(const std::string& prefix, Revision after, Duration wait) = 0;
+    // Returns the key's current state.
+    virtual SourceItem read(const std::string& key) = 0;
     // Makes a call that blocks in another thread fail soon.
     virtual void interrupt() = 0;
 };
--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -141,9 +141,7 @@
     const bool mayBeStale = !m_hasListed;
     const SourceItems listing
         = m_source.list(m_options.prefix, mayBeStale ? ListFreshness::MayBeStale : ListFreshness::Latest);
-    m_consumer.onCall({ .call = mayBeStale ? SourceCall::ListStale : SourceCall::List,
-        .isAnswered = true,
-        .age = listing.transferTime });
+    const TimePoint receivedAt = m_clock.now();
     recordSuccess();
     m_listedBytes = ByteCount(bytesOf(listing.items).latest);
     m_revision = listing.revision;
@@ -152,6 +150,7 @@
     m_needsListing = false;
     m_lastChange = m_clock.now();
     m_consumer.onListing(listing);
+    reportAnswer(mayBeStale ? SourceCall::ListStale : SourceCall::List, receivedAt - listing.transferTime);
 }
 
 void SourceWatcher::watchOnce()
@@ -159,10 +158,9 @@
     // While the source is lost, the call only checks whether it is back, so it does not wait for a change.
     SourceItems changes
         = m_source.watch(m_options.prefix, m_revision, m_isSourceLost ? Duration(0) : m_options.watchWait);
-    m_consumer.onCall({ .call = SourceCall::Watch, .isAnswered = true, .age = changes.transferTime });
+    const TimePoint now = m_clock.now();
     recordSuccess();
     m_revision = std::max(m_revision, changes.revision);
-    const TimePoint now = m_clock.now();
     if (!changes.items.empty()) {
         m_lastChange = now;
         m_needsListing = bytesOf(changes.items).replaced > m_listedBytes.value();
@@ -171,6 +169,13 @@
     } else if (now - m_lastChange > m_options.maxSilence) {
         m_needsListing = true;
     }
+    reportAnswer(SourceCall::Watch, now - changes.transferTime);
+}
+
+// Follows the content, so that nobody takes the node's state for as new as content that is still being decoded.
+void SourceWatcher::reportAnswer(SourceCall call, TimePoint currentAt)
+{
+    m_consumer.onCall({ .call = call, .isAnswered = true, .age = m_clock.now() - currentAt });
 }
 
 void SourceWatcher::recordFailure(const std::string& reason)
--- a/src/source/SourceWatcher.h
+++ b/src/source/SourceWatcher.h
@@ -40,7 +40,7 @@
 struct SourceCallResult {
     SourceCall call { SourceCall::Watch };
     bool isAnswered { false };
-    // For an answered call, how old the content was when it had arrived.
+    // For an answered call, how old the content is once the consumer has it.
     Duration age {};
 };
 
@@ -84,6 +84,7 @@
     void run();
     void listAll();
     void watchOnce();
+    void reportAnswer(SourceCall call, TimePoint currentAt);
     void recordFailure(const std::string& reason);
     void recordSuccess();
     // Returns false when the watcher stops.
--- a/src/source/tests/SourceWatcherTest.cpp
+++ b/src/source/tests/SourceWatcherTest.cpp
@@ -27,6 +27,7 @@
         {
             return next("watch " + prefix + " " + std::to_string(after.value()));
         }
+        SourceItem read(const std::string& key) override { return { .key = key, .isDeleted = true }; }
         void interrupt() override { }
         std::vector<std::string> calls()
         {
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -306,6 +306,8 @@
     Revision since;
     // The servers are all servers at `revision`; an absent one is deleted.
     bool isListing { false };
+    // How long the sender held the request; the rest of the time until the update is read adds to its age.
+    Duration heldFor {};
     bool operator==(const SourceUpdate&) const = default;
 };
 
