Keep the limits that servers name in their answers

Cause: nothing read the header. Class of fault: a demand of a server that only the sum over all nodes can keep.

Where it is kept: all requests for a server pass its gate, so the gate keeps the rate by a token bucket of half a second, counted when a request is sent. What does not fit is refused at once as not run, with the time until the sender's turn; the sender pauses that server and goes to another one, or refuses its caller with that time as Retry-After. A gate that restarts has forgotten the limit, the callers' nodes have not: they send it with each call, and the gate takes it over until the server has answered it. A limit belongs to one start of a server, ends with an answer without it, and is ignored if it is no finite number from zero on. A server that names zero still gets one request in 2 s, as no answer could end its limit otherwise.

Weighed: a share of the limit for each node, which leaves most of it unused or needs agreement, against the gate.

--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -10,6 +10,7 @@
 
     constexpr const char* step = "gate";
     constexpr int statusMisdirected = 421;
+    constexpr const char* rateReason = "the server takes no more requests per second";
     // Calls that the kernel buffered during a pause are read within this time.
     constexpr Duration pauseRefusalPeriod = std::chrono::milliseconds(100);
     // Share of the idle timeout announced by the server for which an idle connection may be reused.
@@ -61,6 +62,8 @@
         for (const auto& connection : m_idleConnections)
             connection->close();
         m_idleConnections.clear();
+        m_rateLimit.set(std::nullopt, m_loop.now());
+        m_hasAnswer = false;
     }
     if (server)
         m_admission.reconfigure(admissionOptions(), m_loop.now());
@@ -85,7 +88,8 @@
         .queued = static_cast<uint32_t>(m_admission.queued()),
         .limit = static_cast<uint32_t>(m_admission.limit()),
         .isLeaving = m_isDraining || (m_server && m_server->isDraining),
-        .meanServiceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceTime.mean())) };
+        .meanServiceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceTime.mean())),
+        .requestDelay = m_rateLimit.delayForSender(m_loop.now()) };
 }
 
 const char* BackendGate::refusalCause(const GateCall& call) const
@@ -130,8 +134,12 @@
     m_calls.emplace(entry->gateCall.key, entry);
     if (!m_sweepTimer.isActive())
         m_sweepTimer.startRepeating(m_options.sweepInterval);
+    learnRate(entry->gateCall);
+    m_rateLimit.recordSender(entry->gateCall.key.sender, now);
     if (const char* cause = refusalCause(entry->gateCall))
         refuse(entry, cause);
+    else if (!m_rateLimit.hasRoom(now))
+        refuse(entry, rateReason);
     else
         admit(entry);
 }
@@ -152,8 +160,42 @@
         refuse(call, refusalReasonName(result.reason));
 }
 
+void BackendGate::learnRate(const GateCall& call)
+{
+    const bool isThisStart = m_server && m_server->incarnation == call.serverIncarnation;
+    if (call.knownServerRate && isThisStart && !m_hasAnswer && !m_rateLimit.rate())
+        m_rateLimit.set(call.knownServerRate, m_loop.now());
+}
+
+void BackendGate::recordNotice(const HttpResponse& response)
+{
+    // Without the request's id the answer may be another server's, or an old one.
+    if (response.status == statusMisdirected || !findHeader(response.headers, m_httpConventions.requestId))
+        return;
+    m_hasAnswer = true;
+    const ServerNotice notice = readServerNotice(response.headers, m_httpConventions);
+    const std::string server = m_server ? m_server->id.value() : "";
+    if (notice.rateNotice == RateNotice::Invalid) {
+        logEvent(LogLevel::Warning, "server-limit-invalid",
+            { { "server", server }, { "limit", *findHeader(response.headers, m_httpConventions.serverLimit) } });
+        return;
+    }
+    const std::optional<double> rate
+        = notice.rateNotice == RateNotice::Named ? std::optional(notice.rate) : std::nullopt;
+    if (rate.has_value() != m_rateLimit.rate().has_value())
+        logEvent(LogLevel::Info, "server-limit",
+            { { "server", server }, { "requests_per_second", rate ? std::to_string(*rate) : "none" } });
+    m_rateLimit.set(rate, m_loop.now());
+}
+
 void BackendGate::run(const CallPtr& call)
 {
+    if (!m_rateLimit.startRequest(m_loop.now())) {
+        call->startedAt = m_loop.now();
+        release(call, ServiceResult::Failed);
+        refuse(call, rateReason);
+        return;
+    }
     call->isRunning = true;
     m_runningIds.insert(call->gateCall.requestId.value());
     call->startedAt = m_loop.now();
@@ -181,6 +223,7 @@
         keepIdle(connection);
     if (auto* backendResponse = std::get_if<BackendResponse>(&result)) {
         HttpResponse& response = backendResponse->response;
+        recordNotice(response);
         const bool isNotRun
             = response.status == statusMisdirected || findHeader(response.headers, m_httpConventions.notExecuted);
         release(call, isNotRun ? ServiceResult::Shed : ServiceResult::Answered);
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -6,6 +6,9 @@
 //   * NotRun: the call was refused before it was written to a connection, or the server stated that it did not run it;
 //   * Unknown: the call was written, but no complete response arrived.
 //
+// A server that names a limit gets that many requests a second; other calls are refused at once, with the time after
+// which their node may send the next one. Requests count when they are sent, not when they are queued.
+//
 // A draining server gets no new calls: queued calls are refused and running calls finish. After the process was paused
 // (more than `pauseThreshold` between two clock checks), calls that arrived meanwhile are refused, since their age is
 // unknown.
@@ -15,10 +18,12 @@
 #pragma once
 
 #include "admission/AdmissionController.h"
+#include "admission/ServerRateLimit.h"
 #include "base/Log.h"
 #include "membership/ServerDirectory.h"
 #include "proxy/BackendConnection.h"
 #include "proxy/CallDeduplicator.h"
+#include "proxy/ServerNotices.h"
 
 #include <absl/container/flat_hash_set.h>
 #include <deque>
@@ -87,6 +92,9 @@
     using CallPtr = std::shared_ptr<Call>;
 
     static bool isUnsent(const Call& call) { return !call.isRunning || !call.connection->hasSentRequest(); }
+    void recordNotice(const HttpResponse& response);
+    // Takes over what the sender knows of the server, after a restart of this process.
+    void learnRate(const GateCall& call);
     const char* refusalCause(const GateCall& call) const;
     void admit(const CallPtr& call);
     void run(const CallPtr& call);
@@ -115,6 +123,9 @@
     std::vector<RankPolicy> m_ranks;
     std::optional<ServerRecord> m_server;
     AdmissionController m_admission;
+    ServerRateLimit m_rateLimit;
+    // The server's present process has answered, so this process knows its limit better than the senders.
+    bool m_hasAnswer { false };
     ServiceTimeEstimate m_serviceTime;
     absl::flat_hash_map<CallKey, CallPtr> m_calls;
     absl::flat_hash_map<TicketId, CallPtr> m_callsByTicket;
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -164,7 +164,8 @@
 {
     constexpr int maxChoices = 8;
     const ByteCount bytes = expectedBytes(call);
-    std::vector<InstanceId> excluded = call.triedInstances;
+    std::vector<InstanceId> excluded = m_notices.unusable(call.service, m_loop.now());
+    excluded.insert(excluded.end(), call.triedInstances.begin(), call.triedInstances.end());
     std::optional<Choice> fallback;
     for (int round = 0; round < maxChoices; ++round) {
         auto choice = m_router.choose({ .service = call.service,
@@ -192,6 +193,8 @@
 {
     const auto choice = chooseInstance(*call);
     if (!choice) {
+        if (const auto pause = m_notices.shortestPause(call->service, m_loop.now()))
+            call->lastLoad.requestDelay = *pause;
         if (call->lastReason.empty())
             call->lastReason = "no instance of the service can be used";
         giveUp(call);
@@ -216,7 +219,9 @@
         .deadline = call->deadline,
         .onTimeBy = call->onTimeBy,
         .isIdempotent = call->route->isIdempotent,
-        .attempt = call->attempts + 1 };
+        .attempt = call->attempts + 1,
+        .knownServerRate = m_notices.rate(choice.instance, choice.incarnation),
+        .serverIncarnation = choice.incarnation };
     const auto onReply = [this, call, stream = call->stream](const GateReplyPtr& reply) {
         if (call->choice && call->stream == stream)
             handleReply(call, reply);
@@ -227,6 +232,23 @@
         m_peers(choice.peer).submit(std::move(gateCall), onReply);
 }
 
+ServerNotices::Server CallForwarder::targetOf(const Call& call)
+{
+    return { .id = call.choice->instance, .incarnation = call.choice->incarnation, .service = call.service };
+}
+
+void CallForwarder::pauseTarget(const Call& call, TimePoint since, const LoadHint& load)
+{
+    if (load.requestDelay > Duration::zero())
+        m_notices.pause(targetOf(call), since + load.requestDelay, m_loop.now());
+}
+
+void CallForwarder::setServers(const MembershipView& view)
+{
+    m_fleetSize = view.instances().size();
+    m_notices.update(view);
+}
+
 void CallForwarder::reportToRouter(Call& call, CallOutcome outcome, bool isFault, const std::optional<LoadHint>& load)
 {
     if (!call.choice)
@@ -254,6 +276,8 @@
     const HttpResponse& response = gateResponse.response;
     const bool isSuccess = response.status >= firstSuccess && response.status < firstRedirect;
     const bool isFailed = response.status >= statusServerError || (isSuccess && !hasProof(response));
+    m_notices.record(targetOf(*call), readServerNotice(response.headers, m_httpConventions), m_loop.now());
+    pauseTarget(*call, call->sentAt, gateResponse.load);
     reportToRouter(*call, CallOutcome::Answered, isFailed, gateResponse.load);
     ++call->attempts;
     call->mayHaveRun = true;
@@ -277,6 +301,7 @@
 {
     const bool isUnknown = refusal.outcome == CallOutcome::Unknown;
     const bool isFromServer = refusal.step == "backend-server";
+    pauseTarget(*call, m_loop.now(), refusal.load);
     reportToRouter(
         *call, refusal.outcome, isUnknown, refusal.load.limit > 0 ? std::optional(refusal.load) : std::nullopt);
     call->lastLoad = refusal.load;
@@ -292,7 +317,9 @@
         ++call->attempts;
     call->mayHaveRun |= isUnknown;
     if (!isUnknown && !isFromServer) {
-        if (++call->refusals < m_options.maxRefusals)
+        const bool isByRate = refusal.load.requestDelay > Duration::zero();
+        ++(isByRate ? call->rateRefusals : call->refusals);
+        if (call->refusals < m_options.maxRefusals && call->rateRefusals < m_options.maxRateRefusals)
             attempt(call);
         else
             giveUp(call);
@@ -321,7 +348,9 @@
 {
     Duration wait = defaultRetryAfter;
     // A refusal by the server itself carries no information about load: the next attempt may succeed immediately.
-    if (call.wasRefusedByServer)
+    if (call.lastLoad.requestDelay > Duration::zero())
+        wait = call.lastLoad.requestDelay;
+    else if (call.wasRefusedByServer)
         wait = minRetryAfter;
     else if (call.lastLoad.limit > 0 && call.lastLoad.queued > 0) {
         const Duration elapsed = m_loop.now() - call.receivedAt;
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -4,7 +4,8 @@
 // gives the service (or the target of a split), rank, timeout and idempotence. Router picks an instance, and the call
 // goes to that instance's gate, on this node or at a peer. Depending on the gate's reply:
 //   * a response is delivered, except for a success without the server's proof, which is treated like Unknown;
-//   * NotRun from the gate: another instance is tried, up to maxRefusals refusals;
+//   * NotRun from the gate: another instance is tried, up to maxRefusals refusals, or maxRateRefusals by servers that
+//     limit their requests;
 //   * NotRun from the server: the request is retried if the route's retries, the fleet's retry budget and the remaining
 //     time allow it;
 //   * Unknown: the same for an idempotent request.
@@ -23,6 +24,7 @@
 #include "proxy/HttpListener.h"
 #include "proxy/PeerClient.h"
 #include "proxy/RequestLog.h"
+#include "proxy/ServerNotices.h"
 #include "retry/FleetRetryBudget.h"
 #include "routing/Router.h"
 #include "routing/SplitChooser.h"
@@ -37,6 +39,7 @@
     // The service of the local backend server, from which callers' requests originate.
     ServiceName callerService;
     int maxRefusals { 2 };
+    int maxRateRefusals { 6 };
     // Used if the caller sends no valid deadline.
     Duration defaultDeadline { std::chrono::seconds(10) };
     FleetRetryBudgetOptions retryBudget {};
@@ -55,8 +58,8 @@
     void drain() { m_isDraining = true; }
     void setConfiguration(std::shared_ptr<const Configuration> configuration);
     const std::shared_ptr<const Configuration>& configuration() const { return m_configuration; }
-    // The number of nodes that share the retry budget.
-    void setFleetSize(size_t nodes) { m_fleetSize = nodes; }
+    // The listed servers; the nodes beside them share the retry budget.
+    void setServers(const MembershipView& view);
     size_t callsInProgress() const { return m_calls.size(); }
 
 private:
@@ -89,6 +92,7 @@
         // Attempts that reached or may have reached a backend server.
         uint32_t attempts { 0 };
         int refusals { 0 };
+        int rateRefusals { 0 };
         bool mayHaveRun { false };
         std::string lastReason;
         std::vector<InstanceId> triedInstances;
@@ -113,6 +117,9 @@
     // not leaving, if any.
     std::optional<Choice> chooseInstance(Call& call);
     void send(const CallPtr& call, const Choice& choice);
+    static ServerNotices::Server targetOf(const Call& call);
+    // Delays this node's next request to the call's target if its server limits requests.
+    void pauseTarget(const Call& call, TimePoint since, const LoadHint& load);
     void handleReply(const CallPtr& call, const GateReplyPtr& reply);
     void handleResponse(const CallPtr& call, const GateResponse& gateResponse);
     void handleRefusal(const CallPtr& call, const GateRefusal& refusal);
@@ -144,6 +151,7 @@
     absl::flat_hash_map<std::string, RouteHistory> m_history;
     FleetRetryBudget m_retryBudget;
     Random m_random;
+    ServerNotices m_notices;
     size_t m_fleetSize { 1 };
     bool m_isDraining { false };
     uint64_t m_lastNumber { 0 };
--- a/src/proxy/GateCall.h
+++ b/src/proxy/GateCall.h
@@ -38,6 +38,9 @@
     bool isResend { false };
     // The number of this attempt for the caller's request, from 1.
     uint32_t attempt { 1 };
+    // The rate that the server's start `serverIncarnation` named in an answer to the sender, in requests per second.
+    std::optional<double> knownServerRate;
+    Incarnation serverIncarnation;
 };
 
 // The backend server's complete response.
--- a/src/proxy/HttpConventions.h
+++ b/src/proxy/HttpConventions.h
@@ -20,6 +20,8 @@
     std::string proof { "Skylark-Proof" };
     // Set by a server that did not execute the request.
     std::string notExecuted { "Skylark-Not-Executed" };
+    // The requests per second that the server takes from all nodes together, a decimal number. Set by a server in need.
+    std::string serverLimit { "Skylark-Server-Limit" };
     std::string readyPath { "/ready" };
 };
 
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -12,6 +12,12 @@
     constexpr const char* step = "peer-connection";
     constexpr Duration silenceCheckInterval = std::chrono::milliseconds(50);
 
+    uint64_t toThousandths(double rate)
+    {
+        constexpr double maxRate = 1e9;
+        return static_cast<uint64_t>(std::min(rate, maxRate) * 1000);
+    }
+
 } // namespace
 
 PeerClient::PeerClient(
@@ -114,7 +120,10 @@
                                 .isResend = isResend,
                                 .attempt = call.attempt,
                                 .hasBody = !request.body.empty(),
-                                .remainingLatencyTarget = std::max(Duration(0), call.onTimeBy - m_loop.now()) },
+                                .remainingLatencyTarget = std::max(Duration(0), call.onTimeBy - m_loop.now()),
+                                .serverIncarnation = call.serverIncarnation,
+                                .knowsServerRate = call.knownServerRate.has_value(),
+                                .serverRateThousandths = toThousandths(call.knownServerRate.value_or(0)) },
         call.key.stream, request.body);
 }
 
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -5,6 +5,16 @@
 
 namespace skylark {
 
+namespace {
+
+    std::optional<double> serverRate(const CallStart& start)
+    {
+        return start.knowsServerRate ? std::optional(static_cast<double>(start.serverRateThousandths) / 1000)
+                                     : std::nullopt;
+    }
+
+} // namespace
+
 class PeerServer::Session final : public std::enable_shared_from_this<Session> {
 public:
     Session(PeerServer& server, std::unique_ptr<TcpStream> stream)
@@ -113,7 +123,9 @@
                                    .onTimeBy = partialCall.receivedAt + start.remainingLatencyTarget,
                                    .isIdempotent = start.isIdempotent,
                                    .isResend = start.isResend,
-                                   .attempt = start.attempt },
+                                   .attempt = start.attempt,
+                                   .knownServerRate = serverRate(start),
+                                   .serverIncarnation = start.serverIncarnation },
             onReply);
     }
 
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -222,7 +222,7 @@
     m_router.update(m_view, m_loop.now());
     const ServerRecord* ownServer = m_directory.atAddress(m_settings.serverAddress);
     m_gate.setServer(ownServer ? std::optional(*ownServer) : std::nullopt);
-    m_forwarder.setFleetSize(m_view->instances().size());
+    m_forwarder.setServers(*m_view);
     m_exchange.setMembers(zoneMembers());
     m_exchange.handleChange();
     m_metrics.setInstances("listed", m_view->instances().size());
--- /dev/null
+++ b/src/proxy/ServerNotices.cpp
@@ -0,0 +1,105 @@
+#include "proxy/ServerNotices.h"
+
+#include <absl/strings/numbers.h>
+#include <algorithm>
+#include <cmath>
+
+namespace skylark {
+
+namespace {
+
+    constexpr size_t maxEntries = 4096;
+
+} // namespace
+
+ServerNotice readServerNotice(const HttpHeaders& headers, const HttpConventions& conventions)
+{
+    ServerNotice notice;
+    if (const std::string* text = findHeader(headers, conventions.serverLimit)) {
+        const bool isNumber = absl::SimpleAtod(*text, &notice.rate);
+        const bool isValid = isNumber && std::isfinite(notice.rate) && notice.rate >= 0;
+        notice.rateNotice = isValid ? RateNotice::Named : RateNotice::Invalid;
+    }
+    return notice;
+}
+
+ServerNotices::Entry& ServerNotices::entryOf(const Server& server, TimePoint now)
+{
+    const auto found = m_entries.find(server.id);
+    if (found == m_entries.end() && m_entries.size() >= maxEntries)
+        removeOldest();
+    Entry& entry = m_entries[server.id];
+    if (entry.server.incarnation < server.incarnation)
+        entry = { .server = server };
+    entry.heardAt = now;
+    return entry;
+}
+
+void ServerNotices::removeOldest()
+{
+    const auto oldest = std::min_element(m_entries.begin(), m_entries.end(),
+        [](const auto& left, const auto& right) { return left.second.heardAt < right.second.heardAt; });
+    m_entries.erase(oldest);
+}
+
+void ServerNotices::record(const Server& server, const ServerNotice& notice, TimePoint now)
+{
+    const auto found = m_entries.find(server.id);
+    if (notice.rateNotice == RateNotice::None && found == m_entries.end())
+        return;
+    Entry& entry = entryOf(server, now);
+    // An answer of an earlier start that arrives late.
+    if (entry.server.incarnation != server.incarnation)
+        return;
+    if (notice.rateNotice == RateNotice::Named) {
+        entry.rate = notice.rate;
+    } else if (notice.rateNotice == RateNotice::None) {
+        entry.rate.reset();
+        entry.pausedUntil = {};
+    }
+}
+
+void ServerNotices::pause(const Server& server, TimePoint until, TimePoint now)
+{
+    Entry& entry = entryOf(server, now);
+    if (entry.server.incarnation == server.incarnation)
+        entry.pausedUntil = std::max(entry.pausedUntil, until);
+}
+
+void ServerNotices::update(const MembershipView& view)
+{
+    absl::erase_if(m_entries, [&view](const auto& entry) {
+        const InstanceState* state = view.find(entry.first);
+        return state && state->record.incarnation > entry.second.server.incarnation;
+    });
+}
+
+std::optional<double> ServerNotices::rate(const InstanceId& id, Incarnation incarnation) const
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.server.incarnation != incarnation)
+        return std::nullopt;
+    return found->second.rate;
+}
+
+std::vector<InstanceId> ServerNotices::unusable(const ServiceName& service, TimePoint now) const
+{
+    std::vector<InstanceId> ids;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.server.service == service && entry.pausedUntil > now)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+std::optional<Duration> ServerNotices::shortestPause(const ServiceName& service, TimePoint now) const
+{
+    std::optional<Duration> shortest;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.server.service == service && entry.pausedUntil > now)
+            shortest = std::min(shortest.value_or(Duration::max()), Duration(entry.pausedUntil - now));
+    }
+    return shortest;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/ServerNotices.h
@@ -0,0 +1,73 @@
+// What backend servers say of themselves in their answers, as a caller's node remembers it.
+//
+// A server in need names the rate of requests that it takes from all nodes together. Its gate keeps the rate; this
+// class keeps the node from asking the gate in vain: after an answer or a refusal the server is paused until the node's
+// next turn. The node also reminds the gate of the rate, since a gate that has restarted does not know it.
+//
+// A notice belongs to one start of a server. Bound: maxEntries servers; the one heard of least recently is dropped.
+//
+// Not thread-safe; does no input or output.
+#pragma once
+
+#include "http/HttpMessage.h"
+#include "membership/MembershipView.h"
+#include "proxy/HttpConventions.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <optional>
+
+namespace skylark {
+
+enum class RateNotice : uint8_t {
+    None,
+    Named,
+    // Not a number, negative or infinite: says nothing.
+    Invalid,
+};
+
+struct ServerNotice {
+    RateNotice rateNotice { RateNotice::None };
+    // Requests per second; set if the rate is named.
+    double rate { 0 };
+};
+
+ServerNotice readServerNotice(const HttpHeaders& headers, const HttpConventions& conventions);
+
+class ServerNotices {
+public:
+    // One start of a server.
+    struct Server {
+        InstanceId id;
+        Incarnation incarnation;
+        ServiceName service;
+    };
+
+    void record(const Server& server, const ServerNotice& notice, TimePoint now);
+    // The server gets no request of this node before this time.
+    void pause(const Server& server, TimePoint until, TimePoint now);
+    // Forgets the notices of servers that have started again.
+    void update(const MembershipView& view);
+
+    // The rate that this start of the server named.
+    std::optional<double> rate(const InstanceId& id, Incarnation incarnation) const;
+    // Servers of the service that get no requests now.
+    std::vector<InstanceId> unusable(const ServiceName& service, TimePoint now) const;
+    // The time until the first paused server of the service is usable; none if no server is paused.
+    std::optional<Duration> shortestPause(const ServiceName& service, TimePoint now) const;
+    size_t size() const { return m_entries.size(); }
+
+private:
+    struct Entry {
+        Server server;
+        std::optional<double> rate;
+        TimePoint pausedUntil;
+        TimePoint heardAt;
+    };
+
+    Entry& entryOf(const Server& server, TimePoint now);
+    void removeOldest();
+
+    absl::flat_hash_map<InstanceId, Entry> m_entries;
+};
+
+} // namespace skylark
--- a/src/proxy/tests/BackendGateTest.cpp
+++ b/src/proxy/tests/BackendGateTest.cpp
@@ -25,7 +25,7 @@
                 .service = ServiceName(service),
                 .slots = 1 };
         }
-        void submit(uint64_t number)
+        void submit(uint64_t number, std::optional<double> knownServerRate = std::nullopt)
         {
             auto request = std::make_shared<HttpRequest>();
             request->method = "POST";
@@ -35,7 +35,9 @@
                             .requestId = RequestId(std::to_string(number)),
                             .service = ServiceName("work"),
                             .request = std::move(request),
-                            .deadline = loop.now() + 5s },
+                            .deadline = loop.now() + 5s,
+                            .knownServerRate = knownServerRate,
+                            .serverIncarnation = Incarnation(1) },
                 [this, number](const GateReplyPtr& reply) { replies.emplace(number, reply); });
         }
         void runFor(Duration time)
@@ -95,6 +97,60 @@
         EXPECT_TRUE(server.executions().empty());
     }
 
+    // Guards against more requests than a server takes: the gate sees the requests of all nodes.
+    TEST_F(BackendGateTest, ServerThatNamesALimitGetsNoMoreRequests)
+    {
+        server.setWork(1ms);
+        server.setExtraHeaders({ { httpConventions.serverLimit, "4" } });
+        submit(1);
+        runFor(100ms);
+        for (uint64_t number = 2; number <= 20; ++number)
+            submit(number);
+        runFor(100ms);
+        EXPECT_EQ(server.executions().size(), 1u);
+        ASSERT_NE(refusal(2), nullptr);
+        EXPECT_EQ(refusal(2)->outcome, CallOutcome::NotRun);
+        EXPECT_GT(refusal(2)->load.requestDelay, Duration(0));
+        runFor(400ms);
+        submit(21);
+        runFor(100ms);
+        EXPECT_EQ(server.executions().count("21"), 1u);
+        // The limit ends with an answer that does not name it.
+        server.setExtraHeaders({});
+        runFor(400ms);
+        submit(22);
+        runFor(100ms);
+        for (uint64_t number = 23; number <= 30; ++number) {
+            submit(number);
+            runFor(20ms);
+        }
+        EXPECT_EQ(server.executions().count("30"), 1u);
+    }
+
+    // Guards against a burst after a restart of the gate, which has forgotten the limit. The senders have not.
+    TEST_F(BackendGateTest, RestartedGateLearnsTheLimitFromItsCallers)
+    {
+        server.setWork(1ms);
+        for (uint64_t number = 1; number <= 10; ++number)
+            submit(number, 4);
+        runFor(100ms);
+        EXPECT_TRUE(server.executions().empty());
+        runFor(300ms);
+        submit(11, 4);
+        runFor(100ms);
+        EXPECT_EQ(server.executions().size(), 1u);
+    }
+
+    // Guards against a limit of a former process that binds its successor.
+    TEST_F(BackendGateTest, NewProcessOfTheServerHasNoLimit)
+    {
+        submit(1, 4);
+        ASSERT_NE(refusal(1), nullptr);
+        gate.setServer(record("first", "work", 2));
+        submit(2, 4);
+        EXPECT_EQ(refusal(2), nullptr);
+    }
+
     TEST_F(BackendGateTest, QueuedCallsAreRefusedWhenTheServerIsGone)
     {
         submit(1);
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -69,11 +69,6 @@
         return entry;
     }
 
-    HttpHeaders responseHeaders(const std::string& id)
-    {
-        return { { HttpConventions().requestId, id }, { HttpConventions().proof, "proof-" + id } };
-    }
-
 } // namespace
 
 // One connection to the server; a timer simulates the work.
@@ -131,7 +126,7 @@
         m_isRunning = false;
         const auto self = shared_from_this();
         const std::string text
-            = serialize(HttpResponse { .status = 200, .headers = responseHeaders(m_id), .body = m_body });
+            = serialize(HttpResponse { .status = 200, .headers = m_server.responseHeaders(m_id), .body = m_body });
         switch (m_server.m_fault) {
         case ServerFault::DropResponse:
             close();
@@ -193,6 +188,14 @@
     m_thread.join();
 }
 
+HttpHeaders TestServer::responseHeaders(const std::string& id) const
+{
+    HttpHeaders headers { { HttpConventions().requestId, id }, { HttpConventions().proof, "proof-" + id } };
+    const std::lock_guard lock(m_mutex);
+    headers.insert(headers.end(), m_extraHeaders.begin(), m_extraHeaders.end());
+    return headers;
+}
+
 std::multiset<std::string> TestServer::executions() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -33,6 +33,12 @@
 
     uint16_t port() const { return m_listener->port(); }
     void setFault(ServerFault fault) { m_fault = fault; }
+    // Sent in each response from now on.
+    void setExtraHeaders(HttpHeaders headers)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_extraHeaders = std::move(headers);
+    }
     void setWork(Duration work)
     {
         m_workMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(work).count();
@@ -43,6 +49,7 @@
 
 private:
     class Connection;
+    HttpHeaders responseHeaders(const std::string& id) const;
     void begin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection);
 
     SystemClock m_clock;
@@ -54,6 +61,7 @@
     std::atomic<int> m_runningCount { 0 };
     mutable std::mutex m_mutex;
     std::multiset<std::string> m_executions;
+    HttpHeaders m_extraHeaders;
     std::set<std::shared_ptr<Connection>> m_connections;
     std::unique_ptr<TcpListener> m_listener;
     std::thread m_thread;
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -60,13 +60,13 @@
 {
     return std::tie(m.stream, m.requestId, m.gateIncarnation, m.service, m.method, m.target, m.headers, m.rank,
         m.remainingDeadline, m.worth, m.isIdempotent, m.isResend, m.depth, m.attempt, m.hasBody, m.idempotencyKey,
-        m.remainingLatencyTarget);
+        m.remainingLatencyTarget, m.serverIncarnation, m.knowsServerRate, m.serverRateThousandths);
 }
 auto fieldsOf(MaybeConst<BodyChunk> auto& m) { return std::tie(m.stream, m.offset, m.data, m.isLast); }
 auto fieldsOf(MaybeConst<WindowUpdate> auto& m) { return std::tie(m.stream, m.bytes); }
 auto fieldsOf(MaybeConst<LoadHint> auto& m)
 {
-    return std::tie(m.inFlight, m.queued, m.limit, m.isLeaving, m.meanServiceTime);
+    return std::tie(m.inFlight, m.queued, m.limit, m.isLeaving, m.meanServiceTime, m.requestDelay);
 }
 auto fieldsOf(MaybeConst<AnswerStart> auto& m)
 {
@@ -101,6 +101,8 @@
 // release sent the message.
 template <typename T> constexpr size_t requiredFields = std::tuple_size_v<decltype(fieldsOf(std::declval<T&>()))>;
 template <> inline constexpr size_t requiredFields<SourceUpdate> = 5;
+template <> inline constexpr size_t requiredFields<CallStart> = 17;
+template <> inline constexpr size_t requiredFields<LoadHint> = 5;
 
 // The maximum number of elements in a list of this type. Lists of the largest fleet that the design supports stay well
 // below these bounds.
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -206,6 +206,12 @@
     std::string idempotencyKey;
     // The time until a response would be late for its caller. Zero when it is late already or no latency target is set.
     Duration remainingLatencyTarget {};
+    // The start of the server that the sender means.
+    Incarnation serverIncarnation;
+    // That start named a limit in an answer to the sender, in thousandths of a request per second. A gate that has
+    // restarted does not know it.
+    bool knowsServerRate { false };
+    uint64_t serverRateThousandths { 0 };
     bool operator==(const CallStart&) const = default;
 };
 
@@ -232,6 +238,8 @@
     bool isLeaving { false };
     // The mean time that the backend server takes for a call, without queueing; zero when unknown.
     Duration meanServiceTime {};
+    // The time after which the receiver may send its next request; zero unless the server limits its requests.
+    Duration requestDelay {};
     bool operator==(const LoadHint&) const = default;
 };
 
