Keep requests from servers that answer that they leave

A server that leaves says so in its answers. Class of fault: evidence at hand that is not used, as the only authority was the store.

Change: the gate refuses calls for the server from the first such answer on, and takes back what it has queued. The callers' nodes remember the answer as well, by the start of the server, and send it nothing more until it starts again: a gate that restarts has forgotten. Both hold whatever the entry says.

Found on the way, by the test: refuseInadmissible() met the call whose answer was being handled, which has no connection any more.

Tests: ServerThatAnswersThatItLeavesGetsNoMoreCalls, LeavingServerGetsNoRequestsUntilItStartsAgain, and with two nodes ServerThatAnswersThatItLeavesGetsNoRequestsOfAnyNode; the last needs no new interface but the header's name.

--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -64,6 +64,7 @@
         m_idleConnections.clear();
         m_rateLimit.set(std::nullopt, m_loop.now());
         m_hasAnswer = false;
+        m_isServerLeaving = false;
     }
     if (server)
         m_admission.reconfigure(admissionOptions(), m_loop.now());
@@ -87,7 +88,7 @@
     return { .inFlight = static_cast<uint32_t>(m_admission.inFlight()),
         .queued = static_cast<uint32_t>(m_admission.queued()),
         .limit = static_cast<uint32_t>(m_admission.limit()),
-        .isLeaving = m_isDraining || (m_server && m_server->isDraining),
+        .isLeaving = m_isDraining || isServerLeaving(),
         .meanServiceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceTime.mean())),
         .requestDelay = m_rateLimit.delayForSender(m_loop.now()) };
 }
@@ -98,7 +99,7 @@
         return "the node stops";
     if (!m_server)
         return "the backend server has no entry";
-    if (m_server->isDraining)
+    if (isServerLeaving())
         return "the backend server leaves";
     if (m_server->service != call.service)
         return "the backend server runs another service";
@@ -175,6 +176,10 @@
     m_hasAnswer = true;
     const ServerNotice notice = readServerNotice(response.headers, m_httpConventions);
     const std::string server = m_server ? m_server->id.value() : "";
+    if (notice.isLeaving && !std::exchange(m_isServerLeaving, true)) {
+        logEvent(LogLevel::Info, "server-leaving", { { "server", server } });
+        refuseInadmissible();
+    }
     if (notice.rateNotice == RateNotice::Invalid) {
         logEvent(LogLevel::Warning, "server-limit-invalid",
             { { "server", server }, { "limit", *findHeader(response.headers, m_httpConventions.serverLimit) } });
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -9,9 +9,9 @@
 // A server that names a limit gets that many requests a second; other calls are refused at once, with the time after
 // which their node may send the next one. Requests count when they are sent, not when they are queued.
 //
-// A draining server gets no new calls: queued calls are refused and running calls finish. After the process was paused
-// (more than `pauseThreshold` between two clock checks), calls that arrived meanwhile are refused, since their age is
-// unknown.
+// A server that drains, by its entry or by its own answers, gets no new calls: queued calls are refused and running
+// calls finish. After the process was paused (more than `pauseThreshold` between two clock checks), calls that arrived
+// meanwhile are refused, since their age is unknown.
 //
 // Bounds: maxQueued queued calls, the capacity of the deduplicator, one connection per running call, and at most
 // maxIdleConnections idle connections.
@@ -91,10 +91,14 @@
     };
     using CallPtr = std::shared_ptr<Call>;
 
-    static bool isUnsent(const Call& call) { return !call.isRunning || !call.connection->hasSentRequest(); }
+    static bool isUnsent(const Call& call)
+    {
+        return !call.isRunning || (call.connection && !call.connection->hasSentRequest());
+    }
     void recordNotice(const HttpResponse& response);
     // Takes over what the sender knows of the server, after a restart of this process.
     void learnRate(const GateCall& call);
+    bool isServerLeaving() const { return m_isServerLeaving || (m_server && m_server->isDraining); }
     const char* refusalCause(const GateCall& call) const;
     void admit(const CallPtr& call);
     void run(const CallPtr& call);
@@ -126,6 +130,8 @@
     ServerRateLimit m_rateLimit;
     // The server's present process has answered, so this process knows its limit better than the senders.
     bool m_hasAnswer { false };
+    // The server's present process has answered that it leaves.
+    bool m_isServerLeaving { false };
     ServiceTimeEstimate m_serviceTime;
     absl::flat_hash_map<CallKey, CallPtr> m_calls;
     absl::flat_hash_map<TicketId, CallPtr> m_callsByTicket;
--- a/src/proxy/HttpConventions.h
+++ b/src/proxy/HttpConventions.h
@@ -22,6 +22,8 @@
     std::string notExecuted { "Skylark-Not-Executed" };
     // The requests per second that the server takes from all nodes together, a decimal number. Set by a server in need.
     std::string serverLimit { "Skylark-Server-Limit" };
+    // "1" if the server is about to leave.
+    std::string serverLeaving { "Skylark-Server-Leaving" };
     std::string readyPath { "/ready" };
 };
 
--- a/src/proxy/ServerNotices.cpp
+++ b/src/proxy/ServerNotices.cpp
@@ -20,6 +20,8 @@
         const bool isValid = isNumber && std::isfinite(notice.rate) && notice.rate >= 0;
         notice.rateNotice = isValid ? RateNotice::Named : RateNotice::Invalid;
     }
+    const std::string* leaving = findHeader(headers, conventions.serverLeaving);
+    notice.isLeaving = leaving && *leaving == "1";
     return notice;
 }
 
@@ -45,12 +47,13 @@
 void ServerNotices::record(const Server& server, const ServerNotice& notice, TimePoint now)
 {
     const auto found = m_entries.find(server.id);
-    if (notice.rateNotice == RateNotice::None && found == m_entries.end())
+    if (notice.rateNotice == RateNotice::None && !notice.isLeaving && found == m_entries.end())
         return;
     Entry& entry = entryOf(server, now);
     // An answer of an earlier start that arrives late.
     if (entry.server.incarnation != server.incarnation)
         return;
+    entry.isLeaving |= notice.isLeaving;
     if (notice.rateNotice == RateNotice::Named) {
         entry.rate = notice.rate;
     } else if (notice.rateNotice == RateNotice::None) {
@@ -86,7 +89,7 @@
 {
     std::vector<InstanceId> ids;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.server.service == service && entry.pausedUntil > now)
+        if (entry.server.service == service && (entry.isLeaving || entry.pausedUntil > now))
             ids.push_back(id);
     }
     return ids;
@@ -96,7 +99,7 @@
 {
     std::optional<Duration> shortest;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.server.service == service && entry.pausedUntil > now)
+        if (entry.server.service == service && !entry.isLeaving && entry.pausedUntil > now)
             shortest = std::min(shortest.value_or(Duration::max()), Duration(entry.pausedUntil - now));
     }
     return shortest;
--- a/src/proxy/ServerNotices.h
+++ b/src/proxy/ServerNotices.h
@@ -2,7 +2,9 @@
 //
 // A server in need names the rate of requests that it takes from all nodes together. Its gate keeps the rate; this
 // class keeps the node from asking the gate in vain: after an answer or a refusal the server is paused until the node's
-// next turn. The node also reminds the gate of the rate, since a gate that has restarted does not know it.
+// next turn. A server that says that it leaves gets no more requests of this node, whatever its entry says: the source
+// may be out of reach, and a gate that restarts has forgotten the answer. The node also reminds the gate of the rate,
+// since a gate that has restarted does not know it.
 //
 // A notice belongs to one start of a server. Bound: maxEntries servers; the one heard of least recently is dropped.
 //
@@ -29,6 +31,7 @@
     RateNotice rateNotice { RateNotice::None };
     // Requests per second; set if the rate is named.
     double rate { 0 };
+    bool isLeaving { false };
 };
 
 ServerNotice readServerNotice(const HttpHeaders& headers, const HttpConventions& conventions);
@@ -60,6 +63,7 @@
     struct Entry {
         Server server;
         std::optional<double> rate;
+        bool isLeaving { false };
         TimePoint pausedUntil;
         TimePoint heardAt;
     };
--- a/src/proxy/tests/BackendGateTest.cpp
+++ b/src/proxy/tests/BackendGateTest.cpp
@@ -151,6 +151,28 @@
         EXPECT_EQ(refusal(2), nullptr);
     }
 
+    // Guards against requests to a server whose leave is known from its answers only.
+    TEST_F(BackendGateTest, ServerThatAnswersThatItLeavesGetsNoMoreCalls)
+    {
+        server.setExtraHeaders({ { httpConventions.serverLeaving, "1" } });
+        submit(1);
+        submit(2);
+        runFor(300ms);
+        EXPECT_EQ(refusal(1), nullptr);
+        submit(3);
+        for (const uint64_t number : { 2, 3 }) {
+            ASSERT_NE(refusal(number), nullptr);
+            EXPECT_EQ(refusal(number)->outcome, CallOutcome::NotRun);
+        }
+        EXPECT_TRUE(gate.load().isLeaving);
+        // The next process is not bound.
+        server.setExtraHeaders({});
+        gate.setServer(record("first", "work", 2));
+        submit(4);
+        runFor(300ms);
+        EXPECT_EQ(server.executions().count("4"), 1u);
+    }
+
     TEST_F(BackendGateTest, QueuedCallsAreRefusedWhenTheServerIsGone)
     {
         submit(1);
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -164,6 +164,25 @@
         EXPECT_TRUE(fleet.server(1).executions().empty());
     }
 
+    // Guards against requests to a server that says in its answers that it leaves, while the source still lists it.
+    TEST(ProxyNodeTest, ServerThatAnswersThatItLeavesGetsNoRequestsOfAnyNode)
+    {
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.server(0).setExtraHeaders({ { HttpConventions().serverLeaving, "1" } });
+        size_t ran = 0;
+        for (int i = 0; i < 100 && ran == 0; ++i) {
+            sendRequest(fleet.callerAddress(static_cast<size_t>(i % 2)), "first-" + std::to_string(i), "/read/x");
+            ran = fleet.server(0).executions().size();
+        }
+        ASSERT_GT(ran, 0u);
+        for (int i = 0; i < 40; ++i) {
+            const Endpoint caller = fleet.callerAddress(static_cast<size_t>(i % 2));
+            EXPECT_EQ(sendRequest(caller, "next-" + std::to_string(i), "/read/x").status, 200);
+        }
+        EXPECT_EQ(fleet.server(0).executions().size(), ran);
+    }
+
     TEST(ProxyNodeTest, NodeWithoutTheSourceReceivesTheConfigurationFromAPeer)
     {
         ProxyFleet fleet(2);
--- a/src/proxy/tests/ServerNoticesTest.cpp
+++ b/src/proxy/tests/ServerNoticesTest.cpp
@@ -47,6 +47,23 @@
         EXPECT_EQ(notices.rate(InstanceId("a"), Incarnation(1)), std::nullopt);
     }
 
+    // Guards against requests to a server that has answered that it leaves, while its entry still says that it is
+    // ready.
+    TEST(ServerNoticesTest, LeavingServerGetsNoRequestsUntilItStartsAgain)
+    {
+        ServerNotices notices;
+        const ServerNotice leaving = readServerNotice({ { HttpConventions().serverLeaving, "1" } }, HttpConventions());
+        notices.record(server("a"), leaving, start);
+        notices.record(server("a"), {}, start + 1s);
+        notices.update(viewOf("a", 1));
+        notices.update(viewOf("b", 1));
+        EXPECT_EQ(notices.unusable(service, start + 1h), std::vector { InstanceId("a") });
+        EXPECT_EQ(notices.shortestPause(service, start), std::nullopt);
+        notices.update(viewOf("a", 2));
+        EXPECT_TRUE(notices.unusable(service, start + 1h).empty());
+        EXPECT_FALSE(readServerNotice({ { HttpConventions().serverLeaving, "0" } }, HttpConventions()).isLeaving);
+    }
+
     TEST(ServerNoticesTest, PausedServerGetsNoRequestsUntilTheTimeHasPassed)
     {
         ServerNotices notices;
