Take no refusal without an id for the answer on a kept connection

A request that ran could be answered as not run (REFUSED), or run again at a second server (TWICE): a refusal without an id was taken for the answer to whatever request was in progress. A faulty server that writes an earlier refusal once more on a kept connection sends just that.

Change: a refusal without an id counts only as the first response on its connection; later ones are skipped like a response with another id. The id of an earlier refusal cannot be that of the present request, since an attempt comes to the same server once.

Before: RefusalWithoutAnIdOnAKeptConnectionIsNoProof failed (the request ran and its caller's node was told that it had not). After: the server's own answer is delivered.

--- a/src/proxy/BackendConnection.cpp
+++ b/src/proxy/BackendConnection.cpp
@@ -98,12 +98,14 @@
     if (const std::string* id = findHeader(response.headers, m_httpConventions.requestId))
         return *id == m_request.requestId;
     // A server that rejects a request may not have read its id.
-    return response.status == statusMisdirected || findHeader(response.headers, m_httpConventions.notExecuted);
+    return !m_hasAnswered
+        && (response.status == statusMisdirected || findHeader(response.headers, m_httpConventions.notExecuted));
 }
 
 void BackendConnection::acceptResponse(HttpResponse response)
 {
     recordKeepAlive(response);
+    m_hasAnswered = true;
     m_isReusable = response.keepsAlive && !m_parser.isWithinMessage() && m_stream->pendingBytes() == 0;
     m_idleSince = m_loop.now();
     finish(BackendResponse { std::move(response) });
--- a/src/proxy/tests/BackendGateTest.cpp
+++ b/src/proxy/tests/BackendGateTest.cpp
@@ -173,6 +173,21 @@
         EXPECT_EQ(server.executions().count("4"), 1u);
     }
 
+    // Guards against "not run" for a request that runs: a faulty server writes an earlier refusal once more on a kept
+    // connection, and without an id it could be taken for the answer to the next request.
+    TEST_F(BackendGateTest, RefusalWithoutAnIdOnAKeptConnectionIsNoProof)
+    {
+        submit(1);
+        runFor(200ms);
+        ASSERT_EQ(gate.idleConnections(), 1u);
+        server.setFault(ServerFault::RefusalBeforeResponse);
+        submit(2);
+        runFor(300ms);
+        EXPECT_EQ(server.executions().count("2"), 1u);
+        ASSERT_EQ(replies.count(2), 1u);
+        EXPECT_TRUE(std::holds_alternative<GateResponse>(*replies.at(2)));
+    }
+
     TEST_F(BackendGateTest, QueuedCallsAreRefusedWhenTheServerIsGone)
     {
         submit(1);
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -106,6 +106,9 @@
             respond(503, { { HttpConventions().notExecuted, "1" } });
             return;
         }
+        if (m_server.m_fault == ServerFault::RefusalBeforeResponse)
+            m_stream->write(
+                serialize(HttpResponse { .status = 503, .headers = { { HttpConventions().notExecuted, "1" } } }));
         {
             const std::lock_guard lock(m_server.m_mutex);
             m_server.m_executions.insert(m_id);
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -24,6 +24,8 @@
     Truncate,
     // Responds that it did not run the request.
     Shed,
+    // Writes a refusal without an id, then runs the request, as if an earlier refusal were written once more.
+    RefusalBeforeResponse,
 };
 
 class TestServer {
