Bound the bytes of a message that are not its body

A faulty server that sends a chunk extension, a chunk size, a trailer or interim responses without end made the node buffer or read without bound: the test stopped after 64 MiB in each case, while an instance may have 88 MB. The head and the body had limits, what stands between them had none.

Change: all bytes besides the body may take twice the head's limit and 16 bytes for each byte of the body, interim responses included. It holds for requests too.

Before: EndlessBytesOfAnyPartAreRefused failed in six of its ten cases. After: it passes.

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -95,6 +95,8 @@
         HttpLimits limits;
         std::string buffer;
         std::optional<MessageCollector<isRequest>> collector;
+        // Bytes since the last message that next() returned.
+        uint64_t parsedBytes { 0 };
 
         MessageCollector<isRequest>& current()
         {
@@ -107,12 +109,12 @@
         bool parse()
         {
             MessageCollector<isRequest>& parser = current();
-            size_t parsedBytes = 0;
-            while (parsedBytes < buffer.size() && !parser.is_done()) {
+            size_t offset = 0;
+            while (offset < buffer.size() && !parser.is_done()) {
                 ErrorCode error;
-                const size_t count = parser.put(
-                    boost::asio::const_buffer(buffer.data() + parsedBytes, buffer.size() - parsedBytes), error);
-                parsedBytes += count;
+                const size_t count
+                    = parser.put(boost::asio::const_buffer(buffer.data() + offset, buffer.size() - offset), error);
+                offset += count;
                 if (error == http::error::need_more)
                     break;
                 if (error)
@@ -120,12 +122,23 @@
                 if (count == 0)
                     break;
             }
-            buffer.erase(0, parsedBytes);
+            buffer.erase(0, offset);
+            parsedBytes += offset;
+            checkOverhead(parser);
             if (parser.is_header_done())
                 checkFraming(parser);
             return parser.is_done();
         }
 
+        void checkOverhead(const MessageCollector<isRequest>& parser) const
+        {
+            constexpr uint64_t maxBytesPerBodyByte = 16;
+            const uint64_t bodyBytes = parser.message.body.size();
+            const uint64_t unparsedBytes = parser.is_done() ? 0 : buffer.size();
+            if (parsedBytes + unparsedBytes > 2 * limits.headerBytes + (1 + maxBytesPerBodyByte) * bodyBytes)
+                throw HttpError(statusHeadersTooLarge, "too many bytes besides the body");
+        }
+
         static void checkFraming(const MessageCollector<isRequest>& parser)
         {
             if (parser.contentLengthHeaders > 1)
@@ -172,6 +185,7 @@
 {
     if (m_state->buffer.empty() || !m_state->parse())
         return std::nullopt;
+    m_state->parsedBytes = 0;
     return m_state->take();
 }
 
@@ -209,8 +223,10 @@
 std::optional<HttpResponse> ResponseParser::next()
 {
     while (!m_state->buffer.empty() && m_state->parse()) {
-        if (auto response = m_state->takeFinalResponse())
+        if (auto response = m_state->takeFinalResponse()) {
+            m_state->parsedBytes = 0;
             return response;
+        }
     }
     return std::nullopt;
 }
--- a/src/http/tests/MessageParserTest.cpp
+++ b/src/http/tests/MessageParserTest.cpp
@@ -168,5 +168,43 @@
         EXPECT_FALSE(parsedResponse->keepsAlive);
     }
 
+    // Feeds the pattern again and again; returns the bytes that the parser took before it threw.
+    size_t bytesUntilError(const std::string& beginning, const std::string& pattern)
+    {
+        constexpr size_t maxBytes = 64 * 1024 * 1024;
+        ResponseParser parser({ .headerBytes = 8192, .bodyBytes = 65536 });
+        parser.append(beginning);
+        size_t bytes = beginning.size();
+        try {
+            while (bytes < maxBytes) {
+                if (parser.next())
+                    return bytes;
+                parser.append(pattern);
+                bytes += pattern.size();
+            }
+        } catch (const HttpError&) {
+        }
+        return bytes;
+    }
+
+    // Guards against a faulty server that sends without end until the process has no memory left.
+    TEST(ResponseParserTest, EndlessBytesOfAnyPartAreRefused)
+    {
+        const std::string status = "HTTP/1.1 200 OK\r\n";
+        const std::string chunked = status + "Transfer-Encoding: chunked\r\n\r\n";
+        const std::string letters(1000, 'a');
+        constexpr size_t bound = 200000;
+        EXPECT_LT(bytesUntilError("HTTP/1.1 200 ", letters), bound) << "reason";
+        EXPECT_LT(bytesUntilError(status + "X: ", letters), bound) << "one field";
+        EXPECT_LT(bytesUntilError(status, "X: y\r\n"), bound) << "fields";
+        EXPECT_LT(bytesUntilError(chunked + "5;x=", letters), bound) << "chunk extension";
+        EXPECT_LT(bytesUntilError(chunked, std::string(1000, '0')), bound) << "chunk size";
+        EXPECT_LT(bytesUntilError(chunked, "1;x=" + letters + "\r\nb\r\n"), 200 * bound) << "small chunks";
+        EXPECT_LT(bytesUntilError(chunked + "0\r\nX: ", letters), bound) << "one trailer";
+        EXPECT_LT(bytesUntilError(chunked + "0\r\n", "X: y\r\n"), bound) << "trailers";
+        EXPECT_LT(bytesUntilError(status + "\r\n", letters), bound) << "body without a length";
+        EXPECT_LT(bytesUntilError("", "HTTP/1.1 100 Continue\r\n\r\n"), bound) << "interim responses";
+    }
+
 } // namespace
 } // namespace skylark
