Format the comments of two headers and forget servers without a notice

A server whose answer ends its limit now leaves the table of notices, which each choice of an instance reads; before, its empty entry stayed until it started again.

--- a/src/http/MessageParser.h
+++ b/src/http/MessageParser.h
@@ -4,8 +4,8 @@
 // ambiguous framing (several or conflicting lengths, or an unknown transfer encoding), because another server could
 // read the end of a forwarded message as a second request (request smuggling). They buffer at most one message and the
 // bytes that one read delivered beyond it. What is not body (heads, interim responses, chunk sizes and extensions,
-// trailers) may take twice the head's limit and 16 bytes more for each byte of the body; a peer that sends more, such as
-// a chunk extension without end, is refused.
+// trailers) may take twice the head's limit and 16 bytes more for each byte of the body; a peer that sends more, such
+// as a chunk extension without end, is refused.
 #pragma once
 
 #include "base/Error.h"
--- a/src/proxy/BackendConnection.h
+++ b/src/proxy/BackendConnection.h
@@ -2,8 +2,8 @@
 //
 // send() may be called while the connection is being opened or is idle. Its callback runs exactly once, unless close()
 // is called first. A response is never matched to the wrong request: unexpected bytes after a response close the
-// connection, and a response with the id of another request is skipped. A refusal without an id counts only as the first
-// response on its connection: on a kept one a faulty server may have written an earlier refusal once more.
+// connection, and a response with the id of another request is skipped. A refusal without an id counts only as the
+// first response on its connection: on a kept one a faulty server may have written an earlier refusal once more.
 #pragma once
 
 #include "eventloop/TcpStream.h"
--- a/src/proxy/ServerNotices.cpp
+++ b/src/proxy/ServerNotices.cpp
@@ -46,20 +46,18 @@
 
 void ServerNotices::record(const Server& server, const ServerNotice& notice, TimePoint now)
 {
-    const auto found = m_entries.find(server.id);
-    if (notice.rateNotice == RateNotice::None && !notice.isLeaving && found == m_entries.end())
+    const bool saysNothing = notice.rateNotice == RateNotice::None && !notice.isLeaving;
+    if (saysNothing && !m_entries.contains(server.id))
         return;
     Entry& entry = entryOf(server, now);
     // An answer of an earlier start that arrives late.
     if (entry.server.incarnation != server.incarnation)
         return;
     entry.isLeaving |= notice.isLeaving;
-    if (notice.rateNotice == RateNotice::Named) {
+    if (notice.rateNotice == RateNotice::Named)
         entry.rate = notice.rate;
-    } else if (notice.rateNotice == RateNotice::None) {
-        entry.rate.reset();
-        entry.pausedUntil = {};
-    }
+    else if (notice.rateNotice == RateNotice::None && !entry.isLeaving)
+        m_entries.erase(server.id);
 }
 
 void ServerNotices::pause(const Server& server, TimePoint until, TimePoint now)
--- a/src/proxy/tests/ServerNoticesTest.cpp
+++ b/src/proxy/tests/ServerNoticesTest.cpp
@@ -43,8 +43,11 @@
         notices.record(server("a"), limitNotice("5"), start);
         notices.record(server("a"), limitNotice("-1"), start);
         EXPECT_EQ(notices.rate(InstanceId("a"), Incarnation(1)), 5);
+        notices.pause(server("a"), start + 1s, start);
         notices.record(server("a"), {}, start);
         EXPECT_EQ(notices.rate(InstanceId("a"), Incarnation(1)), std::nullopt);
+        EXPECT_TRUE(notices.unusable(service, start).empty());
+        EXPECT_EQ(notices.size(), 0u);
     }
 
     // Guards against requests to a server that has answered that it leaves, while its entry still says that it is
