Decide who reads by the source's last response, not by what is applied

Cause: the age that decides whether a follower reads the source itself had begun to count decoding and queues. While configurations follow each other, a busy reader looked stale, its followers read too, each fetched and decoded 350 KB, and were late themselves: 557 takeovers in 29 s. Class of fault: positive feedback of load on an alarm.

Change: two ages. The old one, from the source's last response, decides who reads. The new one counts all waits until the servers are applied and decides only whether the node reads its own server's entry.

Tests: RequestIsAnsweredWhenTheSourceConfirmsTheState (now when the servers are applied, and checks both ages), AgeIncludesTheWayFromThePeer and AnswerWithAGapConfirmsNothing check the new age; the latter also that an answer without a gap confirms.

--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -154,7 +154,8 @@
         .onServers = [this](const ServerChanges& changes) { applyServers(changes, "source"); },
         .onLost = [this](const std::string& reason) { handleSourceLost(reason); },
         .onRecovered = [this] { handleSourceRecovered(); },
-        .onCall = [this](const SourceCallResult& result) { recordSourceCall(result); } };
+        .onCall = [this](const SourceCallResult& result) { recordSourceCall(result); },
+        .onDelivered = [this](TimePoint currentAt) { m_exchange.recordApplied(currentAt); } };
 }
 
 void ProxyNode::checkOwnServer()
@@ -162,7 +163,7 @@
     const std::optional<ServerRecord>& server = m_gate.server();
     if (!server || server->isDraining || m_isSourceLost)
         return;
-    if (m_entryCheck.startIfDue(m_exchange.confirmedAt(), m_loop.now()))
+    if (m_entryCheck.startIfDue(m_exchange.serversConfirmedAt(), m_loop.now()))
         m_entryReader.request(m_adapter.serverKey(server->id));
 }
 
@@ -230,7 +231,7 @@
         { { "servers", std::to_string(m_view->instances().size()) },
             { "revision", std::to_string(m_directory.revision().value()) },
             { "own", ownServer ? ownServer->id.value() : "" }, { "origin", origin },
-            { "age_ms", millisecondsText(m_exchange.age()) } });
+            { "age_ms", millisecondsText(m_loop.now() - m_exchange.serversConfirmedAt()) } });
 }
 
 void ProxyNode::handleSourceLost(const std::string& reason)
--- a/src/proxy/SourceDecoder.cpp
+++ b/src/proxy/SourceDecoder.cpp
@@ -24,10 +24,12 @@
 
 void SourceDecoder::onCall(const SourceCallResult& result)
 {
-    m_loop.post([this, result, postedAt = m_loop.now()] {
-        const Duration queueTime = m_loop.now() - postedAt;
-        m_callbacks.onCall({ .call = result.call, .isAnswered = result.isAnswered, .age = result.age + queueTime });
-    });
+    m_loop.post([this, result] { m_callbacks.onCall(result); });
+}
+
+void SourceDecoder::onDelivered(TimePoint currentAt)
+{
+    m_loop.post([this, currentAt] { m_callbacks.onDelivered(currentAt); });
 }
 
 void SourceDecoder::deliver(const SourceItems& items, bool isListing)
--- a/src/proxy/SourceDecoder.h
+++ b/src/proxy/SourceDecoder.h
@@ -21,6 +21,7 @@
         std::function<void(const std::string& reason)> onLost;
         std::function<void()> onRecovered;
         std::function<void(const SourceCallResult&)> onCall;
+        std::function<void(TimePoint currentAt)> onDelivered;
     };
 
     // The loop and the adapter must outlive the decoder, and the decoder must outlive the tasks that it posts to the
@@ -32,6 +33,7 @@
     void onLost(const std::string& reason) override;
     void onRecovered() override;
     void onCall(const SourceCallResult& result) override;
+    void onDelivered(TimePoint currentAt) override;
 
 private:
     void deliver(const SourceItems& items, bool isListing);
--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -21,6 +21,7 @@
     , m_random(m_options.seed)
     // Nothing is confirmed yet.
     , m_confirmedAt(loop.now() - incompleteAge)
+    , m_serversConfirmedAt(m_confirmedAt)
     , m_confirmedByPeerAt(m_confirmedAt)
 {
 }
@@ -30,16 +31,16 @@
 void SourceExchange::recordSourceResponse(Duration age)
 {
     m_isSourceLost = false;
+    m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - age);
     m_role.recordSourceResponse(m_loop.now());
-    confirm(m_loop.now() - age);
 }
 
-// Ends the pending requests, so that the followers' states are as new as this one.
-void SourceExchange::confirm(TimePoint time)
+void SourceExchange::recordApplied(TimePoint currentAt)
 {
-    if (time <= m_confirmedAt)
+    if (currentAt <= m_serversConfirmedAt)
         return;
-    m_confirmedAt = time;
+    m_serversConfirmedAt = currentAt;
+    // Ends the pending requests, so that the followers' states are as new as this one.
     m_pendingRequests.remove_if([this](const PendingRequest& pending) { return respond(pending, true); });
 }
 
@@ -61,7 +62,9 @@
     SourceUpdate update = m_callbacks.makeUpdate(pending.request);
     if (!mayBeEmpty && update.configuration.empty() && update.servers.empty() && !update.isListing)
         return false;
-    update.age = m_callbacks.isComplete() ? age() : incompleteAge;
+    const bool isComplete = m_callbacks.isComplete();
+    update.age = isComplete ? age() : incompleteAge;
+    update.serversAge = isComplete ? m_loop.now() - m_serversConfirmedAt : incompleteAge;
     update.heldFor = m_loop.now() - pending.receivedAt;
     pending.reply(update);
     return true;
@@ -80,15 +83,14 @@
 void SourceExchange::handlePeerUpdate(const Endpoint& peer, const SourceUpdate& update, bool isWhole)
 {
     const TimePoint now = m_loop.now();
-    if (isWhole) {
-        m_confirmedByPeerAt = std::max(m_confirmedByPeerAt, now - update.age - transitTime(peer, update, now));
-        confirm(m_confirmedByPeerAt);
-    }
+    m_confirmedByPeerAt = std::max(m_confirmedByPeerAt, now - update.age);
+    m_confirmedAt = std::max(m_confirmedAt, m_confirmedByPeerAt);
+    if (isWhole)
+        recordApplied(now - std::max(update.age, update.serversAge) - transitTime(peer, update, now));
     if (m_role.followedPeer() != peer)
         return;
     const bool wasHeld = m_queriedAt && now - *m_queriedAt >= m_options.minRequestTime;
     m_queriedAt.reset();
-    // Without the time on the way: a node whose own processor or link is slow gains nothing from reading the source.
     m_role.recordPeerAge(update.age, now);
     // After an empty update the next request is sent immediately, since the age grows until its answer. Otherwise it
     // waits for the tick, so that the update has been applied by then.
--- a/src/proxy/SourceExchange.h
+++ b/src/proxy/SourceExchange.h
@@ -2,9 +2,12 @@
 //
 // ReaderRole decides whether this node reads the source or follows a peer. A follower keeps one request open at the
 // followed peer. The peer holds the request until it has something newer than the follower, the source confirms its
-// state again, or holdTime has passed, and reports the age of its state. The follower adds the time that the request
-// and the update spent on their way. A node that can neither read the source nor follow a peer queries any reachable
-// peer.
+// state again, or holdTime has passed, and reports the age of its state. A node that can neither read the source nor
+// follow a peer queries any reachable peer.
+//
+// There are two ages. age() counts from the source's last response and decides who reads: a node that is busy with a
+// large configuration still has the source, and followers that read too would only add load. serversConfirmedAt()
+// counts all waits: decoding, queues, and the way of the request and the update.
 //
 // Bound: maxPendingRequests requests are held; further ones are answered immediately.
 #pragma once
@@ -58,6 +61,8 @@
     void setMembers(std::vector<Endpoint> members) { m_role.setMembers(std::move(members)); }
     // Records a response of the source whose content is this old.
     void recordSourceResponse(Duration age);
+    // Records that this node has applied everything that the source had at this time.
+    void recordApplied(TimePoint currentAt);
     void recordSourceFailure() { m_isSourceLost = true; }
     // Answers pending requests after this node's state has changed.
     void handleChange();
@@ -73,7 +78,8 @@
     Duration maxRetryDelay() const { return m_role.maxRetryDelay(); }
     // True if a peer reported that it had the source after this time.
     bool peersHadSourceAfter(TimePoint time) const { return m_confirmedByPeerAt > time; }
-    TimePoint confirmedAt() const { return m_confirmedAt; }
+    // The time at which all that this node knows of the servers was current.
+    TimePoint serversConfirmedAt() const { return m_serversConfirmedAt; }
     // Time since the source confirmed this node's state, directly or through a chain of peers.
     Duration age() const;
 
@@ -84,7 +90,6 @@
         TimePoint receivedAt;
     };
 
-    void confirm(TimePoint time);
     // Time since the request to this peer that its answer belongs to, as far as the peer did not hold it.
     Duration transitTime(const Endpoint& peer, const SourceUpdate& update, TimePoint now) const;
     // Returns false without responding if the update is empty and mayBeEmpty is false.
@@ -100,6 +105,7 @@
     bool m_isReading { true };
     bool m_isSourceLost { false };
     TimePoint m_confirmedAt;
+    TimePoint m_serversConfirmedAt;
     // Like m_confirmedAt, but confirmed by peers only.
     TimePoint m_confirmedByPeerAt;
     std::optional<TimePoint> m_queriedAt;
--- a/src/proxy/tests/SourceExchangeTest.cpp
+++ b/src/proxy/tests/SourceExchangeTest.cpp
@@ -163,8 +163,11 @@
         exchange.handleRequest({}, [&responses](const SourceUpdate& response) { responses.push_back(response); });
         clock.advance(300ms);
         exchange.recordSourceResponse(20ms);
+        EXPECT_TRUE(responses.empty()) << "the servers are not applied yet";
+        exchange.recordApplied(clock.now() - 20ms);
         ASSERT_EQ(responses.size(), 1u);
         EXPECT_EQ(responses[0].age, Duration(20ms));
+        EXPECT_EQ(responses[0].serversAge, Duration(20ms));
         EXPECT_EQ(responses[0].heldFor, Duration(300ms));
     }
 
@@ -176,17 +179,19 @@
         clock.advance(250ms);
         exchange.tick();
         clock.advance(900ms);
-        exchange.handlePeerUpdate(leader, { .age = 100ms, .heldFor = 300ms });
-        EXPECT_GE(exchange.age(), Duration(700ms));
-        EXPECT_LE(exchange.age(), Duration(950ms));
+        exchange.handlePeerUpdate(leader, { .heldFor = 300ms, .serversAge = 100ms });
+        EXPECT_GE(clock.now() - exchange.serversConfirmedAt(), Duration(700ms));
+        EXPECT_LE(clock.now() - exchange.serversConfirmedAt(), Duration(950ms));
     }
 
     // Guards against trust in an answer that follows changes which this node has missed.
     TEST_F(SourceExchangeTest, AnswerWithAGapConfirmsNothing)
     {
-        const Duration age = exchange.age();
+        const TimePoint confirmedAt = exchange.serversConfirmedAt();
         exchange.handlePeerUpdate(leader, {}, false);
-        EXPECT_GE(exchange.age(), age);
+        EXPECT_EQ(exchange.serversConfirmedAt(), confirmedAt);
+        exchange.handlePeerUpdate(leader, {}, true);
+        EXPECT_GT(exchange.serversConfirmedAt(), confirmedAt);
     }
 
 } // namespace
--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -141,7 +141,10 @@
     const bool mayBeStale = !m_hasListed;
     const SourceItems listing
         = m_source.list(m_options.prefix, mayBeStale ? ListFreshness::MayBeStale : ListFreshness::Latest);
-    const TimePoint receivedAt = m_clock.now();
+    const TimePoint currentAt = m_clock.now() - listing.transferTime;
+    m_consumer.onCall({ .call = mayBeStale ? SourceCall::ListStale : SourceCall::List,
+        .isAnswered = true,
+        .age = listing.transferTime });
     recordSuccess();
     m_listedBytes = ByteCount(bytesOf(listing.items).latest);
     m_revision = listing.revision;
@@ -150,7 +153,8 @@
     m_needsListing = false;
     m_lastChange = m_clock.now();
     m_consumer.onListing(listing);
-    reportAnswer(mayBeStale ? SourceCall::ListStale : SourceCall::List, receivedAt - listing.transferTime);
+    if (!mayBeStale)
+        m_consumer.onDelivered(currentAt);
 }
 
 void SourceWatcher::watchOnce()
@@ -159,6 +163,7 @@
     SourceItems changes
         = m_source.watch(m_options.prefix, m_revision, m_isSourceLost ? Duration(0) : m_options.watchWait);
     const TimePoint now = m_clock.now();
+    m_consumer.onCall({ .call = SourceCall::Watch, .isAnswered = true, .age = changes.transferTime });
     recordSuccess();
     m_revision = std::max(m_revision, changes.revision);
     if (!changes.items.empty()) {
@@ -169,13 +174,7 @@
     } else if (now - m_lastChange > m_options.maxSilence) {
         m_needsListing = true;
     }
-    reportAnswer(SourceCall::Watch, now - changes.transferTime);
-}
-
-// Follows the content, so that nobody takes the node's state for as new as content that is still being decoded.
-void SourceWatcher::reportAnswer(SourceCall call, TimePoint currentAt)
-{
-    m_consumer.onCall({ .call = call, .isAnswered = true, .age = m_clock.now() - currentAt });
+    m_consumer.onDelivered(now - changes.transferTime);
 }
 
 void SourceWatcher::recordFailure(const std::string& reason)
--- a/src/source/SourceWatcher.h
+++ b/src/source/SourceWatcher.h
@@ -40,7 +40,7 @@
 struct SourceCallResult {
     SourceCall call { SourceCall::Watch };
     bool isAnswered { false };
-    // For an answered call, how old the content is once the consumer has it.
+    // For an answered call, how old the content was when it had arrived.
     Duration age {};
 };
 
@@ -53,6 +53,8 @@
     virtual void onLost(const std::string& reason) = 0;
     virtual void onRecovered() = 0;
     virtual void onCall(const SourceCallResult& result) = 0;
+    // Everything that was current at this time has been passed on.
+    virtual void onDelivered(TimePoint) { }
 };
 
 struct SourceWatcherOptions {
@@ -84,7 +86,6 @@
     void run();
     void listAll();
     void watchOnce();
-    void reportAnswer(SourceCall call, TimePoint currentAt);
     void recordFailure(const std::string& reason);
     void recordSuccess();
     // Returns false when the watcher stops.
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -82,7 +82,8 @@
 }
 auto fieldsOf(MaybeConst<SourceUpdate> auto& m)
 {
-    return std::tie(m.version, m.configuration, m.revision, m.servers, m.age, m.since, m.isListing, m.heldFor);
+    return std::tie(
+        m.version, m.configuration, m.revision, m.servers, m.age, m.since, m.isListing, m.heldFor, m.serversAge);
 }
 
 template <typename T>
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -314,8 +314,10 @@
     Revision since;
     // The servers are all servers at `revision`; an absent one is deleted.
     bool isListing { false };
-    // How long the sender held the request; the rest of the time until the update is read adds to its age.
+    // How long the sender held the request; the rest of the time until the update is read adds to serversAge.
     Duration heldFor {};
+    // Like `age`, but counts until the sender had applied the servers.
+    Duration serversAge {};
     bool operator==(const SourceUpdate&) const = default;
 };
 
