Log an invalid limit once for each start of the server

A faulty server could cause a log line with each of its answers. Also guards refuseInadmissible() against a call that the callback of an earlier refusal has ended; found by reading, not seen. BackendGateTest passes.

--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -65,6 +65,7 @@
         m_rateLimit.set(std::nullopt, m_loop.now());
         m_hasAnswer = false;
         m_isServerLeaving = false;
+        m_hasLoggedInvalidRate = false;
     }
     if (server)
         m_admission.reconfigure(admissionOptions(), m_loop.now());
@@ -181,8 +182,10 @@
         refuseInadmissible();
     }
     if (notice.rateNotice == RateNotice::Invalid) {
-        logEvent(LogLevel::Warning, "server-limit-invalid",
-            { { "server", server }, { "limit", *findHeader(response.headers, m_httpConventions.serverLimit) } });
+        // Once for each start, since the server may send it with each answer.
+        if (!std::exchange(m_hasLoggedInvalidRate, true))
+            logEvent(LogLevel::Warning, "server-limit-invalid",
+                { { "server", server }, { "limit", *findHeader(response.headers, m_httpConventions.serverLimit) } });
         return;
     }
     const std::optional<double> rate
@@ -339,6 +342,9 @@
             refuse(call, refusalCause(call->gateCall));
     }
     for (const CallPtr& call : connectingCalls) {
+        // A callback of an earlier refusal may have ended it.
+        if (!call->connection)
+            continue;
         call->connection->close();
         call->connection.reset();
         release(call, ServiceResult::Failed);
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -132,6 +132,7 @@
     bool m_hasAnswer { false };
     // The server's present process has answered that it leaves.
     bool m_isServerLeaving { false };
+    bool m_hasLoggedInvalidRate { false };
     ServiceTimeEstimate m_serviceTime;
     absl::flat_hash_map<CallKey, CallPtr> m_calls;
     absl::flat_hash_map<TicketId, CallPtr> m_callsByTicket;
