Keep the event loop running when a callback throws

Cause: an exception that left a callback of the loop passed through libuv, which is C code, and left the loop: in the daemon it reaches main() and ends the process. One unexpected error, such as a violated invariant in the call of one caller, ended all calls of the node.

Ruled out: malformed frames and HTTP messages are caught where they are parsed (FrameChannel, HttpListener, BackendConnection); this is for what nobody expects.

Change: each callback runs through EventLoop::runGuarded(), which logs and counts what leaves it. A stream whose handler threw ends as Failed; the loop goes on.

--- a/src/eventloop/EventLoop.cpp
+++ b/src/eventloop/EventLoop.cpp
@@ -23,6 +23,7 @@
 
 EventLoop::EventLoop(const Clock& clock)
     : m_clock(clock)
+    , m_errorLog(clock, LogLevel::Error, "unexpected-error")
 {
     throwIfFailed(uv_loop_init(&m_loop), "start-event-loop");
     throwIfFailed(uv_async_init(&m_loop, &m_wakeupHandle,
@@ -44,6 +45,18 @@
 
 void EventLoop::stop() { uv_stop(&m_loop); }
 
+bool EventLoop::runGuarded(const char* step, const std::function<void()>& callback) noexcept
+{
+    try {
+        callback();
+        return true;
+    } catch (const std::exception& error) {
+        ++m_unexpectedErrors;
+        m_errorLog.write({ { "step", step }, { "reason", error.what() } });
+        return false;
+    }
+}
+
 void EventLoop::post(std::function<void()> task)
 {
     {
@@ -61,17 +74,24 @@
         tasks.swap(m_postedTasks);
     }
     for (const auto& task : tasks)
-        task();
+        runGuarded("posted-task", task);
 }
 
 struct Timer::Handle {
     uv_timer_t native {};
+    EventLoop* loop { nullptr };
     std::function<void()> callback;
+
+    static void run(uv_timer_t* timer)
+    {
+        auto& handle = *static_cast<Handle*>(timer->data);
+        handle.loop->runGuarded("timer", handle.callback);
+    }
 };
 
 Timer::Timer(EventLoop& loop, std::function<void()> callback)
     : m_loop(loop)
-    , m_handle(new Handle { .callback = std::move(callback) })
+    , m_handle(new Handle { .loop = &loop, .callback = std::move(callback) })
 {
     throwIfFailed(uv_timer_init(loop.native(), &m_handle->native), "start-timer");
     m_handle->native.data = m_handle;
@@ -88,17 +108,13 @@
     // libuv updates the loop's time only once per iteration. Updating it here makes the wait start now. The loop's time
     // is truncated to whole milliseconds; without the extra millisecond, the timer could fire early.
     uv_update_time(m_loop.native());
-    uv_timer_start(
-        &m_handle->native, [](uv_timer_t* timer) { static_cast<Handle*>(timer->data)->callback(); },
-        toMilliseconds(wait) + 1, 0);
+    uv_timer_start(&m_handle->native, Handle::run, toMilliseconds(wait) + 1, 0);
 }
 
 void Timer::startRepeating(Duration interval)
 {
     uv_update_time(m_loop.native());
-    uv_timer_start(
-        &m_handle->native, [](uv_timer_t* timer) { static_cast<Handle*>(timer->data)->callback(); },
-        toMilliseconds(interval), toMilliseconds(interval));
+    uv_timer_start(&m_handle->native, Handle::run, toMilliseconds(interval), toMilliseconds(interval));
 }
 
 void Timer::stop() { uv_timer_stop(&m_handle->native); }
@@ -107,18 +123,22 @@
 
 struct SignalWatcher::Handle {
     uv_signal_t native {};
+    EventLoop* loop { nullptr };
     std::function<void()> callback;
+
+    static void run(uv_signal_t* signal, int)
+    {
+        auto& handle = *static_cast<Handle*>(signal->data);
+        handle.loop->runGuarded("signal", handle.callback);
+    }
 };
 
 SignalWatcher::SignalWatcher(EventLoop& loop, int signalNumber, std::function<void()> callback)
-    : m_handle(new Handle { .callback = std::move(callback) })
+    : m_handle(new Handle { .loop = &loop, .callback = std::move(callback) })
 {
     throwIfFailed(uv_signal_init(loop.native(), &m_handle->native), "watch-signal");
     m_handle->native.data = m_handle;
-    throwIfFailed(uv_signal_start(
-                      &m_handle->native,
-                      [](uv_signal_t* signal, int) { static_cast<Handle*>(signal->data)->callback(); }, signalNumber),
-        "watch-signal");
+    throwIfFailed(uv_signal_start(&m_handle->native, Handle::run, signalNumber), "watch-signal");
 }
 
 SignalWatcher::~SignalWatcher()
--- a/src/eventloop/EventLoop.h
+++ b/src/eventloop/EventLoop.h
@@ -3,9 +3,12 @@
 // - All objects belong to the loop's thread. Only post() may be called from other threads.
 // - Destroying a Timer, TcpStream or TcpListener closes it immediately: no callback follows, even if its own callback
 //   destroys it. The loop frees the libuv handle afterwards.
+// - An exception that leaves a callback is logged and counted, and the loop goes on. A stream whose handler threw ends
+//   as Failed. An exception must not pass through libuv, and one bad message must not end the process.
 #pragma once
 
 #include "base/Clock.h"
+#include "base/Log.h"
 
 #include <functional>
 #include <mutex>
@@ -31,10 +34,22 @@
     const Clock& clock() const { return m_clock; }
     uv_loop_t* native() { return &m_loop; }
 
+    // Runs a callback. Logs and counts an exception that leaves it, and returns false in that case.
+    bool runGuarded(const char* step, const std::function<void()>& callback) noexcept;
+    // Exceptions that left a callback since the loop was created.
+    uint64_t unexpectedErrors() const { return m_unexpectedErrors; }
+
+    // Streams that TcpStream::closeAfterFlush() has not closed yet. Their data is lost if the process exits.
+    size_t pendingCloses() const { return m_pendingCloses; }
+
 private:
+    friend class TcpStream;
     void runPostedTasks();
 
     const Clock& m_clock;
+    RateLimitedLog m_errorLog;
+    uint64_t m_unexpectedErrors { 0 };
+    size_t m_pendingCloses { 0 };
     uv_loop_t m_loop {};
     uv_async_t m_wakeupHandle {};
     std::mutex m_mutex;
--- a/src/eventloop/TcpStream.cpp
+++ b/src/eventloop/TcpStream.cpp
@@ -49,6 +49,7 @@
 } // namespace
 
 struct TcpStream::Handle {
+    EventLoop* loop { nullptr };
     uv_tcp_t socket {};
     uv_connect_t connectRequest {};
     uv_timer_t timer {};
@@ -100,7 +101,13 @@
         if (isConnected)
             uv_read_stop(stream());
         if (handler)
-            handler->onEnd(reason);
+            loop->runGuarded("stream-end", [this, reason] { handler->onEnd(reason); });
+    }
+
+    void receive(std::string_view bytes)
+    {
+        if (handler && !loop->runGuarded("stream-data", [this, bytes] { handler->onData(bytes); }))
+            end(StreamEnd::Failed);
     }
 
     void startReading()
@@ -112,8 +119,8 @@
             [](uv_handle_t*, size_t, uv_buf_t* buffer) { *buffer = uv_buf_init(sharedReadBuffer(), readBufferBytes); },
             [](uv_stream_t* source, ssize_t count, const uv_buf_t* buffer) {
                 Handle& handle = fromData(source->data);
-                if (count > 0 && handle.handler)
-                    handle.handler->onData({ buffer->base, static_cast<size_t>(count) });
+                if (count > 0)
+                    handle.receive({ buffer->base, static_cast<size_t>(count) });
                 else if (count < 0)
                     handle.end(count == UV_EOF ? StreamEnd::Closed : StreamEnd::Failed);
             });
@@ -132,8 +139,26 @@
         uv_tcp_nodelay(&socket, 1);
         setUnacknowledgedTimeout(socket, unacknowledgedTimeout);
         startReading();
-        if (handler)
-            handler->onConnected();
+        if (handler && !loop->runGuarded("stream-connected", [this] { handler->onConnected(); }))
+            end(StreamEnd::Failed);
+    }
+
+    // libuv reports a reset that arrives together with data as the end of the stream.
+    bool wasReset()
+    {
+        uv_os_fd_t descriptor = -1;
+        char byte = 0;
+        return uv_fileno(reinterpret_cast<uv_handle_t*>(&socket), &descriptor) == 0
+            && recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0 && errno != EAGAIN;
+    }
+
+    // Makes the close of the socket a reset. uv_tcp_close_reset() does not work after uv_shutdown().
+    void resetOnClose()
+    {
+        uv_os_fd_t descriptor = -1;
+        const linger immediate { .l_onoff = 1, .l_linger = 0 };
+        if (uv_fileno(reinterpret_cast<uv_handle_t*>(&socket), &descriptor) == 0)
+            setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
     }
 
     void write(std::string bytes)
@@ -180,7 +205,7 @@
     EventLoop& loop, const Endpoint& peer, StreamHandler& handler, const ConnectOptions& options)
 {
     const sockaddr_in address = addressOf(peer);
-    auto* handle = new Handle;
+    auto* handle = new Handle { .loop = &loop };
     uv_tcp_init(loop.native(), &handle->socket);
     handle->socket.data = handle;
     handle->handler = &handler;
@@ -276,7 +301,7 @@
                 if (status < 0)
                     return;
                 auto& listener = *static_cast<Handle*>(server->data);
-                auto* acceptedHandle = new TcpStream::Handle;
+                auto* acceptedHandle = new TcpStream::Handle { .loop = listener.loop };
                 uv_tcp_init(listener.loop->native(), &acceptedHandle->socket);
                 acceptedHandle->socket.data = acceptedHandle;
                 std::unique_ptr<TcpStream> stream(new TcpStream(*listener.loop, acceptedHandle));
@@ -284,7 +309,7 @@
                     return;
                 acceptedHandle->isConnected = true;
                 uv_tcp_nodelay(&acceptedHandle->socket, 1);
-                listener.onAccept(std::move(stream));
+                listener.loop->runGuarded("accept", [&listener, &stream] { listener.onAccept(std::move(stream)); });
             });
     }
     if (result < 0) {
