Close a connection only when its data has been read, and reset it otherwise

Cause: TcpStream::closeAfterFlush() waited one second for everything: for the pending data to be sent and for the peer's close. A caller that read its answer more slowly got the first part of it, and then an orderly close, which is how an answer without a length ends. Second cause: libuv reports a reset that arrives together with data as the end of the stream, so an answer without a length whose server reset the connection was delivered as a whole one.

Ruled out: heads, and bodies with a length or in chunks, cut at each byte (ServerAnswerTest); Beast's parser refuses them. Second copies of an answer at each moment of the next request: the id tells them apart.

Change: the wait for the peer's close begins when the data has been sent; data of which the peer takes nothing for 3 s is given up with a reset. The end of a stream is checked for a reset. EventLoop::pendingCloses() counts the closes that have not ended, for the planned stop.

--- a/src/eventloop/TcpStream.cpp
+++ b/src/eventloop/TcpStream.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 
 #include <array>
+#include <cerrno>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
@@ -13,7 +14,6 @@
 
     constexpr int listenBacklog = 1024;
     constexpr size_t readBufferBytes = 64 * 1024;
-    constexpr Duration lingerTimeout = std::chrono::seconds(1);
     constexpr size_t maxAddressTextBytes = 64;
 
     // All streams of a thread share one buffer, since the data of each read is passed on before the next read starts.
@@ -122,7 +122,7 @@
                 if (count > 0)
                     handle.receive({ buffer->base, static_cast<size_t>(count) });
                 else if (count < 0)
-                    handle.end(count == UV_EOF ? StreamEnd::Closed : StreamEnd::Failed);
+                    handle.end(count == UV_EOF && !handle.wasReset() ? StreamEnd::Closed : StreamEnd::Failed);
             });
     }
 
@@ -255,30 +255,67 @@
     return text.data();
 }
 
-void TcpStream::closeAfterFlush(std::unique_ptr<TcpStream> stream)
-{
-    // Owns itself until the peer closes the connection or the timeout expires.
-    class LingeringClose final : public StreamHandler {
-    public:
-        explicit LingeringClose(std::unique_ptr<TcpStream> stream)
-            : m_stream(std::move(stream))
-            , m_timer(m_stream->m_loop, [this] { delete this; })
-        {
-            m_stream->setHandler(*this);
-            Handle& handle = *m_stream->m_handle;
-            uv_shutdown(&handle.shutdownRequest, handle.stream(), [](uv_shutdown_t*, int) {});
-            m_stream->startReading();
-            m_timer.start(lingerTimeout);
+// Owns itself until the peer closes the connection or a timeout expires.
+class TcpStream::LingeringClose final : public StreamHandler {
+public:
+    LingeringClose(std::unique_ptr<TcpStream> stream, const CloseOptions& options)
+        : m_loop(stream->m_loop)
+        , m_options(options)
+        , m_stream(std::move(stream))
+        , m_pendingBytes(m_stream->pendingBytes())
+        , m_timer(m_loop, [this] { handleTimeout(); })
+    {
+        ++pendingCloses(m_loop);
+        m_stream->setHandler(*this);
+        Handle& handle = *m_stream->m_handle;
+        uv_shutdown(&handle.shutdownRequest, handle.stream(), [](uv_shutdown_t* request, int) {
+            // The handler of the stream, unless it has been closed.
+            if (StreamHandler* handler = Handle::fromData(request->handle->data).handler)
+                static_cast<LingeringClose*>(handler)->handleFlushed();
+        });
+        m_stream->startReading();
+        startTimer();
+    }
+    ~LingeringClose() override { --pendingCloses(m_loop); }
+    void onData(std::string_view) override { }
+    void onEnd(StreamEnd) override { delete this; }
+
+private:
+    void startTimer() { m_timer.start(m_pendingBytes > 0 ? m_options.flushTimeout : m_options.lingerTimeout); }
+
+    void handleFlushed()
+    {
+        m_pendingBytes = 0;
+        startTimer();
+    }
+
+    void handleTimeout()
+    {
+        const size_t pendingBytes = m_stream->pendingBytes();
+        if (m_pendingBytes > 0 && pendingBytes < m_pendingBytes) {
+            m_pendingBytes = pendingBytes;
+            startTimer();
+            return;
         }
-        void onData(std::string_view) override { }
-        void onEnd(StreamEnd) override { delete this; }
+        if (pendingBytes > 0)
+            m_stream->m_handle->resetOnClose();
+        delete this;
+    }
 
-    private:
-        std::unique_ptr<TcpStream> m_stream;
-        Timer m_timer;
-    };
+    EventLoop& m_loop;
+    const CloseOptions m_options;
+    std::unique_ptr<TcpStream> m_stream;
+    // Pending bytes at the last check.
+    size_t m_pendingBytes;
+    Timer m_timer;
+};
+
+void TcpStream::reset(std::unique_ptr<TcpStream> stream) { stream->m_handle->resetOnClose(); }
+
+void TcpStream::closeAfterFlush(std::unique_ptr<TcpStream> stream, const CloseOptions& options)
+{
     if (stream->isConnected())
-        new LingeringClose(std::move(stream));
+        new LingeringClose(std::move(stream), options);
 }
 
 struct TcpListener::Handle {
--- a/src/eventloop/TcpStream.h
+++ b/src/eventloop/TcpStream.h
@@ -39,6 +39,13 @@
     Duration unacknowledgedTimeout { std::chrono::seconds(2) };
 };
 
+struct CloseOptions {
+    // The connection is reset if the peer accepts no byte of the pending data for this long.
+    Duration flushTimeout { std::chrono::seconds(3) };
+    // Time for the peer to close its side after all data has been sent.
+    Duration lingerTimeout { std::chrono::seconds(1) };
+};
+
 class TcpStream {
 public:
     static std::unique_ptr<TcpStream> connect(
@@ -55,14 +62,20 @@
     bool isConnected() const;
     // The peer's address without the port. Empty if it is unknown.
     std::string peerHost() const;
-    // Sends the pending data, shuts down the sending side and discards received data for at most a second, so that no
-    // reset reaches the peer before it has read everything. The stream owns itself meanwhile.
-    static void closeAfterFlush(std::unique_ptr<TcpStream> stream);
+    // Sends the pending data, shuts down the sending side and discards received data until the peer closes its side, so
+    // that no reset reaches the peer before it has read everything. If the data cannot be sent, the connection is
+    // reset, so that a cut response does not look complete. The stream owns itself meanwhile;
+    // EventLoop::pendingCloses() counts it.
+    static void closeAfterFlush(std::unique_ptr<TcpStream> stream, const CloseOptions& options = {});
+    // Closes the connection with a reset; pending data is discarded.
+    static void reset(std::unique_ptr<TcpStream> stream);
 
 private:
     friend class TcpListener;
     struct Handle;
+    class LingeringClose;
     TcpStream(EventLoop& loop, Handle* handle);
+    static size_t& pendingCloses(EventLoop& loop) { return loop.m_pendingCloses; }
 
     EventLoop& m_loop;
     Handle* m_handle;
--- a/src/eventloop/tests/EventLoopTest.cpp
+++ b/src/eventloop/tests/EventLoopTest.cpp
@@ -163,6 +163,132 @@
         EXPECT_EQ(client.end, StreamEnd::Closed);
     }
 
+    // Reads nothing until startReading() is called, with a small receive buffer.
+    class SlowReader {
+    public:
+        SlowReader(EventLoop& loop, uint16_t port)
+            : m_stream(TcpStream::connect(loop, { "127.0.0.1", port }, handler, {}))
+        {
+            handler.onReceived = [this] {
+                if (!m_mayRead)
+                    m_stream->stopReading();
+            };
+        }
+        void startReading()
+        {
+            m_mayRead = true;
+            m_stream->startReading();
+        }
+        RecordingHandler handler;
+
+    private:
+        std::unique_ptr<TcpStream> m_stream;
+        bool m_mayRead { false };
+    };
+
+    // More than the socket buffers of both ends hold.
+    constexpr size_t largeResponseBytes = 24'000'000;
+
+    // Guards against a response that is cut because its reader needs longer than the wait for the peer's close.
+    TEST_F(EventLoopTest, CloseAfterFlushWaitsForASlowReader)
+    {
+        TcpListener listener(loop, { "127.0.0.1", 0 }, [&](std::unique_ptr<TcpStream> stream) {
+            stream->write(std::string(largeResponseBytes, 'x'));
+            TcpStream::closeAfterFlush(std::move(stream));
+        });
+        SlowReader reader(loop, listener.port());
+        reader.handler.onEnded = [this] { loop.stop(); };
+        Timer start(loop, [&] { reader.startReading(); });
+        start.start(1500ms);
+        runLoopFor(10s);
+        EXPECT_EQ(reader.handler.received.size(), largeResponseBytes);
+        EXPECT_EQ(reader.handler.end, StreamEnd::Closed);
+    }
+
+    // Guards against a cut response that looks complete: a response without a length ends with the close.
+    TEST_F(EventLoopTest, CloseThatCannotBeFlushedResetsTheConnection)
+    {
+        TcpListener listener(loop, { "127.0.0.1", 0 }, [&](std::unique_ptr<TcpStream> stream) {
+            stream->write(std::string(largeResponseBytes, 'x'));
+            TcpStream::closeAfterFlush(std::move(stream), { .flushTimeout = 200ms });
+        });
+        SlowReader reader(loop, listener.port());
+        reader.handler.onEnded = [this] { loop.stop(); };
+        Timer start(loop, [&] { reader.startReading(); });
+        start.start(800ms);
+        runLoopFor(5s);
+        EXPECT_LT(reader.handler.received.size(), largeResponseBytes);
+        EXPECT_EQ(reader.handler.end, StreamEnd::Failed);
+        EXPECT_EQ(loop.pendingCloses(), 0u);
+    }
+
+    // Guards against a response without a length that looks complete although it was reset: libuv reports a reset that
+    // arrives with data as the end of the stream.
+    TEST_F(EventLoopTest, ResetThatArrivesWithDataIsNoOrderlyClose)
+    {
+        for (int round = 0; round < 20; ++round) {
+            std::unique_ptr<TcpStream> acceptedStream;
+            TcpListener listener(loop, { "127.0.0.1", 0 },
+                [&](std::unique_ptr<TcpStream> stream) { acceptedStream = std::move(stream); });
+            RecordingHandler client;
+            client.onEnded = [this] { loop.stop(); };
+            const auto stream = TcpStream::connect(loop, { "127.0.0.1", listener.port() }, client, {});
+            runLoopFor(10ms);
+            ASSERT_TRUE(acceptedStream && client.isConnected);
+            acceptedStream->write("part of a response");
+            TcpStream::reset(std::move(acceptedStream));
+            runLoopFor(2s);
+            EXPECT_EQ(client.end, StreamEnd::Failed);
+        }
+    }
+
+    TEST_F(EventLoopTest, LoopCountsTheClosesThatHaveNotEnded)
+    {
+        TcpListener listener(loop, { "127.0.0.1", 0 }, [&](std::unique_ptr<TcpStream> stream) {
+            stream->write(std::string(largeResponseBytes, 'x'));
+            TcpStream::closeAfterFlush(std::move(stream));
+        });
+        SlowReader reader(loop, listener.port());
+        runLoopFor(300ms);
+        EXPECT_EQ(loop.pendingCloses(), 1u);
+        reader.startReading();
+        runLoopFor(2s);
+        EXPECT_EQ(loop.pendingCloses(), 0u);
+    }
+
+    // Guards against one unexpected error that ends the whole process.
+    TEST_F(EventLoopTest, ErrorInOneCallbackEndsOnlyItsStream)
+    {
+        RecordingHandler failing;
+        RecordingHandler sound;
+        std::vector<std::unique_ptr<TcpStream>> accepted;
+        TcpListener listener(loop, { "127.0.0.1", 0 }, [&](std::unique_ptr<TcpStream> stream) {
+            RecordingHandler& handler = accepted.empty() ? failing : sound;
+            stream->setHandler(handler);
+            stream->startReading();
+            accepted.push_back(std::move(stream));
+        });
+        failing.onReceived = [] { throw std::runtime_error("unexpected"); };
+        RecordingHandler firstClient;
+        RecordingHandler secondClient;
+        const auto first = TcpStream::connect(loop, { "127.0.0.1", listener.port() }, firstClient, {});
+        runLoopFor(50ms);
+        const auto second = TcpStream::connect(loop, { "127.0.0.1", listener.port() }, secondClient, {});
+        runLoopFor(50ms);
+        first->write("bad");
+        second->write("good");
+        Timer failingTimer(loop, [] { throw std::runtime_error("unexpected"); });
+        failingTimer.start(1ms);
+        bool hasRunTask = false;
+        loop.post([] { throw std::runtime_error("unexpected"); });
+        loop.post([&] { hasRunTask = true; });
+        runLoopFor(100ms);
+        EXPECT_EQ(failing.end, StreamEnd::Failed);
+        EXPECT_EQ(sound.received, "good");
+        EXPECT_TRUE(hasRunTask);
+        EXPECT_EQ(loop.unexpectedErrors(), 3u);
+    }
+
     TEST_F(EventLoopTest, BindErrorNamesTheAddressInUse)
     {
         const TcpListener firstListener(loop, { "127.0.0.1", 0 }, [](std::unique_ptr<TcpStream>) {});
