Let a planned stop answer all that it has taken

Cause: the stop had constants (700 ms, 2,600 ms, 400 ms) where the settings give the grace and drain times, and it ended when no call was in progress or its time was over. So - a request taken late in the grace time was passed on with its whole time limit and cut without an answer at the end, also one that must not run twice; - an answer that its caller or peer had not read was cut by the exit; - calls of a request that still ran at the local server were refused after 2.6 s, and the request failed with them.

Change: StopSchedule, a decision object, derives all times from the settings. A call that is taken during the stop gets at most the time until answerBy, so that a gate that expects it to take longer refuses it as not run; what still runs then is answered with an unknown fate. The process exits when callers and peers have read everything.

--- a/src/node/tests/RequestPathTest.cpp
+++ b/src/node/tests/RequestPathTest.cpp
@@ -1,5 +1,5 @@
 // Tests the guarantees of the request path to callers, on complete nodes over loopback.
-#include "node/tests/RawConnection.h"
+#include "testing/RawConnection.h"
 #include "node/tests/TestFleet.h"
 
 #include <gtest/gtest.h>
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -78,6 +78,8 @@
     refuseInadmissible();
 }
 
+void BackendGate::beginStop(TimePoint answerBy) { m_answerBy = answerBy; }
+
 void BackendGate::drain()
 {
     m_isDraining = true;
@@ -130,6 +132,7 @@
     }
     auto entry = std::make_shared<Call>();
     entry->gateCall = std::move(call);
+    entry->gateCall.deadline = std::min(entry->gateCall.deadline, m_answerBy);
     entry->callbacks.push_back(std::move(onReply));
     entry->receivedAt = now;
     entry->ticket = TicketId(++m_lastTicket);
@@ -406,7 +409,7 @@
     m_deduplicator.advance(now);
     std::vector<CallPtr> expiredCalls;
     for (const auto& [ticket, call] : m_callsByTicket) {
-        if (call->isRunning && now >= call->gateCall.deadline)
+        if (call->isRunning && now >= std::min(call->gateCall.deadline, m_answerBy))
             expiredCalls.push_back(call);
     }
     for (const CallPtr& call : expiredCalls) {
@@ -416,7 +419,8 @@
             call->connection->close();
         call->connection.reset();
         release(call, ServiceResult::Failed);
-        end(call, makeRefusal(CallOutcome::Unknown, "backend-server", "the deadline passed", load()));
+        const char* reason = now >= call->gateCall.deadline ? "the deadline passed" : "the node stops";
+        end(call, makeRefusal(CallOutcome::Unknown, "backend-server", reason, load()));
     }
     apply(m_admission.advance(now));
     if (m_calls.empty())
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -69,6 +69,9 @@
     void setRanks(std::vector<RankPolicy> ranks);
     // True while the backend server runs the request with this id.
     bool isRunning(const std::string& requestId) const { return m_runningIds.contains(requestId); }
+    // The process ends soon. New calls get at most the time until answerBy, so that those that would take longer are
+    // refused, and calls that still run then end as Unknown.
+    void beginStop(TimePoint answerBy);
     // Refuses queued and new calls from now on.
     void drain();
     bool isIdle() const { return m_calls.empty(); }
@@ -142,6 +145,7 @@
     // The most recently used connection is at the back.
     std::deque<std::shared_ptr<BackendConnection>> m_idleConnections;
     bool m_isDraining { false };
+    TimePoint m_answerBy { TimePoint::max() };
     TimePoint m_lastClockCheck;
     TimePoint m_refuseUntil;
     GateCounters m_counters;
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -65,8 +65,10 @@
 void CallForwarder::handle(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
 {
     const CallPtr call = makeCall(std::move(request), caller);
-    if (!call->configuration || m_isDraining) {
-        call->lastReason = m_isDraining ? "the node stops" : "no configuration is held yet";
+    call->isNestedCall = isNestedCall(call->requestId);
+    const bool isRefusedByStop = m_isDraining && !call->isNestedCall;
+    if (!call->configuration || isRefusedByStop) {
+        call->lastReason = isRefusedByStop ? "the node stops" : "no configuration is held yet";
         finish(call, refusal(*call), "not-run");
         return;
     }
@@ -78,7 +80,6 @@
         return;
     }
     call->service = m_splits.choose(*call->route);
-    call->isNestedCall = isNestedCall(call->requestId);
     call->rank = call->isNestedCall ? 0 : call->route->rank;
     setDeadlines(*call);
     m_retryBudget.recordRequest(call->service, call->receivedAt);
@@ -91,6 +92,17 @@
     attempt(call);
 }
 
+void CallForwarder::beginStop(TimePoint answerBy)
+{
+    m_answerBy = answerBy;
+    for (const auto& [number, call] : m_calls) {
+        if (call->deadline <= answerBy)
+            continue;
+        call->deadline = answerBy;
+        call->timer.start(answerBy - m_loop.now());
+    }
+}
+
 CallForwarder::CallPtr CallForwarder::makeCall(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
 {
     const uint64_t number = ++m_lastNumber;
@@ -137,6 +149,7 @@
     InitialTimeoutEstimate& estimate = m_history[route.name].timeoutEstimate;
     estimate.record(timeout);
     call.deadline = call.receivedAt + (route.deadline > Duration::zero() ? std::min(timeout, route.deadline) : timeout);
+    call.deadline = std::min(call.deadline, m_answerBy);
     if (call.isNestedCall) {
         call.onTimeBy = call.deadline;
         return;
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -54,7 +54,10 @@
         BackendGate& gate, PeerLookup peers, RequestLog& log, Metrics& metrics);
 
     void handle(HttpRequest request, const std::shared_ptr<HttpConnection>& caller);
-    // Refuses all new requests with 503 from now on.
+    // The process ends soon: every request is answered by this time at the latest.
+    void beginStop(TimePoint answerBy);
+    // Refuses new requests with 503 from now on, except calls on behalf of requests that the local server runs: those
+    // requests would fail with them.
     void drain() { m_isDraining = true; }
     void setConfiguration(std::shared_ptr<const Configuration> configuration);
     const std::shared_ptr<const Configuration>& configuration() const { return m_configuration; }
@@ -154,6 +157,7 @@
     ServerNotices m_notices;
     size_t m_fleetSize { 1 };
     bool m_isDraining { false };
+    TimePoint m_answerBy { TimePoint::max() };
     uint64_t m_lastNumber { 0 };
     uint64_t m_lastStream { 0 };
     absl::flat_hash_map<uint64_t, CallPtr> m_calls;
--- a/src/proxy/HttpListener.cpp
+++ b/src/proxy/HttpListener.cpp
@@ -90,11 +90,11 @@
     }
 }
 
-void HttpConnection::abort()
+void HttpConnection::finishAndClose()
 {
     const auto self = shared_from_this();
     m_onDisconnect = nullptr;
-    close(false);
+    close(true);
 }
 
 void HttpConnection::onEnd(StreamEnd)
@@ -172,11 +172,11 @@
 {
     std::vector<std::shared_ptr<HttpConnection>> idle;
     for (const auto& connection : m_connections) {
-        if (!connection->isBusy())
+        if (!connection->isBusy() && !connection->isReadingRequest())
             idle.push_back(connection);
     }
     for (const auto& connection : idle)
-        connection->abort();
+        connection->finishAndClose();
 }
 
 size_t HttpListener::busyCount() const
--- a/src/proxy/HttpListener.h
+++ b/src/proxy/HttpListener.h
@@ -33,11 +33,13 @@
 
     void start();
     void respond(HttpResponse response);
-    // Closes the connection without a response.
-    void abort();
+    // Closes the connection after its pending data has been sent; there is no response to a request in progress.
+    void finishAndClose();
     // The callback runs once if the peer disconnects before the response.
     void setDisconnectCallback(std::function<void()> onDisconnect) { m_onDisconnect = std::move(onDisconnect); }
     bool isBusy() const { return m_isBusy; }
+    // Part of a request has arrived.
+    bool isReadingRequest() const { return m_parser.isWithinMessage(); }
     std::string peerHost() const { return m_stream ? m_stream->peerHost() : std::string(); }
 
     void onData(std::string_view bytes) override;
@@ -72,7 +74,7 @@
     void setLimits(HttpLimits limits, Duration headerTimeout, Duration idleTimeout);
     // From now on each response closes its connection.
     void beginDrain() { m_isDraining = true; }
-    // Closes the connections without a request in progress.
+    // Closes the connections without a request in progress, after their pending data has been sent.
     void closeIdle();
     size_t busyCount() const;
     size_t connectionCount() const { return m_connections.size(); }
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -33,6 +33,8 @@
                 .instance = m_server.m_options.self.instance, .incarnation = m_server.m_options.self.incarnation });
     }
 
+    size_t unsentBytes() const { return m_channel ? m_channel->pendingBytes() : 0; }
+
 private:
     // A call whose body is still being received.
     struct PartialCall {
@@ -184,4 +186,12 @@
         session->announceLeaving();
 }
 
+size_t PeerServer::unsentBytes() const
+{
+    size_t bytes = 0;
+    for (const auto& session : m_sessions)
+        bytes += session->unsentBytes();
+    return bytes;
+}
+
 } // namespace skylark
--- a/src/proxy/PeerServer.h
+++ b/src/proxy/PeerServer.h
@@ -36,6 +36,8 @@
     // Tells all connected peers that this node is stopping.
     void announceLeaving();
     size_t connectionCount() const { return m_sessions.size(); }
+    // Bytes of replies that the peers have not accepted yet.
+    size_t unsentBytes() const;
 
 private:
     class Session;
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -19,12 +19,6 @@
     constexpr Duration tickInterval = 250ms;
     // A backend server is slow for a few seconds after it starts.
     constexpr Duration slowStartTime = 3s;
-    // Peers that have not yet been notified of the stop still send calls.
-    constexpr Duration peerGrace = 700ms;
-    // Callers switch to another node after two failed readiness checks, one second apart.
-    constexpr Duration callerGrace = 2600ms;
-    // Reserved at the end of stopGrace for the process exit.
-    constexpr Duration stopMargin = 400ms;
     constexpr Duration stopCheckInterval = 50ms;
     // Share of the drain time at which the node reads its server's entry itself. The rest is for the wait until the
     // next tick, the read and a second one, and the way to the server.
@@ -257,7 +251,7 @@
             { "peers_had_it", peersHadSource ? "true" : "false" } });
 }
 
-bool ProxyNode::isReady() const { return !m_stoppingSince && m_forwarder.configuration() && m_directory.size() > 0; }
+bool ProxyNode::isReady() const { return !m_stop && m_forwarder.configuration() && m_directory.size() > 0; }
 
 PeerClient& ProxyNode::ensurePeer(const Endpoint& endpoint)
 {
@@ -426,6 +420,7 @@
     m_metrics.setValue("caller_connections", static_cast<double>(m_callerListener.connectionCount()));
     m_metrics.setValue("calls_in_progress", static_cast<double>(m_forwarder.callsInProgress()));
     m_metrics.setValue("log_lines_suppressed", static_cast<double>(m_log.suppressedCount()));
+    m_metrics.setValue("unexpected_errors", static_cast<double>(m_loop.unexpectedErrors()));
     m_metrics.setValue("source_lost", m_isSourceLost ? 1 : 0);
     m_metrics.setReader(m_exchange.isReading());
     m_metrics.setValue("source_age_seconds", std::chrono::duration<double>(m_exchange.age()).count());
@@ -460,29 +455,40 @@
 
 void ProxyNode::beginStop()
 {
-    if (m_stoppingSince)
+    if (m_stop)
         return;
-    m_stoppingSince = m_loop.now();
+    m_stop.emplace(
+        StopScheduleOptions { .grace = m_settings.stopGrace, .drainTime = m_settings.drainTime }, m_loop.now());
     logEvent(LogLevel::Info, "stopping",
         { { "calls", std::to_string(m_forwarder.callsInProgress()) },
             { "callers", std::to_string(m_callerListener.connectionCount()) } });
     m_callerListener.beginDrain();
     m_peerServer.announceLeaving();
+    m_gate.beginStop(m_stop->answerBy());
+    m_forwarder.beginStop(m_stop->answerBy());
     m_stopTimer.startRepeating(stopCheckInterval);
 }
 
 void ProxyNode::advanceStop()
 {
-    const Duration elapsed = m_loop.now() - *m_stoppingSince;
-    if (elapsed > peerGrace)
+    const bool isIdle = m_gate.isIdle() && m_forwarder.callsInProgress() == 0;
+    const bool hasUnsentData = m_loop.pendingCloses() > 0 || m_peerServer.unsentBytes() > 0;
+    const StopStep step = m_stop->stepAt(m_loop.now(), isIdle, hasUnsentData);
+    if (step >= StopStep::RefusePeers)
         m_gate.drain();
-    if (elapsed > callerGrace)
+    if (step >= StopStep::RefuseCallers)
         m_forwarder.drain();
-    const bool isIdle = m_gate.isIdle() && m_forwarder.callsInProgress() == 0;
-    const Duration maxElapsed = m_settings.stopGrace - stopMargin;
-    if (elapsed < maxElapsed && (elapsed < callerGrace || !isIdle))
+    if (step >= StopStep::Close)
+        m_callerListener.closeIdle();
+    // closeIdle() may have begun closes that have not ended.
+    const bool mustExit = m_loop.now() >= m_stop->exitBy();
+    if (step < StopStep::Exit || (m_loop.pendingCloses() > 0 && !mustExit))
         return;
-    m_callerListener.closeIdle();
+    logEvent(LogLevel::Info, "stop-ended",
+        { { "after_ms", millisecondsText(m_loop.now() - m_stop->requestedAt()) },
+            { "calls", std::to_string(m_forwarder.callsInProgress()) },
+            { "unsent_closes", std::to_string(m_loop.pendingCloses()) },
+            { "unsent_peer_bytes", std::to_string(m_peerServer.unsentBytes()) } });
     m_loop.stop();
 }
 
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -23,6 +23,7 @@
 #include "proxy/ProxySettings.h"
 #include "proxy/SourceDecoder.h"
 #include "proxy/SourceExchange.h"
+#include "proxy/StopSchedule.h"
 #include "source/EntryCheckSchedule.h"
 #include "source/KeyReader.h"
 
@@ -101,7 +102,7 @@
     bool m_hasServers { false };
     bool m_isSourceLost { false };
     TimePoint m_sourceLostAt;
-    std::optional<TimePoint> m_stoppingSince;
+    std::optional<StopSchedule> m_stop;
     Timer m_tickTimer;
     Timer m_stopTimer;
     SignalWatcher m_terminate;
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -250,6 +250,10 @@
 {
     return { hostOf(index), static_cast<uint16_t>(m_firstPort + readyPortOffset) };
 }
+Endpoint ProxyFleet::peerAddress(size_t index) const
+{
+    return { hostOf(index), static_cast<uint16_t>(m_firstPort + peerPortOffset) };
+}
 Endpoint ProxyFleet::adminAddress(size_t index) const
 {
     return { hostOf(index), static_cast<uint16_t>(m_firstPort + metricsPortOffset) };
@@ -287,7 +291,7 @@
         .service = ServiceName("work"),
         .callerAddress = callerAddress(index),
         .readyAddress = readyAddress(index),
-        .peerAddress = { hostOf(index), static_cast<uint16_t>(m_firstPort + peerPortOffset) },
+        .peerAddress = peerAddress(index),
         .metricsAddress = adminAddress(index),
         .serverAddress = { hostOf(index), static_cast<uint16_t>(m_firstPort + serverPortOffset) },
         .sourceAddress = { hostOf(index), 1 },
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -83,6 +83,7 @@
     void blockWatches(size_t index) { m_nodes[index].source->blockWatches(); }
     Endpoint callerAddress(size_t index) const;
     Endpoint readyAddress(size_t index) const;
+    Endpoint peerAddress(size_t index) const;
     Endpoint adminAddress(size_t index) const;
     void configure(uint64_t version, int timeoutMilliseconds);
     void putServerEntry(size_t index, bool isDraining, uint64_t incarnation);
