Pass on server entries before a configuration is decoded

Cause: the thread that reads the store decoded a configuration first and then passed on the server entries of the same answer. Decoding takes a slow instance tenths of a second, in which a deletion or a leave was known to the process and not in force; a node that had just started had routes, but no server, for a moment.

Ruled out: an order that matters to the configuration; peers' updates are already applied in this order.

Change: the entries are posted first.

--- a/src/proxy/SourceDecoder.cpp
+++ b/src/proxy/SourceDecoder.cpp
@@ -42,9 +42,10 @@
         else if (m_adapter.isConfiguration(item) && !item.isDeleted)
             configuration = &item;
     }
+    // The servers go first: decoding a configuration takes a slow instance tenths of a second.
+    m_loop.post([this, servers = std::move(servers)] { m_callbacks.onServers(servers); });
     if (configuration && configuration->revision > m_lastDecodedRevision)
         deliverConfiguration(*configuration);
-    m_loop.post([this, servers = std::move(servers)] { m_callbacks.onServers(servers); });
 }
 
 void SourceDecoder::deliverConfiguration(const SourceItem& item)
