Let requests wait for the first configuration of a node

Cause: a node refused each request until it had a configuration, with a wait of 0.24 to 0.48 s.

Ruled out: that nodes are late to start: their readiness answers 503 meanwhile, but callers on the same instance are counted as moved only after two checks.

Change: such requests wait in a ConfigurationQueue, bounded in number and time (at most 1 s and a sixth of the caller's time), keep the time at which they arrived, and are refused after that.

Before: a node of the test refused them (503) while its first listing took 0.4 s. After: ProxyNodeTest.RequestsWaitForTheFirstConfiguration answers 20 of 20; RequestIsRefusedWhenTheFirstConfigurationDoesNotCome guards against holding them longer.

Also here: the test of a restart after a server has left (it passed at once), and braces in an older test.

--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -47,6 +47,10 @@
     , m_peers(std::move(peers))
     , m_log(log)
     , m_metrics(metrics)
+    , m_queue(loop, m_options.configurationQueue,
+          [this](HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt) {
+              refuse(std::move(request), caller, receivedAt, "no configuration is held yet");
+          })
     , m_retryBudget(m_options.retryBudget)
     , m_random(m_options.self.value())
 {
@@ -54,24 +58,56 @@
 
 void CallForwarder::setConfiguration(std::shared_ptr<const Configuration> configuration)
 {
+    const bool isFirst = !m_configuration;
     m_configuration = std::move(configuration);
     m_splits.reconfigure(*m_configuration);
     absl::flat_hash_set<std::string> names;
     for (const Route& route : m_configuration->routes())
         names.insert(route.name);
     absl::erase_if(m_history, [&names](const auto& entry) { return !names.contains(entry.first); });
+    if (isFirst) {
+        m_queue.release([this](HttpRequest request, const std::shared_ptr<HttpConnection>& caller,
+                            TimePoint receivedAt) { start(std::move(request), caller, receivedAt); });
+    }
+}
+
+void CallForwarder::drain()
+{
+    m_isDraining = true;
+    m_queue.expireAll();
+}
+
+void CallForwarder::refuse(
+    HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt, const char* reason)
+{
+    const CallPtr call = makeCall(std::move(request), caller, receivedAt);
+    call->lastReason = reason;
+    finish(call, refusal(*call), "not-run");
 }
 
 void CallForwarder::handle(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
 {
-    const CallPtr call = makeCall(std::move(request), caller);
+    const TimePoint now = m_loop.now();
+    if (m_isDraining && !isNestedCall(requestIdOf(request)))
+        refuse(std::move(request), caller, now, "the node stops");
+    else if (m_configuration)
+        start(std::move(request), caller, now);
+    else if (m_queue.isFull())
+        refuse(std::move(request), caller, now, "too many requests wait for the first configuration");
+    else
+        queue(std::move(request), caller);
+}
+
+void CallForwarder::queue(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
+{
+    const Duration timeout = callerTimeout(request);
+    m_queue.add(std::move(request), caller, timeout);
+}
+
+void CallForwarder::start(HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt)
+{
+    const CallPtr call = makeCall(std::move(request), caller, receivedAt);
     call->isNestedCall = isNestedCall(call->requestId);
-    const bool isRefusedByStop = m_isDraining && !call->isNestedCall;
-    if (!call->configuration || isRefusedByStop) {
-        call->lastReason = isRefusedByStop ? "the node stops" : "no configuration is held yet";
-        finish(call, refusal(*call), "not-run");
-        return;
-    }
     const HttpRequest& received = *call->request;
     const std::string* host = findHeader(received.headers, "Host");
     call->route = call->configuration->match(host ? *host : "", received.method, received.target);
@@ -88,7 +124,7 @@
         if (const auto found = m_calls.find(number); found != m_calls.end())
             handleCallerDisconnect(CallPtr(found->second));
     });
-    call->timer.start(call->deadline - call->receivedAt);
+    call->timer.start(call->deadline - m_loop.now());
     attempt(call);
 }
 
@@ -103,7 +139,14 @@
     }
 }
 
-CallForwarder::CallPtr CallForwarder::makeCall(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
+RequestId CallForwarder::requestIdOf(const HttpRequest& request) const
+{
+    const std::string* id = findHeader(request.headers, m_httpConventions.requestId);
+    return id ? RequestId(*id) : RequestId();
+}
+
+CallForwarder::CallPtr CallForwarder::makeCall(
+    HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt)
 {
     const uint64_t number = ++m_lastNumber;
     auto call = std::make_shared<Call>(m_loop, [this, number] {
@@ -112,10 +155,9 @@
     });
     call->number = number;
     call->caller = caller;
-    call->receivedAt = m_loop.now();
+    call->receivedAt = receivedAt;
     call->configuration = m_configuration;
-    if (const std::string* id = findHeader(request.headers, m_httpConventions.requestId))
-        call->requestId = RequestId(*id);
+    call->requestId = requestIdOf(request);
     removeHeader(request.headers, m_httpConventions.expectedInstance);
     setHeader(request.headers, m_httpConventions.callerService, m_options.callerService.value());
     call->request = std::make_shared<const HttpRequest>(std::move(request));
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -14,6 +14,8 @@
 //   * 503 with Retry-After if the request certainly did not run and never will;
 //   * 502 if that is unknown;
 //   * 504 after the timeout of the route or the caller.
+//
+// Requests that arrive before the first configuration wait for it in a ConfigurationQueue.
 #pragma once
 
 #include "admission/InitialTimeoutEstimate.h"
@@ -21,6 +23,7 @@
 #include "document/Configuration.h"
 #include "metrics/Metrics.h"
 #include "proxy/BackendGate.h"
+#include "proxy/ConfigurationQueue.h"
 #include "proxy/HttpListener.h"
 #include "proxy/PeerClient.h"
 #include "proxy/RequestLog.h"
@@ -40,6 +43,7 @@
     ServiceName callerService;
     int maxRefusals { 2 };
     int maxRateRefusals { 6 };
+    ConfigurationQueueOptions configurationQueue {};
     // Used if the caller sends no valid deadline.
     Duration defaultDeadline { std::chrono::seconds(10) };
     FleetRetryBudgetOptions retryBudget {};
@@ -58,12 +62,12 @@
     void beginStop(TimePoint answerBy);
     // Refuses new requests with 503 from now on, except calls on behalf of requests that the local server runs: those
     // requests would fail with them.
-    void drain() { m_isDraining = true; }
+    void drain();
     void setConfiguration(std::shared_ptr<const Configuration> configuration);
     const std::shared_ptr<const Configuration>& configuration() const { return m_configuration; }
     // The listed servers; the nodes beside them share the retry budget.
     void setServers(const MembershipView& view);
-    size_t callsInProgress() const { return m_calls.size(); }
+    size_t callsInProgress() const { return m_calls.size() + m_queue.size(); }
 
 private:
     // Estimates from past calls of a route.
@@ -108,7 +112,12 @@
     };
     using CallPtr = std::shared_ptr<Call>;
 
-    CallPtr makeCall(HttpRequest request, const std::shared_ptr<HttpConnection>& caller);
+    void refuse(
+        HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt, const char* reason);
+    void queue(HttpRequest request, const std::shared_ptr<HttpConnection>& caller);
+    void start(HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt);
+    CallPtr makeCall(HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt);
+    RequestId requestIdOf(const HttpRequest& request) const;
     // The remaining time that the caller announces.
     Duration callerTimeout(const HttpRequest& request) const;
     bool isNestedCall(const RequestId& id) const;
@@ -149,6 +158,7 @@
     RequestLog& m_log;
     Metrics& m_metrics;
     std::shared_ptr<const Configuration> m_configuration;
+    ConfigurationQueue m_queue;
     SplitChooser m_splits;
     // By route name; routes that a new configuration lacks are removed.
     absl::flat_hash_map<std::string, RouteHistory> m_history;
--- a/src/proxy/tests/FakeSource.cpp
+++ b/src/proxy/tests/FakeSource.cpp
@@ -1,5 +1,7 @@
 #include "proxy/tests/FakeSource.h"
 
+#include <thread>
+
 namespace skylark {
 
 void FakeStore::put(const std::string& key, const std::string& value)
@@ -16,6 +18,17 @@
     m_changed.notify_all();
 }
 
+void FakeStore::freezeStaleListing()
+{
+    const std::lock_guard lock(m_mutex);
+    SourceItems listing { .revision = Revision(m_revision) };
+    for (const auto& [key, item] : m_items) {
+        if (!item.isDeleted)
+            listing.items.push_back(item);
+    }
+    m_staleListing = std::move(listing);
+}
+
 void FakeStore::setDown(bool isDown)
 {
     const std::lock_guard lock(m_mutex);
@@ -29,10 +42,13 @@
         throw Error({ .step = "fake-source", .message = "the fake source rejects the call" });
 }
 
-SourceItems FakeSource::list(const std::string& prefix, ListFreshness)
+SourceItems FakeSource::list(const std::string& prefix, ListFreshness freshness)
 {
+    std::this_thread::sleep_for(m_listingDelay);
     const std::lock_guard lock(m_store.m_mutex);
     throwIfUnavailable();
+    if (freshness == ListFreshness::MayBeStale && m_store.m_staleListing)
+        return *m_store.m_staleListing;
     SourceItems result { .revision = Revision(m_store.m_revision) };
     for (const auto& [key, item] : m_store.m_items) {
         if (key.rfind(prefix, 0) == 0 && !item.isDeleted)
--- a/src/proxy/tests/FakeSource.h
+++ b/src/proxy/tests/FakeSource.h
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <optional>
 
 namespace skylark {
 
@@ -14,6 +15,8 @@
 public:
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
+    // From now on listings that may be stale show the present state.
+    void freezeStaleListing();
     // All calls fail while the store is down.
     void setDown(bool isDown);
 
@@ -25,6 +28,7 @@
     std::map<std::string, SourceItem> m_items;
     uint64_t m_revision { 1 };
     bool m_isDown { false };
+    std::optional<SourceItems> m_staleListing;
 };
 
 class FakeSource final : public KeyValueSource {
@@ -39,6 +43,8 @@
     void interrupt() override;
     // From now on watches return only by failing.
     void blockWatches();
+    // Each listing takes this long.
+    void setListingDelay(Duration delay) { m_listingDelay = delay; }
     // Makes only the calls of this node fail.
     void setSourceFailing(bool isFailing);
 
@@ -49,6 +55,7 @@
     bool m_isInterrupted { false };
     bool m_isFailing { false };
     bool m_blocksWatches { false };
+    Duration m_listingDelay {};
 };
 
 } // namespace skylark
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -271,11 +271,12 @@
             + (isDraining ? " draining" : " ready"));
 }
 
-void ProxyFleet::startNode(size_t index)
+void ProxyFleet::startNode(size_t index, Duration listingDelay)
 {
     Node& node = m_nodes[index];
     auto source = std::make_unique<FakeSource>(m_store);
     node.source = source.get();
+    source->setListingDelay(listingDelay);
     if (m_stalledNodes.contains(index))
         source->blockWatches();
     PlatformAdapter adapter { .source = std::move(source),
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -91,7 +91,8 @@
     bool waitUntilReady();
     // Stops the node gracefully, like SIGTERM, and waits for it.
     void stopNode(size_t index);
-    void startNode(size_t index);
+    // The node's listings of the source take this long.
+    void startNode(size_t index, Duration listingDelay = {});
 
 private:
     struct Node {
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -183,6 +183,64 @@
         EXPECT_EQ(fleet.server(0).executions().size(), ran);
     }
 
+    // Guards against a server that had left and is in use again after a restart: the first listing of a process may be
+    // seconds old.
+    TEST(ProxyNodeTest, RestartedNodeSendsNothingToAServerThatLeftBefore)
+    {
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.store().freezeStaleListing();
+        fleet.putServerEntry(0, true, 1);
+        std::this_thread::sleep_for(300ms);
+        for (const size_t restarted : { size_t { 0 }, size_t { 1 } }) {
+            fleet.stopNode(restarted);
+            const size_t executions = fleet.server(0).executions().size();
+            fleet.startNode(restarted);
+            for (int i = 0; i < 200; ++i) {
+                const std::string id = std::to_string(restarted) + "-" + std::to_string(i);
+                sendRequest(fleet.callerAddress(restarted), id, "/pay/x", "fee");
+            }
+            EXPECT_EQ(fleet.server(0).executions().size(), executions);
+        }
+    }
+
+    // Guards against requests that are refused in the tenths of a second in which a node that has started reads its
+    // first configuration. After a loss of all power these were thousands.
+    TEST(ProxyNodeTest, RequestsWaitForTheFirstConfiguration)
+    {
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.stopNode(0);
+        fleet.startNode(0, 400ms);
+        std::vector<std::thread> callers;
+        std::atomic<int> answered { 0 };
+        constexpr int count = 20;
+        for (int i = 0; i < count; ++i) {
+            callers.emplace_back([&, i] {
+                answered += sendRequest(fleet.callerAddress(0), "w" + std::to_string(i), "/pay/x", "fee", 5000).status
+                    == 200;
+            });
+        }
+        for (std::thread& caller : callers)
+            caller.join();
+        EXPECT_EQ(answered, count);
+    }
+
+    // Guards against a request that is held until its time is nearly over although it cannot be served.
+    TEST(ProxyNodeTest, RequestIsRefusedWhenTheFirstConfigurationDoesNotCome)
+    {
+        ProxyFleet fleet(1);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.stopNode(0);
+        fleet.startNode(0, 2500ms);
+        const auto startedAt = std::chrono::steady_clock::now();
+        const TestResponse response = sendRequest(fleet.callerAddress(0), "early", "/pay/x", "fee", 1800);
+        EXPECT_EQ(response.status, 503);
+        EXPECT_FALSE(response.retryAfter.empty());
+        EXPECT_LT(std::chrono::steady_clock::now() - startedAt, 600ms);
+        EXPECT_EQ(fleet.server(0).executions().count("early"), 0u);
+    }
+
     TEST(ProxyNodeTest, NodeWithoutTheSourceReceivesTheConfigurationFromAPeer)
     {
         ProxyFleet fleet(2);
@@ -269,8 +327,9 @@
             EXPECT_EQ(executions.count(id), 0u) << id << " was refused as not run, but ran";
         for (const std::string& id : executions) {
             const bool isPayment = (std::stoi(id.substr(id.find('-') + 1)) % 2) == 0;
-            if (isPayment)
+            if (isPayment) {
                 EXPECT_EQ(executions.count(id), 1u) << id << " ran twice";
+            }
         }
         // Refused callers send their next request immediately, so the success rate is not meaningful. The number of
         // answered requests shows that work continued.
