Call the source less often while it is lost for all and while a fleet starts

Cause: while the store is down for all, each node tried again after 0 to 1 s (the first four of a zone 0 to 0.5 s), since each relied on itself alone: with 295 nodes several hundred calls a second, each of them priced, also refused ones. At a start each node made a listing and three watches, because the second watch follows at once when the first one waited long, before the node knew that it would follow a peer.

Ruled out: reads of a server's own entry (none while the source is lost); the readers' own watches (two a second and zone).

Change: the followers of the fleet share a budget of attempts (about 40 a second, at most 4 s apart) while no peer has the source. Updates between nodes say when the source last responded to the sender, whether or not its data is complete, so that a follower tries at once when the first peer has reached it. Delays are at least half of their ceiling. In the first 5 s of a process two watches are 0.3 s apart, and the first watch of an empty store waits 3 s.

A node that alone has lost the source has the same bound as before (ReaderRoleTest.LostSourceIsRetriedOftenEnough).

--- a/src/base/tests/BaseTest.cpp
+++ b/src/base/tests/BaseTest.cpp
@@ -48,6 +48,17 @@
             EXPECT_LE(backoff.next(random), 1s);
     }
 
+    TEST(BackoffTest, DelayIsAtLeastTheMinimumShareOfItsCeiling)
+    {
+        Random random(1);
+        Backoff backoff({ .initial = 1s, .maximum = 1s, .minimumShare = 0.5 });
+        for (int attempt = 0; attempt < 100; ++attempt) {
+            const Duration delay = backoff.next(random);
+            EXPECT_GE(delay, 500ms);
+            EXPECT_LE(delay, 1s);
+        }
+    }
+
     TEST(TokenBucketTest, AllowsBurstThenRate)
     {
         FakeClock clock;
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -91,6 +91,8 @@
                     const SourceUpdateRequest& request) { return ensurePeer(endpoint).requestSourceUpdate(request); },
               .reachablePeers = [this] { return reachablePeers(); },
               .setReading = [this](bool isReading) { setReading(isReading); },
+              .setMaxRetryDelay = [this](Duration delay) { m_watcher->setMaxRetryDelay(delay); },
+              .retrySource = [this] { m_watcher->retryNow(); },
               .isComplete = [this] { return !m_isSourceLost && !m_directory.mayDeferDeletions(m_loop.now()); } })
     , m_peerServer(m_loop, { .self = m_self, .listenAddress = m_settings.peerAddress }, m_gate,
           { .onHello = [this](const Hello& hello) { ensurePeer(hello.listenAddress); },
@@ -218,7 +220,7 @@
     const ServerRecord* ownServer = m_directory.atAddress(m_settings.serverAddress);
     m_gate.setServer(ownServer ? std::optional(*ownServer) : std::nullopt);
     m_forwarder.setServers(*m_view);
-    m_exchange.setMembers(zoneMembers());
+    m_exchange.setMembers(zoneMembers(), m_view->instances().size());
     m_exchange.handleChange();
     m_metrics.setInstances("listed", m_view->instances().size());
     logEvent(LogLevel::Info, "servers-changed",
@@ -292,7 +294,6 @@
 void ProxyNode::setReading(bool isReading)
 {
     if (isReading) {
-        m_watcher->setMaxRetryDelay(m_exchange.maxRetryDelay());
         m_watcher->resume(m_directory.revision());
         return;
     }
--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -23,18 +23,34 @@
     , m_confirmedAt(loop.now() - incompleteAge)
     , m_serversConfirmedAt(m_confirmedAt)
     , m_confirmedByPeerAt(m_confirmedAt)
+    , m_sourceSeenAt(m_confirmedAt)
 {
 }
 
 Duration SourceExchange::age() const { return m_loop.now() - m_confirmedAt; }
 
+void SourceExchange::setMembers(std::vector<Endpoint> members, size_t fleetSize)
+{
+    m_role.setMembers(std::move(members));
+    m_role.setFleetSize(fleetSize);
+}
+
 void SourceExchange::recordSourceResponse(Duration age)
 {
     m_isSourceLost = false;
     m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - age);
+    m_sourceSeenAt = std::max(m_sourceSeenAt, m_loop.now() - age);
     m_role.recordSourceResponse(m_loop.now());
 }
 
+void SourceExchange::recordSourceSeen(TimePoint seenAt, TimePoint now)
+{
+    const bool wasReachable = now - m_sourceSeenAt < m_options.reachableAge;
+    m_sourceSeenAt = std::max(m_sourceSeenAt, seenAt);
+    if (m_isSourceLost && !wasReachable && now - m_sourceSeenAt < m_options.reachableAge)
+        m_callbacks.retrySource();
+}
+
 void SourceExchange::recordApplied(TimePoint currentAt)
 {
     if (currentAt <= m_serversConfirmedAt)
@@ -65,6 +81,7 @@
     const bool isComplete = m_callbacks.isComplete();
     update.age = isComplete ? age() : incompleteAge;
     update.serversAge = isComplete ? m_loop.now() - m_serversConfirmedAt : incompleteAge;
+    update.sourceAge = m_loop.now() - m_sourceSeenAt;
     update.heldFor = m_loop.now() - pending.receivedAt;
     pending.reply(update);
     return true;
@@ -84,6 +101,7 @@
 {
     const TimePoint now = m_loop.now();
     m_confirmedByPeerAt = std::max(m_confirmedByPeerAt, now - update.age);
+    recordSourceSeen(now - update.sourceAge, now);
     m_confirmedAt = std::max(m_confirmedAt, m_confirmedByPeerAt);
     if (isWhole)
         recordApplied(now - std::max(update.age, update.serversAge) - transitTime(peer, update, now));
@@ -105,6 +123,10 @@
         return now - pending.receivedAt >= m_options.holdTime && respond(pending, true);
     });
     m_role.advance(now);
+    if (const Duration delay = m_role.maxRetryDelay(now); delay != m_maxRetryDelay) {
+        m_maxRetryDelay = delay;
+        m_callbacks.setMaxRetryDelay(delay);
+    }
     const bool isOtherPeer = m_role.followedPeer() != m_queriedPeer;
     if (m_role.followedPeer() && (isOtherPeer || !m_queriedAt || now - *m_queriedAt > m_options.requestTimeout))
         queryFollowedPeer(now);
--- a/src/proxy/SourceExchange.h
+++ b/src/proxy/SourceExchange.h
@@ -34,6 +34,8 @@
     Duration minRequestTime { std::chrono::milliseconds(100) };
     // Time between two requests to arbitrary peers while the source is lost.
     Duration searchInterval { std::chrono::milliseconds(500) };
+    // The source counts as reachable for this long after its last response to this node or to a peer.
+    Duration reachableAge { std::chrono::milliseconds(1500) };
     size_t maxPendingRequests { 2048 };
     ReaderRoleOptions role {};
 };
@@ -51,14 +53,18 @@
         // Peers that are currently reachable.
         std::function<std::vector<Endpoint>()> reachablePeers;
         std::function<void(bool isReading)> setReading;
+        // Sets the maximum time between two attempts to reach a lost source.
+        std::function<void(Duration)> setMaxRetryDelay;
+        // The source is lost here, and a peer has just reached it.
+        std::function<void()> retrySource;
         // False while this node has lost the source or holds back deletions: no peer may rely on its state then.
         std::function<bool()> isComplete;
     };
 
     SourceExchange(EventLoop& loop, SourceExchangeOptions options, Callbacks callbacks);
 
-    // Nodes of this node's zone.
-    void setMembers(std::vector<Endpoint> members) { m_role.setMembers(std::move(members)); }
+    // Nodes of this node's zone, and the number of nodes of all zones.
+    void setMembers(std::vector<Endpoint> members, size_t fleetSize);
     // Records a response of the source whose content is this old.
     void recordSourceResponse(Duration age);
     // Records that this node has applied everything that the source had at this time.
@@ -74,8 +80,6 @@
     void tick();
 
     bool isReading() const { return m_isReading; }
-    // Maximum time between two attempts to reach a lost source.
-    Duration maxRetryDelay() const { return m_role.maxRetryDelay(); }
     // True if a peer reported that it had the source after this time.
     bool peersHadSourceAfter(TimePoint time) const { return m_confirmedByPeerAt > time; }
     // The time at which all that this node knows of the servers was current.
@@ -90,6 +94,8 @@
         TimePoint receivedAt;
     };
 
+    // Retries a lost source when a peer has reached it again.
+    void recordSourceSeen(TimePoint seenAt, TimePoint now);
     // Time since the request to this peer that its answer belongs to, as far as the peer did not hold it.
     Duration transitTime(const Endpoint& peer, const SourceUpdate& update, TimePoint now) const;
     // Returns false without responding if the update is empty and mayBeEmpty is false.
@@ -106,8 +112,12 @@
     bool m_isSourceLost { false };
     TimePoint m_confirmedAt;
     TimePoint m_serversConfirmedAt;
+    // Maximum time between two attempts that was last passed on.
+    Duration m_maxRetryDelay {};
     // Like m_confirmedAt, but confirmed by peers only.
     TimePoint m_confirmedByPeerAt;
+    // The last response of the source to this node or, as far as known, to a peer.
+    TimePoint m_sourceSeenAt;
     std::optional<TimePoint> m_queriedAt;
     std::optional<Endpoint> m_queriedPeer;
     // Time of the last request to an arbitrary peer.
--- a/src/proxy/tests/SourceExchangeTest.cpp
+++ b/src/proxy/tests/SourceExchangeTest.cpp
@@ -22,7 +22,7 @@
             for (int number = 2; !follows(); ++number) {
                 ASSERT_LT(number, 100);
                 leader = node(number);
-                exchange.setMembers({ node(1), leader });
+                exchange.setMembers({ node(1), leader }, 2);
                 exchange.tick();
             }
             queriedPeers.clear();
@@ -39,6 +39,8 @@
                     },
                 .reachablePeers = [this] { return reachablePeers; },
                 .setReading = [this](bool isReading) { readingStates.push_back(isReading); },
+                .setMaxRetryDelay = [this](Duration delay) { maxRetryDelay = delay; },
+                .retrySource = [this] { ++retries; },
                 .isComplete = [] { return true; } };
         }
         // Advances the time tick by tick; a fresh leader answers each request with an empty update.
@@ -60,6 +62,8 @@
         std::vector<Endpoint> reachablePeers;
         std::set<Endpoint> unconnectedPeers;
         std::vector<bool> readingStates;
+        Duration maxRetryDelay {};
+        int retries { 0 };
         SourceExchange exchange { loop, { .self = node(1) }, callbacks() };
     };
 
@@ -71,6 +75,24 @@
         EXPECT_EQ(queriedPeers, std::vector { leader });
     }
 
+    // Guards against a follower that waits for its own next attempt after the source is back for all. The peer holds
+    // back deletions for two seconds then, so its data does not count as complete yet.
+    TEST_F(SourceExchangeTest, LostSourceIsRetriedWhenAPeerHasReachedIt)
+    {
+        exchange.recordSourceFailure();
+        exchange.handlePeerUpdate(leader, { .age = 1h, .sourceAge = 5s });
+        EXPECT_EQ(retries, 0);
+        exchange.handlePeerUpdate(leader, { .age = 1h, .sourceAge = 100ms });
+        EXPECT_EQ(retries, 1);
+        // Once for each return, not for each word of it.
+        clock.advance(500ms);
+        exchange.handlePeerUpdate(leader, { .age = 1h, .sourceAge = 100ms });
+        EXPECT_EQ(retries, 1);
+        clock.advance(5s);
+        exchange.handlePeerUpdate(leader, { .age = 1h, .sourceAge = 100ms });
+        EXPECT_EQ(retries, 2);
+    }
+
     // Guards against a busy loop of requests: a peer at capacity answers each request immediately with an empty update.
     TEST_F(SourceExchangeTest, FollowerOfAPeerAtCapacitySendsAtMostOneRequestPerTick)
     {
--- a/src/source/ReaderRole.cpp
+++ b/src/source/ReaderRole.cpp
@@ -63,6 +63,17 @@
     return m_candidates.empty() || !m_peerKnowledgeAt || now - *m_peerKnowledgeAt > m_options.maxPeerAge;
 }
 
+Duration ReaderRole::maxRetryDelay(TimePoint now) const
+{
+    if (m_position < m_options.maxCandidates)
+        return m_options.maxLeaderRetryDelay;
+    if (!readsSource(now))
+        return m_options.maxFollowerRetryDelay;
+    const std::chrono::duration<double> fleetDelay(static_cast<double>(m_fleetSize) / m_options.outageRetriesPerSecond);
+    return std::clamp(std::chrono::duration_cast<Duration>(fleetDelay), m_options.maxFollowerRetryDelay,
+        m_options.maxOutageRetryDelay);
+}
+
 void ReaderRole::advance(TimePoint now)
 {
     if (m_candidates.size() < 2 || !readsSource(now) || now - m_switchedAt < m_options.candidateTimeout)
--- a/src/source/ReaderRole.h
+++ b/src/source/ReaderRole.h
@@ -34,6 +34,11 @@
     // after which they have to learn of every change within 3 s.
     Duration maxLeaderRetryDelay { std::chrono::milliseconds(500) };
     Duration maxFollowerRetryDelay { std::chrono::milliseconds(1000) };
+    // While no peer has the source either, the followers of the whole fleet make at most about this many attempts a
+    // second, as far as maxOutageRetryDelay allows: the first nodes of each zone detect its return and report it, and
+    // a follower that hears of it tries at once.
+    double outageRetriesPerSecond { 40 };
+    Duration maxOutageRetryDelay { std::chrono::seconds(4) };
 };
 
 class ReaderRole {
@@ -42,6 +47,8 @@
 
     // Sets the nodes of the zone; this node need not be among them.
     void setMembers(std::vector<Endpoint> members);
+    // Sets the number of nodes in all zones.
+    void setFleetSize(size_t nodes) { m_fleetSize = nodes; }
     // Records a response of the followed peer, whose knowledge of the source is this old.
     void recordPeerAge(Duration age, TimePoint now);
     // Records a response of the source itself. A node that has just started needs no second call before its peer has
@@ -54,16 +61,14 @@
     // Switches to the next candidate when the current one is stale.
     void advance(TimePoint now);
     // Maximum delay between attempts to reach a lost source; shorter for the first nodes of the order, on which the
-    // others rely.
-    Duration maxRetryDelay() const
-    {
-        return m_position < m_options.maxCandidates ? m_options.maxLeaderRetryDelay : m_options.maxFollowerRetryDelay;
-    }
+    // others rely, and longer for the others while the source is lost for all.
+    Duration maxRetryDelay(TimePoint now) const;
 
 private:
     const Endpoint m_self;
     const ReaderRoleOptions m_options;
     size_t m_position { 0 };
+    size_t m_fleetSize { 1 };
     std::vector<Endpoint> m_candidates;
     size_t m_currentCandidate { 0 };
     TimePoint m_switchedAt;
--- a/src/source/SourceWatcher.cpp
+++ b/src/source/SourceWatcher.cpp
@@ -48,6 +48,7 @@
     , m_consumer(consumer)
     , m_options(std::move(options))
     , m_clock(clock)
+    , m_startedAt(clock.now())
     , m_random(m_options.seed)
     , m_backoff(m_options.retry)
     , m_maxRetryDelay(m_options.retry.maximum)
@@ -89,17 +90,48 @@
     m_maxRetryDelay = maxDelay;
 }
 
+void SourceWatcher::retryNow()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_mustRetry = true;
+    }
+    m_wakeup.notify_all();
+}
+
 Duration SourceWatcher::nextRetryDelay()
 {
     const std::lock_guard lock(m_mutex);
+    m_mustRetry = false;
     m_backoff.setMaximum(m_maxRetryDelay);
     return m_backoff.next(m_random);
 }
 
-bool SourceWatcher::waitBeforeNextCall(Duration wait)
+Duration SourceWatcher::watchWait() const
+{
+    // While the source is lost, the call only checks whether it is back, so it does not wait for a change.
+    if (m_isSourceLost)
+        return Duration(0);
+    const bool isEmpty = m_listedBytes.value() == 0 && !m_hasWatched;
+    return isEmpty ? std::max(m_options.startWait, m_options.watchWait) : m_options.watchWait;
+}
+
+Duration SourceWatcher::pauseAfter(TimePoint callStartedAt, bool wasFirst) const
+{
+    // The first listing may be stale. What it lacks is fetched immediately: until then calls go to servers that have
+    // left.
+    if (wasFirst)
+        return Duration(0);
+    const TimePoint now = m_clock.now();
+    const Duration pause = std::max(Duration(0), m_options.minInterval - (now - callStartedAt));
+    const bool isStarting = now - m_startedAt < m_options.startPeriod;
+    return isStarting ? std::max(pause, std::min(m_options.startPause, m_options.minInterval)) : pause;
+}
+
+bool SourceWatcher::waitBeforeNextCall(Duration wait, bool hasFailed)
 {
     std::unique_lock lock(m_mutex);
-    m_wakeup.wait_for(lock, wait, [this] { return m_isStopping; });
+    m_wakeup.wait_for(lock, wait, [this, hasFailed] { return m_isStopping || (hasFailed && m_mustRetry); });
     m_wakeup.wait(lock, [this] { return m_isStopping || !m_isSuspended; });
     m_revision = std::max(m_revision, m_knownRevision);
     m_deliveredRevision = std::max(m_deliveredRevision, m_knownRevision);
@@ -109,7 +141,9 @@
 void SourceWatcher::run()
 {
     Duration wait {};
-    while (waitBeforeNextCall(wait)) {
+    bool hasFailed = false;
+    while (waitBeforeNextCall(wait, hasFailed)) {
+        hasFailed = false;
         const TimePoint startedAt = m_clock.now();
         try {
             const bool isFirst = !m_hasListed;
@@ -117,9 +151,7 @@
                 listAll();
             else
                 watchOnce();
-            // The first listing may be stale. What it lacks is fetched immediately: until then calls go to servers that
-            // have left.
-            wait = isFirst ? Duration(0) : std::max(Duration(0), m_options.minInterval - (m_clock.now() - startedAt));
+            wait = pauseAfter(startedAt, isFirst);
         } catch (const HistoryLost&) {
             m_needsListing = true;
             m_consumer.onCall({ .call = SourceCall::Watch, .isAnswered = true });
@@ -131,6 +163,7 @@
                     { "reason", error.what() } });
             m_consumer.onCall({ .call = call });
             recordFailure(error.what());
+            hasFailed = true;
             wait = nextRetryDelay();
         }
     }
@@ -159,9 +192,8 @@
 
 void SourceWatcher::watchOnce()
 {
-    // While the source is lost, the call only checks whether it is back, so it does not wait for a change.
-    SourceItems changes
-        = m_source.watch(m_options.prefix, m_revision, m_isSourceLost ? Duration(0) : m_options.watchWait);
+    SourceItems changes = m_source.watch(m_options.prefix, m_revision, watchWait());
+    m_hasWatched = true;
     const TimePoint now = m_clock.now();
     m_consumer.onCall({ .call = SourceCall::Watch, .isAnswered = true, .age = changes.transferTime });
     recordSuccess();
--- a/src/source/SourceWatcher.h
+++ b/src/source/SourceWatcher.h
@@ -64,7 +64,14 @@
     Duration minInterval { std::chrono::milliseconds(400) };
     Duration maxSilence { std::chrono::seconds(6) };
     Duration relistAfter { std::chrono::seconds(2) };
-    BackoffOptions retry { .initial = std::chrono::milliseconds(200), .maximum = std::chrono::milliseconds(800) };
+    BackoffOptions retry {
+        .initial = std::chrono::milliseconds(200), .maximum = std::chrono::milliseconds(800), .minimumShare = 0.5
+    };
+    // A process that has just started waits at least this long between two watches, so that its owner can decide
+    // whether it reads at all, and waits startWait for the first change of an empty source.
+    Duration startPause { std::chrono::milliseconds(300) };
+    Duration startPeriod { std::chrono::seconds(5) };
+    Duration startWait { std::chrono::seconds(3) };
     uint64_t seed { 1 };
 };
 
@@ -81,26 +88,33 @@
     void resume(Revision knownRevision);
     // Sets the maximum delay after consecutive failures, from the next failure on. Thread-safe.
     void setMaxRetryDelay(Duration maxDelay);
+    // Ends the delay after a failure: the source is probably back. Thread-safe.
+    void retryNow();
 
 private:
     void run();
     void listAll();
     void watchOnce();
+    Duration watchWait() const;
+    Duration pauseAfter(TimePoint callStartedAt, bool wasFirst) const;
     void recordFailure(const std::string& reason);
     void recordSuccess();
     // Returns false when the watcher stops.
-    bool waitBeforeNextCall(Duration wait);
+    // After a failure the wait also ends with retryNow().
+    bool waitBeforeNextCall(Duration wait, bool hasFailed);
     Duration nextRetryDelay();
 
     KeyValueSource& m_source;
     SourceConsumer& m_consumer;
     const SourceWatcherOptions m_options;
     const Clock& m_clock;
+    const TimePoint m_startedAt;
     Random m_random;
     Backoff m_backoff;
     Duration m_maxRetryDelay;
     bool m_needsListing { true };
     bool m_hasListed { false };
+    bool m_hasWatched { false };
     bool m_isSourceLost { false };
     TimePoint m_sourceLostAt;
     // Size of the last listing.
@@ -113,6 +127,7 @@
     std::condition_variable m_wakeup;
     bool m_isStopping { false };
     bool m_isSuspended { false };
+    bool m_mustRetry { false };
     Revision m_knownRevision;
     std::thread m_thread;
 };
--- a/src/source/tests/ReaderRoleTest.cpp
+++ b/src/source/tests/ReaderRoleTest.cpp
@@ -83,7 +83,44 @@
         for (const Endpoint& node : zone(20)) {
             ReaderRole role(node, {});
             role.setMembers(zone(20));
-            EXPECT_LE(callTimeout + role.maxRetryDelay() + margin, maxStaleness);
+            EXPECT_LE(callTimeout + role.maxRetryDelay(start) + margin, maxStaleness);
+        }
+    }
+
+    // Guards against a large fleet that calls a store which is down hundreds of times a second, in vain and at a price.
+    TEST(ReaderRoleTest, AttemptsOfALargeFleetAreFewWhileTheSourceIsLostForAll)
+    {
+        for (const size_t nodes : { size_t { 12 }, size_t { 80 }, size_t { 295 } }) {
+            constexpr size_t zones = 6;
+            const auto members = zone(nodes / zones);
+            double attemptsPerSecond = 0;
+            for (const Endpoint& node : members) {
+                ReaderRole role(node, {});
+                role.setMembers(members);
+                role.setFleetSize(nodes);
+                role.recordPeerAge(1h, start);
+                attemptsPerSecond += zones / std::chrono::duration<double>(role.maxRetryDelay(start)).count();
+            }
+            // The first nodes try twice a second each, the others have a budget, with the least delay above it.
+            const double leaders
+                = static_cast<double>(std::min(members.size(), ReaderRoleOptions().maxCandidates) * zones);
+            const double cap = static_cast<double>(nodes)
+                / std::chrono::duration<double>(ReaderRoleOptions().maxOutageRetryDelay).count();
+            EXPECT_LE(attemptsPerSecond, 2 * leaders + std::max(ReaderRoleOptions().outageRetriesPerSecond, cap))
+                << nodes;
+        }
+    }
+
+    // A node that alone has lost the source must not wait as long: its peers go on.
+    TEST(ReaderRoleTest, NodeWithAFreshPeerRetriesALostSourceSoon)
+    {
+        const auto members = zone(200);
+        for (const Endpoint& node : members) {
+            ReaderRole role(node, {});
+            role.setMembers(members);
+            role.setFleetSize(21'000);
+            role.recordPeerAge(0s, start);
+            EXPECT_LE(role.maxRetryDelay(start), 1s);
         }
     }
 
--- a/src/source/tests/SourceWatcherTest.cpp
+++ b/src/source/tests/SourceWatcherTest.cpp
@@ -198,6 +198,49 @@
             consumer.events(4), (std::vector<std::string> { "listing 7", "changes 2", "changes 3", "listing 15" }));
     }
 
+    // Guards against a starting fleet that calls the source several times a node before the nodes have decided who
+    // reads.
+    TEST(SourceWatcherTest, StartingProcessWaitsBetweenItsFirstCalls)
+    {
+        ScriptedSource source;
+        RecordingConsumer consumer;
+        SystemClock clock;
+        for (uint64_t i = 0; i < 100; ++i)
+            source.expect([i](const auto&) {
+                // Longer than the interval, so that the next call would follow at once.
+                std::this_thread::sleep_for(20ms);
+                return items(i + 1);
+            });
+        SourceWatcherOptions startOptions = options(15ms);
+        startOptions.startPause = 15ms;
+        {
+            const SourceWatcher watcher(source, consumer, startOptions, clock);
+            std::this_thread::sleep_for(210ms);
+        }
+        // A listing and then a watch each 35 ms.
+        EXPECT_GE(source.calls().size(), 3u);
+        EXPECT_LE(source.calls().size(), 8u);
+    }
+
+    TEST(SourceWatcherTest, RetryNowEndsTheDelayAfterAFailure)
+    {
+        ScriptedSource source;
+        RecordingConsumer consumer;
+        SystemClock clock;
+        source.expect([](const auto&) { return items(7); });
+        source.expect([](const auto&) -> SourceItems { throw Error({ .message = "down" }); });
+        source.expect([](const auto&) { return items(8); });
+        SourceWatcherOptions slowOptions = options();
+        slowOptions.retry = { .initial = 30s, .maximum = 30s, .minimumShare = 1 };
+        SourceWatcher watcher(source, consumer, slowOptions, clock);
+        watcher.setMaxRetryDelay(30s);
+        EXPECT_EQ(consumer.events(2).size(), 2u);
+        std::this_thread::sleep_for(20ms);
+        EXPECT_EQ(source.calls().size(), 2u);
+        watcher.retryNow();
+        EXPECT_EQ(consumer.events(4), (std::vector<std::string> { "listing 7", "lost", "recovered", "changes 1" }));
+    }
+
     // Guards against one call per heartbeat of each server.
     TEST(SourceWatcherTest, CallsAreAtLeastAnIntervalApart)
     {
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -318,6 +318,9 @@
     Duration heldFor {};
     // Like `age`, but counts until the sender had applied the servers.
     Duration serversAge {};
+    // The time since the source responded to the sender or to a peer of it, whether or not the sender's data is
+    // complete. Earlier senders do not set it.
+    Duration sourceAge { std::chrono::hours(1) };
     bool operator==(const SourceUpdate&) const = default;
 };
 
