Follow a peer that only holds back deletions

Cause: after an outage for all a node holds back deletions for 2 s and tells its followers that its data is incomplete.

Ruled out: that they need the reads. A node that has reached the source holds back the same deletions itself, and peers pass later ones on when their time has come. A node that has not reached it still does not rely on such a peer.

Change: an update says how old its data is apart from the deletions held back; a node that has the source decides by that whether its peer is fresh.

Before: SourceExchangeTest.NodeThatHasTheSourceFollowsAPeerThatHoldsBackDeletions has no such age to go by.

--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -81,6 +81,7 @@
     const bool isComplete = m_callbacks.isComplete();
     update.age = isComplete ? age() : incompleteAge;
     update.serversAge = isComplete ? m_loop.now() - m_serversConfirmedAt : incompleteAge;
+    update.ageWithDeferral = m_isSourceLost ? incompleteAge : age();
     update.sourceAge = m_loop.now() - m_sourceSeenAt;
     update.heldFor = m_loop.now() - pending.receivedAt;
     pending.reply(update);
@@ -109,7 +110,8 @@
         return;
     const bool wasHeld = m_queriedAt && now - *m_queriedAt >= m_options.minRequestTime;
     m_queriedAt.reset();
-    m_role.recordPeerAge(update.age, now);
+    // A node that has the source holds back deletions itself after an outage, so it may follow a peer that does.
+    m_role.recordPeerAge(m_isSourceLost ? update.age : std::min(update.age, update.ageWithDeferral), now);
     // After an empty update the next request is sent immediately, since the age grows until its answer. Otherwise it
     // waits for the tick, so that the update has been applied by then.
     if (wasHeld && update.configuration.empty() && update.servers.empty())
--- a/src/proxy/tests/SourceExchangeTest.cpp
+++ b/src/proxy/tests/SourceExchangeTest.cpp
@@ -93,6 +93,24 @@
         EXPECT_EQ(retries, 2);
     }
 
+    // Guards against a fleet whose nodes all read the source for the two seconds after an outage in which their peers
+    // hold back deletions.
+    TEST_F(SourceExchangeTest, NodeThatHasTheSourceFollowsAPeerThatHoldsBackDeletions)
+    {
+        const SourceUpdate deferring { .age = 1h, .ageWithDeferral = 100ms };
+        exchange.recordSourceFailure();
+        for (int i = 0; i < 20; ++i) {
+            clock.advance(tickInterval);
+            exchange.handlePeerUpdate(leader, deferring);
+            exchange.tick();
+        }
+        EXPECT_TRUE(exchange.isReading()) << "this node does not know what was deleted meanwhile";
+        exchange.recordSourceResponse(0ms);
+        exchange.handlePeerUpdate(leader, deferring);
+        exchange.tick();
+        EXPECT_FALSE(exchange.isReading());
+    }
+
     // Guards against a busy loop of requests: a peer at capacity answers each request immediately with an empty update.
     TEST_F(SourceExchangeTest, FollowerOfAPeerAtCapacitySendsAtMostOneRequestPerTick)
     {
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -83,7 +83,7 @@
 auto fieldsOf(MaybeConst<SourceUpdate> auto& m)
 {
     return std::tie(m.version, m.configuration, m.revision, m.servers, m.age, m.since, m.isListing, m.heldFor,
-        m.serversAge, m.sourceAge);
+        m.serversAge, m.sourceAge, m.ageWithDeferral);
 }
 
 template <typename T>
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -321,6 +321,8 @@
     // The time since the source responded to the sender or to a peer of it, whether or not the sender's data is
     // complete. Earlier senders do not set it.
     Duration sourceAge { std::chrono::hours(1) };
+    // Like `age`, but also set while the sender has the source and only holds back deletions after an outage.
+    Duration ageWithDeferral { std::chrono::hours(1) };
     bool operator==(const SourceUpdate&) const = default;
 };
 
