Check the framing of backend answers in skylarkd with the project's own parser

Cause: skylarkd read its backend server's answers with cpp-httplib, which takes chunks that end within a line break for a whole body: an answer in chunks that broke off behind a carriage return reached the caller as a complete success. BackendClientTest.AnswerCutAtAnyByteIsNotAnswered fails there at two of the cuts (55 and 66 bytes).

Ruled out: bodies with a length (checked before), heads cut at each byte, unsolicited bytes behind an answer on an idle connection (BytesBehindAnAnswerReachNoLaterRequest passes before the change, too).

Change: BackendClient uses BlockingSocket, taken out of BlockingHttpClient, and ResponseParser, which can now pass a response on while it arrives. A connection with bytes behind an answer, or on which bytes arrived while it was idle, is not used again. Cancelling ends the wait through a descriptor.

What remains: the product's own interface has no id that a server echoes, so a second copy that arrives while the next request is at the server cannot be told from its answer. skylark-node compares the id.

--- a/src/http/BlockingHttpClient.h
+++ b/src/http/BlockingHttpClient.h
@@ -7,8 +7,8 @@
 // - It buffers one response, within the configured limits.
 #pragma once
 
-#include "base/Socket.h"
 #include "base/Types.h"
+#include "http/BlockingSocket.h"
 #include "http/HttpMessage.h"
 #include "http/MessageParser.h"
 
@@ -46,13 +46,12 @@
     void interrupt() const;
 
 private:
-    class Socket;
     void connect();
     ReceivedResponse receive(std::chrono::steady_clock::time_point firstByteDeadline);
     [[noreturn]] void fail(const std::string& message) const;
 
     const BlockingHttpClientOptions m_options;
-    std::unique_ptr<Socket> m_socket;
+    std::unique_ptr<BlockingSocket> m_socket;
     std::unique_ptr<ResponseParser> m_parser;
     // An eventfd that becomes readable when interrupt() is called.
     const FileDescriptor m_interrupt;
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -16,6 +16,7 @@
     constexpr int statusBadRequest = 400;
     constexpr int statusTooLarge = 413;
     constexpr int statusHeadersTooLarge = 431;
+    constexpr int firstFinalStatus = 200;
 
     std::string toString(BeastView text) { return { text.data(), text.size() }; }
 
@@ -41,6 +42,9 @@
         }
 
         Message message;
+        // Only for responses; may be null.
+        const ResponseSink* sink { nullptr };
+        uint64_t bodyBytes { 0 };
         int contentLengthHeaders { 0 };
         int hostHeaders { 0 };
         bool hasUnsupportedEncoding { false };
@@ -73,11 +77,25 @@
                 wantsContinue = boost::beast::iequals(value, "100-continue");
             message.headers.push_back({ toString(name), toString(value) });
         }
-        void on_header_impl(ErrorCode&) override { message.keepsAlive = this->keep_alive(); }
+        void on_header_impl(ErrorCode& error) override
+        {
+            message.keepsAlive = this->keep_alive();
+            if constexpr (!isRequest) {
+                if (!sink || message.status < firstFinalStatus)
+                    return;
+                const auto length = this->content_length();
+                if (!sink->onHead(message, length ? std::optional<uint64_t>(*length) : std::nullopt))
+                    error = http::error::end_of_stream;
+            }
+        }
         void on_body_init_impl(const boost::optional<uint64_t>&, ErrorCode&) override { }
-        size_t on_body_impl(BeastView body, ErrorCode&) override
+        size_t on_body_impl(BeastView body, ErrorCode& error) override
         {
-            message.body.append(body.data(), body.size());
+            bodyBytes += body.size();
+            if (!sink)
+                message.body.append(body.data(), body.size());
+            else if (!sink->onBody({ body.data(), body.size() }))
+                error = http::error::end_of_stream;
             return body.size();
         }
         void on_chunk_header_impl(uint64_t, BeastView, ErrorCode&) override { }
@@ -93,6 +111,7 @@
         using Message = typename MessageCollector<isRequest>::Message;
 
         HttpLimits limits;
+        std::optional<ResponseSink> sink;
         std::string buffer;
         std::optional<MessageCollector<isRequest>> collector;
         // Bytes since the last message that next() returned.
@@ -100,8 +119,10 @@
 
         MessageCollector<isRequest>& current()
         {
-            if (!collector)
+            if (!collector) {
                 collector.emplace(limits);
+                collector->sink = sink ? &*sink : nullptr;
+            }
             return *collector;
         }
 
@@ -133,9 +154,8 @@
         void checkOverhead(const MessageCollector<isRequest>& parser) const
         {
             constexpr uint64_t maxBytesPerBodyByte = 16;
-            const uint64_t bodyBytes = parser.message.body.size();
             const uint64_t unparsedBytes = parser.is_done() ? 0 : buffer.size();
-            if (parsedBytes + unparsedBytes > 2 * limits.headerBytes + (1 + maxBytesPerBodyByte) * bodyBytes)
+            if (parsedBytes + unparsedBytes > 2 * limits.headerBytes + (1 + maxBytesPerBodyByte) * parser.bodyBytes)
                 throw HttpError(statusHeadersTooLarge, "too many bytes besides the body");
         }
 
@@ -200,7 +220,6 @@
 struct ResponseParser::State : ParserState<false> {
     std::optional<HttpResponse> takeFinalResponse()
     {
-        constexpr int firstFinalStatus = 200;
         HttpResponse response = take();
         if (response.status < firstFinalStatus)
             return std::nullopt;
@@ -216,6 +235,8 @@
 
 ResponseParser::~ResponseParser() = default;
 
+void ResponseParser::setSink(ResponseSink sink) { m_state->sink = std::move(sink); }
+
 void ResponseParser::expectNoBody() { m_state->current().skip(true); }
 
 void ResponseParser::append(std::string_view bytes) { m_state->buffer.append(bytes); }
--- a/src/http/MessageParser.h
+++ b/src/http/MessageParser.h
@@ -11,6 +11,7 @@
 #include "base/Error.h"
 #include "http/HttpMessage.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -46,11 +47,20 @@
     std::unique_ptr<State> m_state;
 };
 
+// Receives a response while it arrives, in place of one whole message. A callback that returns false ends the parsing.
+struct ResponseSink {
+    std::function<bool(const HttpResponse& head, std::optional<uint64_t> length)> onHead;
+    std::function<bool(std::string_view part)> onBody;
+};
+
 class ResponseParser {
 public:
     explicit ResponseParser(HttpLimits limits);
     ~ResponseParser();
 
+    // Passes responses on while they arrive; next() then returns them without their bodies. Interim responses are not
+    // passed on. If a callback returns false, next() throws HttpError.
+    void setSink(ResponseSink sink);
     // Declares that the next response belongs to a HEAD request and has no body.
     void expectNoBody();
     void append(std::string_view bytes);
--- a/src/node/BackendClient.cpp
+++ b/src/node/BackendClient.cpp
@@ -3,8 +3,13 @@
 #include "base/Error.h"
 
 #include <absl/strings/match.h>
-#include <absl/strings/numbers.h>
+#include <absl/strings/str_format.h>
 #include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <limits>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 namespace skylark {
 
@@ -16,37 +21,36 @@
         return name == "REMOTE_ADDR" || name == "REMOTE_PORT" || name == "LOCAL_ADDR" || name == "LOCAL_PORT";
     }
 
-    httplib::Request makeRequest(const BackendRequest& request)
+    // The body is streamed, so it needs no limit.
+    constexpr HttpLimits responseLimits { .bodyBytes = std::numeric_limits<uint64_t>::max() };
+
+    HttpRequest makeRequest(const BackendRequest& request, const Endpoint& backend)
     {
-        httplib::Request result;
-        result.method = request.method;
-        result.path = request.target;
+        HttpRequest result { .method = request.method, .target = request.target };
         for (const auto& [name, value] : request.headers) {
             if (!isHopByHopHeader(name))
-                result.headers.emplace(name, value);
+                result.headers.push_back({ name, value });
         }
+        if (!findHeader(result.headers, "Host"))
+            result.headers.push_back({ "Host", backend.toString() });
         return result;
     }
 
-    std::optional<uint64_t> contentLength(const httplib::Response& response)
-    {
-        uint64_t length = 0;
-        if (!response.has_header("Content-Length")
-            || !absl::SimpleAtoi(response.get_header_value("Content-Length"), &length))
-            return std::nullopt;
-        return length;
-    }
-
-    HeaderList forwardedHeaders(const httplib::Response& response)
+    HeaderList forwardedHeaders(const HttpResponse& response)
     {
         HeaderList headers;
-        for (const auto& [name, value] : response.headers) {
-            if (!isHopByHopHeader(name))
-                headers.emplace_back(name, value);
+        for (const HttpHeader& header : response.headers) {
+            if (!isHopByHopHeader(header.name))
+                headers.emplace_back(header.name, header.value);
         }
         return headers;
     }
 
+    std::string chunkOf(const std::string& part)
+    {
+        return part.empty() ? std::string() : absl::StrFormat("%x\r\n", part.size()) + part + "\r\n";
+    }
+
 } // namespace
 
 bool isHopByHopHeader(const std::string& name)
@@ -58,127 +62,155 @@
     });
 }
 
+BackendCancellation::BackendCancellation()
+    : m_interrupt(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    if (!m_interrupt)
+        throw Error({ .step = "backend-cancellation", .message = std::strerror(errno) });
+}
+
 void BackendCancellation::cancel()
 {
-    const std::lock_guard lock(m_mutex);
     m_isCancelled = true;
-    if (m_client)
-        m_client->stop();
+    const uint64_t one = 1;
+    // write() fails only when the counter is full, and then the descriptor is readable already.
+    [[maybe_unused]] const ssize_t count = ::write(m_interrupt.value(), &one, sizeof(one));
 }
 
-bool BackendCancellation::isCancelled() const
+struct BackendClient::Connection {
+    Connection(const Endpoint& backend, const FileDescriptor& interrupt)
+        : socket(backend, interrupt)
+        , parser(responseLimits)
+    {
+    }
+
+    BlockingSocket socket;
+    ResponseParser parser;
+};
+
+BackendClient::BackendClient(BackendClientOptions options)
+    : m_options(std::move(options))
 {
-    const std::lock_guard lock(m_mutex);
-    return m_isCancelled;
 }
 
-bool BackendCancellation::attach(httplib::Client* client)
+BackendClient::~BackendClient() = default;
+
+std::unique_ptr<BackendClient::Connection> BackendClient::takeIdle()
 {
     const std::lock_guard lock(m_mutex);
-    m_client = client;
-    return !m_isCancelled;
+    while (!m_idleConnections.empty()) {
+        std::unique_ptr<Connection> connection = std::move(m_idleConnections.back());
+        m_idleConnections.pop_back();
+        if (!connection->socket.isStale())
+            return connection;
+    }
+    return nullptr;
 }
 
-void BackendCancellation::detach()
+void BackendClient::keepIdle(std::unique_ptr<Connection> connection)
 {
     const std::lock_guard lock(m_mutex);
-    m_client = nullptr;
+    if (m_idleConnections.size() < m_options.maxIdleConnections)
+        m_idleConnections.push_back(std::move(connection));
 }
 
-BackendClient::BackendClient(BackendClientOptions options)
-    : m_options(std::move(options))
+std::unique_ptr<BackendClient::Connection> BackendClient::connect(
+    const FileDescriptor& interrupt, TimePoint deadline) const
 {
+    auto connection = std::make_unique<Connection>(m_options.backend, interrupt);
+    const TimePoint connectDeadline = std::chrono::steady_clock::now() + m_options.connectTimeout;
+    if (const char* reason = connection->socket.awaitConnect(std::min(connectDeadline, deadline)))
+        throw Error({ .step = "backend-connect", .peer = m_options.backend.toString(), .message = reason });
+    return connection;
 }
 
-std::unique_ptr<httplib::Client> BackendClient::acquireClient()
-{
+namespace {
+
+    // Throws Error if a part of the body does not arrive.
+    const char* sendRequest(
+        BlockingSocket& socket, const BackendRequest& request, const Endpoint& backend, TimePoint deadline)
     {
-        const std::lock_guard lock(m_mutex);
-        if (!m_idleClients.empty()) {
-            std::unique_ptr<httplib::Client> client = std::move(m_idleClients.back());
-            m_idleClients.pop_back();
-            return client;
+        HttpRequest head = makeRequest(request, backend);
+        if (!request.readBody) {
+            head.body = request.body.value_or("");
+            return socket.sendAll(serialize(head), deadline);
+        }
+        std::string text = head.method + " " + head.target + " HTTP/1.1\r\n";
+        for (const HttpHeader& header : head.headers)
+            text += header.name + ": " + header.value + "\r\n";
+        text += "Transfer-Encoding: chunked\r\n\r\n";
+        if (const char* reason = socket.sendAll(text, deadline))
+            return reason;
+        while (const std::optional<std::string> part = request.readBody()) {
+            if (const char* reason = socket.sendAll(chunkOf(*part), deadline))
+                return reason;
         }
+        return socket.sendAll("0\r\n\r\n", deadline);
     }
-    auto client = std::make_unique<httplib::Client>(m_options.backend.host, m_options.backend.port);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_decompress(false);
-    client->set_compress(false);
-    client->set_follow_location(false);
-    client->set_connection_timeout(m_options.connectTimeout);
-    return client;
-}
 
-void BackendClient::releaseClient(std::unique_ptr<httplib::Client> client)
-{
-    const std::lock_guard lock(m_mutex);
-    if (m_idleClients.size() < m_options.maxIdleConnections)
-        m_idleClients.push_back(std::move(client));
-}
+    // Returns null once the response is complete.
+    const char* receiveResponse(BlockingSocket& socket, ResponseParser& parser, bool& keepsAlive, TimePoint deadline)
+    {
+        std::string bytes;
+        bool isClosed = false;
+        while (true) {
+            bytes.clear();
+            if (const char* reason = socket.receive(bytes, isClosed, deadline))
+                return reason;
+            if (isClosed) {
+                keepsAlive = false;
+                return parser.finish() ? nullptr : "the server closed the connection before the answer was complete";
+            }
+            parser.append(bytes);
+            if (const auto response = parser.next()) {
+                // Bytes behind the response belong to no request.
+                keepsAlive = response->keepsAlive && !parser.isWithinMessage();
+                return nullptr;
+            }
+        }
+    }
+
+} // namespace
 
 BackendResult BackendClient::exchange(const BackendRequest& request, const BackendResponseSink& sink,
     const std::shared_ptr<BackendCancellation>& cancellation)
 {
-    BackendResult result;
-    const Duration remaining = request.deadline - std::chrono::steady_clock::now();
-    if (remaining <= Duration::zero())
+    if (request.deadline <= std::chrono::steady_clock::now())
         return { .outcome = CallOutcome::NotRun, .step = "backend-send", .message = "the deadline has passed" };
-
-    std::unique_ptr<httplib::Client> client = acquireClient();
-    client->set_read_timeout(remaining);
-    client->set_write_timeout(remaining);
-    if (!cancellation->attach(client.get()))
+    if (cancellation->isCancelled())
         return { .outcome = CallOutcome::NotRun, .step = "backend-send", .message = "the call was cancelled" };
-
-    httplib::Request httpRequest = makeRequest(request);
-    std::string bodyError;
-    if (request.body)
-        httpRequest.body = *request.body;
-    if (request.readBody) {
-        httpRequest.is_chunked_content_provider_ = true;
-        httpRequest.headers.emplace("Transfer-Encoding", "chunked");
-        httpRequest.content_provider_ = [&](size_t, size_t, httplib::DataSink& body) {
-            try {
-                const std::optional<std::string> part = request.readBody();
-                if (part)
-                    return body.write(part->data(), part->size());
-                body.done();
-                return true;
-            } catch (const skylark::Error& error) {
-                bodyError = error.what();
-                return false;
-            }
-        };
+    std::unique_ptr<Connection> connection = takeIdle();
+    try {
+        if (!connection)
+            connection = connect(cancellation->m_interrupt, request.deadline);
+    } catch (const Error& error) {
+        return { .outcome = CallOutcome::NotRun, .step = "backend-connect", .message = error.message() };
     }
-    std::optional<uint64_t> expectedBytes;
-    uint64_t receivedBytes = 0;
-    httpRequest.response_handler = [&](const httplib::Response& response) {
-        expectedBytes = contentLength(response);
-        result.hasHead = true;
-        return sink.onHead(response.status, forwardedHeaders(response), expectedBytes);
-    };
-    httpRequest.content_receiver = [&](const char* data, size_t size, uint64_t, uint64_t) {
-        receivedBytes += size;
-        return std::chrono::steady_clock::now() < request.deadline && sink.onBody(std::string(data, size));
-    };
-
-    httplib::Response response;
-    httplib::Error error = httplib::Error::Success;
-    const bool isComplete = client->send(httpRequest, response, error);
-    cancellation->detach();
-    const bool hasFullLength = request.method == "HEAD" || !expectedBytes || receivedBytes == *expectedBytes;
-    if (isComplete && hasFullLength) {
-        releaseClient(std::move(client));
-        result.outcome = CallOutcome::Answered;
-        return result;
+    connection->socket.setInterrupt(cancellation->m_interrupt);
+
+    BackendResult result { .step = "backend-exchange" };
+    connection->parser.setSink({ .onHead =
+                                     [&](const HttpResponse& head, std::optional<uint64_t> length) {
+                                         result.hasHead = true;
+                                         return sink.onHead(head.status, forwardedHeaders(head), length);
+                                     },
+        .onBody = [&](std::string_view part) { return sink.onBody(std::string(part)); } });
+    if (request.method == "HEAD")
+        connection->parser.expectNoBody();
+    bool keepsAlive = false;
+    try {
+        const char* reason = sendRequest(connection->socket, request, m_options.backend, request.deadline);
+        if (!reason)
+            reason = receiveResponse(connection->socket, connection->parser, keepsAlive, request.deadline);
+        if (reason)
+            result.message = reason;
+        else
+            result.outcome = CallOutcome::Answered;
+    } catch (const Error& error) {
+        result.message = error.message();
     }
-    const bool isNotSent = error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
-    result.outcome = isNotSent ? CallOutcome::NotRun : CallOutcome::Unknown;
-    result.step = isNotSent ? "backend-connect" : "backend-exchange";
-    result.message = isComplete ? "the answer's body was cut off" : httplib::to_string(error);
-    if (!bodyError.empty())
-        result.message = bodyError;
+    if (keepsAlive && result.outcome == CallOutcome::Answered)
+        keepIdle(std::move(connection));
     return result;
 }
 
--- a/src/node/BackendClient.h
+++ b/src/node/BackendClient.h
@@ -1,6 +1,9 @@
 // HTTP client for the backend server of this node's instance.
 //
 // - Idle keep-alive connections are pooled and reused in LIFO order.
+//   A connection on which bytes have arrived since its last response is not reused: they belong to no later request.
+// - A response is complete only by its own framing: a body that is shorter than its length, chunks without their end,
+//   or a reset are failures.
 // - exchange() runs on the calling thread and streams both bodies, so the flow-control windows of the transport bound
 //   its memory.
 // - The result states whether the backend server may have run the request. Of the requests that exchange() sends, only
@@ -8,10 +11,12 @@
 #pragma once
 
 #include "base/Types.h"
+#include "http/BlockingSocket.h"
+#include "http/MessageParser.h"
 #include "wire/Messages.h"
 
+#include <atomic>
 #include <functional>
-#include <httplib.h>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -49,17 +54,16 @@
 // Lets another thread abort an exchange whose result is no longer needed.
 class BackendCancellation {
 public:
+    // Throws Error if no descriptor is left.
+    BackendCancellation();
     void cancel();
-    bool isCancelled() const;
+    bool isCancelled() const { return m_isCancelled; }
 
 private:
     friend class BackendClient;
-    bool attach(httplib::Client* client);
-    void detach();
-
-    mutable std::mutex m_mutex;
-    httplib::Client* m_client { nullptr };
-    bool m_isCancelled { false };
+    std::atomic<bool> m_isCancelled { false };
+    // Becomes readable with cancel().
+    const FileDescriptor m_interrupt;
 };
 
 struct BackendClientOptions {
@@ -72,17 +76,21 @@
 class BackendClient {
 public:
     explicit BackendClient(BackendClientOptions options);
+    ~BackendClient();
 
     BackendResult exchange(const BackendRequest& request, const BackendResponseSink& sink,
         const std::shared_ptr<BackendCancellation>& cancellation);
 
 private:
-    std::unique_ptr<httplib::Client> acquireClient();
-    void releaseClient(std::unique_ptr<httplib::Client> client);
+    struct Connection;
+    // Returns an idle connection, or null if there is none that can be used.
+    std::unique_ptr<Connection> takeIdle();
+    void keepIdle(std::unique_ptr<Connection> connection);
+    std::unique_ptr<Connection> connect(const FileDescriptor& interrupt, TimePoint deadline) const;
 
     BackendClientOptions m_options;
     std::mutex m_mutex;
-    std::vector<std::unique_ptr<httplib::Client>> m_idleClients;
+    std::vector<std::unique_ptr<Connection>> m_idleConnections;
 };
 
 // Returns true for headers that apply to a single connection and are not forwarded.
