--- a/src/node/tests/RequestPathTest.cpp
+++ b/src/node/tests/RequestPathTest.cpp
@@ -1,6 +1,6 @@
 // Tests the guarantees of the request path to callers, on complete nodes over loopback.
-#include "testing/RawConnection.h"
 #include "node/tests/TestFleet.h"
+#include "testing/RawConnection.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
