Take back the order of server entries before configurations

Cause: passed the entries of an answer on before its configuration was decoded. They raise the node's revision; a follower that got them, or turned to the source with that revision while the configuration was being decoded, never got that version.

Ruled out: the longer waits for a lost source (nothing was lost at that time).

Change: the old order, with the reason in the code, and SourceDecoderTest.ConfigurationIsDeliveredBeforeTheRevisionThat- CoversIt, which checks it.

--- a/src/proxy/SourceDecoder.cpp
+++ b/src/proxy/SourceDecoder.cpp
@@ -42,10 +42,11 @@
         else if (m_adapter.isConfiguration(item) && !item.isDeleted)
             configuration = &item;
     }
-    // The servers go first: decoding a configuration takes a slow instance tenths of a second.
-    m_loop.post([this, servers = std::move(servers)] { m_callbacks.onServers(servers); });
+    // The configuration goes first: the servers raise the node's revision, and a node or a follower that continues from
+    // a revision without its configuration never gets that version.
     if (configuration && configuration->revision > m_lastDecodedRevision)
         deliverConfiguration(*configuration);
+    m_loop.post([this, servers = std::move(servers)] { m_callbacks.onServers(servers); });
 }
 
 void SourceDecoder::deliverConfiguration(const SourceItem& item)
--- a/src/proxy/tests/SourceDecoderTest.cpp
+++ b/src/proxy/tests/SourceDecoderTest.cpp
@@ -35,9 +35,18 @@
         int decodeCount { 0 };
         int deliveryCount { 0 };
         int listingCount { 0 };
+        std::string order;
         SourceDecoder decoder { loop, adapter,
-            { .onConfiguration = [this](const ConfigurationUpdate&) { ++deliveryCount; },
-                .onServers = [this](const ServerChanges& changes) { listingCount += changes.isListing ? 1 : 0; } } };
+            { .onConfiguration =
+                    [this](const ConfigurationUpdate&) {
+                        ++deliveryCount;
+                        order += "configuration ";
+                    },
+                .onServers =
+                    [this](const ServerChanges& changes) {
+                        listingCount += changes.isListing ? 1 : 0;
+                        order += "servers ";
+                    } } };
     };
 
     // Guards against decoding a large configuration again with each listing, which is expensive on a tenth of a core.
@@ -52,6 +61,14 @@
         EXPECT_EQ(deliveryCount, 2);
     }
 
+    // Guards against a node that never gets a configuration version: it continued from a revision that covered the
+    // version, learned from the server entries of the same answer, while the version was still being decoded.
+    TEST_F(SourceDecoderTest, ConfigurationIsDeliveredBeforeTheRevisionThatCoversIt)
+    {
+        deliverListing("one", 5);
+        EXPECT_EQ(order, "configuration servers ");
+    }
+
     TEST_F(SourceDecoderTest, DamagedConfigurationChangesNothing)
     {
         deliverListing("damaged", 5);
