Hold requests until a starting node knows servers, too

The queue was released at the configuration, and all requests in it were refused with "no instance of the service can be used".

Ruled out: a wait that is too short (the listing of the test takes 0.4 s, requests may wait 0.8 s).

Change: requests are forwarded, and the queue is released, when both a configuration and servers are known.

--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -58,17 +58,22 @@
 
 void CallForwarder::setConfiguration(std::shared_ptr<const Configuration> configuration)
 {
-    const bool isFirst = !m_configuration;
     m_configuration = std::move(configuration);
     m_splits.reconfigure(*m_configuration);
     absl::flat_hash_set<std::string> names;
     for (const Route& route : m_configuration->routes())
         names.insert(route.name);
     absl::erase_if(m_history, [&names](const auto& entry) { return !names.contains(entry.first); });
-    if (isFirst) {
-        m_queue.release([this](HttpRequest request, const std::shared_ptr<HttpConnection>& caller,
-                            TimePoint receivedAt) { start(std::move(request), caller, receivedAt); });
-    }
+    releaseQueue();
+}
+
+void CallForwarder::releaseQueue()
+{
+    if (!canForward() || m_queue.size() == 0)
+        return;
+    m_queue.release([this](HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt) {
+        start(std::move(request), caller, receivedAt);
+    });
 }
 
 void CallForwarder::drain()
@@ -90,7 +95,7 @@
     const TimePoint now = m_loop.now();
     if (m_isDraining && !isNestedCall(requestIdOf(request)))
         refuse(std::move(request), caller, now, "the node stops");
-    else if (m_configuration)
+    else if (canForward())
         start(std::move(request), caller, now);
     else if (m_queue.isFull())
         refuse(std::move(request), caller, now, "too many requests wait for the first configuration");
@@ -301,7 +306,9 @@
 void CallForwarder::setServers(const MembershipView& view)
 {
     m_fleetSize = view.instances().size();
+    m_hasServers |= m_fleetSize > 0;
     m_notices.update(view);
+    releaseQueue();
 }
 
 void CallForwarder::reportToRouter(Call& call, CallOutcome outcome, bool isFault, const std::optional<LoadHint>& load)
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -15,7 +15,7 @@
 //   * 502 if that is unknown;
 //   * 504 after the timeout of the route or the caller.
 //
-// Requests that arrive before the first configuration wait for it in a ConfigurationQueue.
+// Requests that arrive before the first configuration and the first servers wait for them in a ConfigurationQueue.
 #pragma once
 
 #include "admission/InitialTimeoutEstimate.h"
@@ -114,6 +114,9 @@
 
     void refuse(
         HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt, const char* reason);
+    // A process that has just started knows no servers for a moment after its first configuration.
+    bool canForward() const { return m_configuration && m_hasServers; }
+    void releaseQueue();
     void queue(HttpRequest request, const std::shared_ptr<HttpConnection>& caller);
     void start(HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt);
     CallPtr makeCall(HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt);
@@ -166,6 +169,7 @@
     Random m_random;
     ServerNotices m_notices;
     size_t m_fleetSize { 1 };
+    bool m_hasServers { false };
     bool m_isDraining { false };
     TimePoint m_answerBy { TimePoint::max() };
     uint64_t m_lastNumber { 0 };
--- a/src/proxy/ConfigurationQueue.h
+++ b/src/proxy/ConfigurationQueue.h
@@ -1,4 +1,4 @@
-// Requests of callers that arrived before the node's first configuration.
+// Requests of callers that arrived before the node's first configuration and servers.
 //
 // A node that has just started has no configuration for some tenths of a second, after a loss of all power for seconds.
 // Its callers would come back too soon and be refused again, so their requests wait. A request waits at most
