--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -17,6 +17,7 @@
 import socket
 import sys
 import tempfile
+import threading
 import time
 import urllib.parse
 
@@ -28,6 +29,8 @@
 NOT_EXECUTED = "Skylarkbay-Not-Executed"
 HOST = "ficu95.example"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# The time for a whole script.
+MAX_RUN_S = 112
 
 # Bounds of the site gessetto-mesh.
 BOUNDS = {"seed_lag": "3s", "addr_reuse": "2s", "stable_window": "3000ms", "ack": "4000ms", "catch_up": "4s",
@@ -197,7 +200,7 @@
         self.id = f"i-{random.getrandbits(32):08x}"
         self.born = int(time.time() * 1000)
         self.sequence, self.state = 0, "ready"
-        self.tasks = []
+        self.tasks, self.connections = [], set()
 
     @property
     def address(self):
@@ -222,7 +225,20 @@
             self.report()
             await asyncio.sleep(self.HEARTBEAT_S)
 
+    def stop_check_ins(self):
+        for task in self.tasks:
+            task.cancel()
+
+    def exit(self):
+        """The worker's process ends, with all its connections."""
+        self.mesh.record.line(f"{self.id} exits")
+        self.stop_check_ins()
+        self.server.close()
+        for writer in self.connections:
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while (request := await read_head(reader)) is not None:
                 await read_body(reader, request)
@@ -231,14 +247,15 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     async def _handle(self, request, writer):
         """Answers one request; returns False when the connection ends."""
         attempt = request.header(ATTEMPT)
         if request.header(EXPECT) not in (None, self.id):
-            writer.write(b"HTTP/1.1 421 Misdirected Request\r\nSkylarkbay-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n"
-                         % self.id.encode())
+            writer.write(f"HTTP/1.1 421 Misdirected Request\r\n{ATTEMPT}: {attempt}\r\nSkylarkbay-Instance-Id: {self.id}"
+                         "\r\nContent-Length: 0\r\n\r\n".encode())
             return True
         if attempt is None:
             writer.write(b"HTTP/1.1 400 Bad Request\r\nSkylarkbay-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
@@ -304,7 +321,7 @@
         self.net = f"127.{random.randrange(1, 250)}.{random.randrange(1, 250)}"
         self.directory = tempfile.mkdtemp(prefix="skylarkbay-review-")
         self.store, self.workers, self.nodes, self.started = Store(), {}, {}, []
-        self.runs, self.bodies, self.version = {}, {}, 6
+        self.runs, self.bodies, self.answered_at, self.version = {}, {}, {}, 6
         with open(os.path.join(ROOT, "deploy/system.toml"), encoding="utf-8") as file:
             run = re.search(r'^run\s*=\s*"([^"]*)"', file.read(), re.M)
         self.command = run.group(1).split()
@@ -428,20 +445,23 @@
             head += f"Content-Length: {len(body)}\r\n"
         return (head + "\r\n").encode() + (body or b"")
 
-    async def ask(self, machine, method, path, deadline_ms=2000, body=None, address=None, on_head=None):
+    async def ask(self, machine, method, path, deadline_ms=2000, body=None, address=None, on_head=None, attempt=None):
         """Sends one consumer attempt to a machine; returns (attempt id, answer or None)."""
-        attempt = f"{random.getrandbits(64):016x}"
+        attempt = attempt or f"{random.getrandbits(64):016x}"
         address = address or (self.host(machine), self.port_of("outbound"))
         self.record.line(f"sent {attempt} {method} {path} to machine {machine} body {len(body or b'')}")
         try:
             answer = await self.exchange(address, self.request(method, path, attempt, deadline_ms, body),
                                          deadline_ms / 1000 + 1, on_head)
         except asyncio.TimeoutError:
+            self.answered_at[attempt] = self.record.now()
             self.record.line(f"answer {attempt} none: no end within a second of the time limit")
             return attempt, None
         except OSError as error:
+            self.answered_at[attempt] = self.record.now()
             self.record.line(f"answer {attempt} none: {type(error).__name__}")
             return attempt, None
+        self.answered_at[attempt] = self.record.now()
         self.record.line(f"answer {attempt} " + ("none: closed" if answer is None else
                          f"{answer.status} signature {answer.header(SIGNATURE)} body {len(answer.body)} of length "
                          f"{answer.header('Content-Length')}, ended with {answer.end}"))
@@ -478,10 +498,22 @@
     record = Record(os.path.join(directory, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
+    meshes = []
+
+    def abandon():
+        for process in [process for mesh in meshes for process in mesh.started if process.returncode is None]:
+            os.kill(process.pid, signal.SIGKILL)
+        os._exit(NOT_RUN)
+
+    watchdog = threading.Timer(MAX_RUN_S, abandon)
+    watchdog.daemon = True
+    watchdog.start()
+
     async def run():
         mesh = None
         try:
             mesh = Mesh(record, services)
+            meshes.append(mesh)
             return await asyncio.wait_for(case(mesh, trouble), 100)
         finally:
             if mesh:
