--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -440,7 +440,7 @@
         return answer
 
     def request(self, method, path, attempt, deadline_ms, body=None):
-        head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT}: {attempt}\r\n{DEADLINE}: {deadline_ms}\r\n"
+        head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT}: {attempt}\r\n{DEADLINE}: {int(deadline_ms)}\r\n"
         if body is not None:
             head += f"Content-Length: {len(body)}\r\n"
         return (head + "\r\n").encode() + (body or b"")
