--- a/src/base/Types.h
+++ b/src/base/Types.h
@@ -50,6 +50,8 @@
 using Revision = Strong<struct RevisionTag, uint64_t>;
 // Distinguishes successive processes with the same instance id. Each restart has a higher value.
 using Incarnation = Strong<struct IncarnationTag, uint64_t>;
+// Counts the heartbeats of one process; each heartbeat has a higher value.
+using HeartbeatNumber = Strong<struct HeartbeatNumberTag, uint64_t>;
 using ByteCount = Strong<struct ByteCountTag, uint64_t>;
 
 using TimePoint = std::chrono::steady_clock::time_point;
--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -1,6 +1,7 @@
 #include "membership/ServerDirectory.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace skylark {
 
@@ -18,6 +19,18 @@
             && left.address == right.address && left.slots == right.slots && left.isDraining == right.isDraining;
     }
 
+    TimePoint firstSeen(const ServerRecord& record, TimePoint now)
+    {
+        return record.remainingSlowStart > Duration::zero() ? now : now - warmServerAge;
+    }
+
+    // Of two positions of the same incarnation, prefers the one whose number is known.
+    const HeartbeatPosition& laterOf(const HeartbeatPosition& left, const HeartbeatPosition& right)
+    {
+        const bool isRightLater = std::tie(left.incarnation, left.number) < std::tie(right.incarnation, right.number);
+        return isRightLater ? right : left;
+    }
+
 } // namespace
 
 ServerDirectory::ServerDirectory(ServerDirectoryOptions options)
@@ -28,45 +41,81 @@
 bool ServerDirectory::apply(const ServerEntry& entry, const EntryContext& context, TimePoint now)
 {
     if (!entry.record)
-        return removeOrDefer(entry.id, entry.revision, now);
-    if (const auto deletion = m_deletions.find(entry.id); deletion != m_deletions.end()) {
-        if (deletion->second.revision >= entry.revision)
-            return false;
+        return removeOrDefer({ .id = entry.id, .revision = entry.revision, .lastHeartbeat = entry.lastHeartbeat }, now);
+    const auto found = m_entries.find(entry.id);
+    return found == m_entries.end() ? add(entry, context, now) : update(found->second, entry, context, now);
+}
+
+bool ServerDirectory::add(const ServerEntry& entry, const EntryContext& context, TimePoint now)
+{
+    const auto deletion = m_deletions.find(entry.id);
+    if (deletion != m_deletions.end() && !isAfterDeletion(entry, deletion->second))
+        return false;
+    if (entry.revision <= context.knownUpTo)
+        return false;
+    if (m_entries.size() >= m_options.maxEntries) {
+        ++m_refusedCount;
+        return false;
+    }
+    if (deletion != m_deletions.end())
         m_deletions.erase(deletion);
+    m_entries.emplace(entry.id,
+        Entry { .record = *entry.record,
+            .revision = entry.revision,
+            .lastChangeRevision = entry.revision,
+            .firstSeen = firstSeen(*entry.record, now) });
+    return true;
+}
+
+bool ServerDirectory::isAfterDeletion(const ServerEntry& entry, Deletion& deletion)
+{
+    const HeartbeatPosition position = entry.record->position();
+    if (entry.revision <= deletion.revision) {
+        deletion.lastHeartbeat = laterOf(deletion.lastHeartbeat, position);
+        return false;
     }
-    const auto found = m_entries.find(entry.id);
-    const TimePoint firstSeen = entry.record->remainingSlowStart > Duration::zero() ? now : now - warmServerAge;
-    if (found == m_entries.end()) {
-        if (entry.revision <= context.knownUpTo)
-            return false;
-        if (m_entries.size() >= m_options.maxEntries) {
-            ++m_refusedCount;
-            return false;
-        }
-        m_entries.emplace(entry.id,
-            Entry { .record = *entry.record,
-                .revision = entry.revision,
-                .lastChangeRevision = entry.revision,
-                .firstSeen = firstSeen });
+    if (!(position <= deletion.lastHeartbeat))
         return true;
-    }
-    Entry& current = found->second;
-    if (current.revision >= entry.revision || current.record.incarnation > entry.record->incarnation)
+    // A peer that started after the deletion takes the heartbeat for a new one and needs the deletion.
+    deletion.lastChangeRevision = std::max(deletion.lastChangeRevision, entry.revision);
+    recordDelayed(entry, deletion.lastHeartbeat);
+    return false;
+}
+
+bool ServerDirectory::update(Entry& current, const ServerEntry& entry, const EntryContext& context, TimePoint now)
+{
+    const std::partial_ordering order = entry.record->position() <=> current.record.position();
+    const Revision newestRevision
+        = current.absence ? std::max(current.revision, current.absence->revision) : current.revision;
+    const bool isNewer = entry.revision > newestRevision;
+    if (!isNewer && !(order > 0))
         return false;
-    if (current.absence && current.absence->revision >= entry.revision)
+    // The heartbeat before the server went absent is no sign of its return.
+    if (order < 0 || (order == 0 && current.absence)) {
+        recordDelayed(entry, current.record.position());
         return false;
+    }
     const bool isChanged = !isSameForRouting(current.record, *entry.record);
     if (current.record.incarnation != entry.record->incarnation)
-        current.firstSeen = firstSeen;
+        current.firstSeen = firstSeen(*entry.record, now);
     current.record = *entry.record;
     current.revision = entry.revision;
     // Peers may have dropped a server that was absent here.
     if (isChanged || current.absence || context.mayHideDeletion)
-        current.lastChangeRevision = entry.revision;
-    current.absence.reset();
+        current.lastChangeRevision = std::max(current.lastChangeRevision, entry.revision);
+    if (isNewer)
+        current.absence.reset();
     return isChanged;
 }
 
+void ServerDirectory::recordDelayed(const ServerEntry& entry, const HeartbeatPosition& latest)
+{
+    ++m_delayedHeartbeatCount;
+    if (m_delayedHeartbeats.size() < m_options.maxDelayedHeartbeats)
+        m_delayedHeartbeats.push_back(
+            { .id = entry.id, .revision = entry.revision, .position = entry.record->position(), .latest = latest });
+}
+
 bool ServerDirectory::apply(const ServerChanges& changes, TimePoint now)
 {
     bool isChanged = false;
@@ -97,7 +146,7 @@
     }
     bool isChanged = false;
     for (const InstanceId& id : absentIds)
-        isChanged |= removeOrDefer(id, listing.revision, now);
+        isChanged |= removeOrDefer({ .id = id, .revision = listing.revision }, now);
     return isChanged;
 }
 
@@ -121,35 +170,48 @@
     return !m_isSourceLost && (!m_sourceReturnedAt || now >= *m_sourceReturnedAt + m_options.returnGrace);
 }
 
-bool ServerDirectory::removeOrDefer(const InstanceId& id, Revision revision, TimePoint now)
+bool ServerDirectory::removeOrDefer(const Removal& removal, TimePoint now)
 {
-    const auto found = m_entries.find(id);
+    const auto found = m_entries.find(removal.id);
     if (found == m_entries.end()) {
         // Recorded all the same: a peer that asks may know the server.
-        const auto deletion = m_deletions.find(id);
-        if (deletion == m_deletions.end() || deletion->second.revision < revision)
-            drop(id, revision, now);
+        const auto deletion = m_deletions.find(removal.id);
+        if (deletion == m_deletions.end() || deletion->second.revision < removal.revision)
+            drop(removal, now);
+        else
+            deletion->second.lastHeartbeat = laterOf(deletion->second.lastHeartbeat, removal.lastHeartbeat);
         return false;
     }
-    if (found->second.revision > revision)
+    Entry& entry = found->second;
+    if (entry.revision > removal.revision && !(entry.record.position() <= removal.lastHeartbeat))
         return false;
     if (isGraceOver(now))
-        return drop(id, revision, now);
-    if (!found->second.absence)
-        found->second.absence = Absence { .lastListedAt = m_revision };
-    found->second.absence->revision = std::max(found->second.absence->revision, revision);
+        return drop(removal, now);
+    if (!entry.absence)
+        entry.absence = Absence { .lastListedAt = m_revision };
+    entry.absence->revision = std::max(entry.absence->revision, removal.revision);
     return false;
 }
 
-bool ServerDirectory::drop(const InstanceId& id, Revision revision, TimePoint now)
+bool ServerDirectory::drop(const Removal& removal, TimePoint now)
 {
     if (m_deletions.size() >= m_options.maxEntries) {
         for (const auto& [deletedId, deletion] : m_deletions)
-            m_deletionsKnownSince = std::max(m_deletionsKnownSince, deletion.revision);
+            m_deletionsKnownSince = std::max(m_deletionsKnownSince, deletion.lastChangeRevision);
         m_deletions.clear();
     }
-    m_deletions[id] = { .revision = revision, .deletedAt = now };
-    return m_entries.erase(id) > 0;
+    Deletion& deletion = m_deletions[removal.id];
+    deletion.revision = removal.revision;
+    deletion.lastChangeRevision = std::max(deletion.lastChangeRevision, removal.revision);
+    deletion.lastHeartbeat = laterOf(deletion.lastHeartbeat, removal.lastHeartbeat);
+    deletion.deletedAt = now;
+    const auto found = m_entries.find(removal.id);
+    if (found == m_entries.end())
+        return false;
+    deletion.lastChangeRevision = std::max(deletion.lastChangeRevision, found->second.lastChangeRevision);
+    deletion.lastHeartbeat = laterOf(deletion.lastHeartbeat, found->second.record.position());
+    m_entries.erase(found);
+    return true;
 }
 
 bool ServerDirectory::advance(TimePoint now)
@@ -157,18 +219,18 @@
     std::erase_if(m_deletions, [this, now](const auto& deletion) {
         if (now - deletion.second.deletedAt <= deletionRetention)
             return false;
-        m_deletionsKnownSince = std::max(m_deletionsKnownSince, deletion.second.revision);
+        m_deletionsKnownSince = std::max(m_deletionsKnownSince, deletion.second.lastChangeRevision);
         return true;
     });
     if (!isGraceOver(now))
         return false;
-    std::vector<std::pair<InstanceId, Revision>> missing;
+    std::vector<Removal> missing;
     for (const auto& [id, entry] : m_entries) {
         if (entry.absence)
-            missing.emplace_back(id, entry.absence->revision);
+            missing.push_back({ .id = id, .revision = entry.absence->revision });
     }
-    for (const auto& [id, revision] : missing)
-        drop(id, revision, now);
+    for (const Removal& removal : missing)
+        drop(removal, now);
     return !missing.empty();
 }
 
@@ -234,8 +296,9 @@
     if (changes.isListing)
         return changes;
     for (const auto& [id, deletion] : m_deletions) {
-        if (deletion.revision > revision)
-            changes.entries.push_back({ .id = id, .revision = deletion.revision });
+        if (deletion.lastChangeRevision > revision)
+            changes.entries.push_back(
+                { .id = id, .revision = deletion.revision, .lastHeartbeat = deletion.lastHeartbeat });
     }
     return changes;
 }
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -2,8 +2,12 @@
 //
 // - The directory takes entries from the source or from a peer and provides a view for the router.
 // - The directory does no I/O.
-// - Each entry has the source's revision; the newest one wins, whichever way it arrived.
-// - An update from an earlier start of the same server is ignored, even if its revision is newer.
+// - Each entry has the source's revision and the position of the heartbeat that wrote it. The source may execute a
+// write
+//   seconds after later ones, so among the entries of one server the latest heartbeat wins, and the revision decides
+//   only between entries of equal or unknown position.
+// - A server that has left returns only with a heartbeat that is later than all those known before. A delayed heartbeat
+//   from before is ignored and counted.
 // - If two servers register the same address, it belongs to the later start.
 // - Entries expire during an outage of the source although their servers are alive. An entry that is missing within
 //   `returnGrace` after the source's return is therefore kept until that time ends and dropped only if still missing.
@@ -17,16 +21,39 @@
 #include "membership/MembershipView.h"
 
 #include <algorithm>
+#include <compare>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace skylark {
 
+// Position of a heartbeat among all those of one server id.
+struct HeartbeatPosition {
+    Incarnation incarnation;
+    // Unknown if a peer of an earlier release sent the entry.
+    std::optional<HeartbeatNumber> number;
+
+    bool operator==(const HeartbeatPosition&) const = default;
+    // Unordered if the incarnations are equal and a number is unknown.
+    std::partial_ordering operator<=>(const HeartbeatPosition& other) const
+    {
+        if (incarnation != other.incarnation)
+            return incarnation <=> other.incarnation;
+        if (!number || !other.number)
+            return std::partial_ordering::unordered;
+        return *number <=> *other.number;
+    }
+};
+
 struct ServerRecord {
     InstanceId id;
     // Start of the backend server; a later start is higher.
     Incarnation incarnation;
+    // Number of the heartbeat that wrote the entry, if known.
+    std::optional<HeartbeatNumber> heartbeat;
     ServiceName service;
     ZoneName zone;
     Endpoint address;
@@ -35,6 +62,7 @@
     // Remaining time for which the server is slow after its start.
     Duration remainingSlowStart {};
 
+    HeartbeatPosition position() const { return { .incarnation = incarnation, .number = heartbeat }; }
     bool operator==(const ServerRecord&) const = default;
 };
 
@@ -44,6 +72,8 @@
     Revision revision;
     // Absent if the key was deleted.
     std::optional<ServerRecord> record;
+    // For a deletion: the latest heartbeat of the server that the sender knows, if any.
+    HeartbeatPosition lastHeartbeat;
 };
 
 // The servers' entries for a range of revisions.
@@ -59,9 +89,20 @@
     bool isFromPeer { false };
 };
 
+// A heartbeat that the source executed after a later one of the same server, so that the directory ignored it.
+struct DelayedHeartbeat {
+    InstanceId id;
+    Revision revision;
+    HeartbeatPosition position;
+    // The latest heartbeat of the server.
+    HeartbeatPosition latest;
+};
+
 struct ServerDirectoryOptions {
     Duration returnGrace { std::chrono::milliseconds(2000) };
     size_t maxEntries { 32768 };
+    // Delayed heartbeats that are kept for takeDelayedHeartbeats(); further ones are only counted.
+    size_t maxDelayedHeartbeats { 32 };
     // Peer port of the nodes that run next to the servers.
     uint16_t peerPort { 0 };
     std::map<ZoneName, RegionName> regions;
@@ -106,6 +147,9 @@
     Revision revision() const { return m_revision; }
     size_t size() const { return m_entries.size(); }
     uint64_t refusedCount() const { return m_refusedCount; }
+    // Returns the heartbeats that were ignored since the last call, for the log.
+    std::vector<DelayedHeartbeat> takeDelayedHeartbeats() { return std::exchange(m_delayedHeartbeats, {}); }
+    uint64_t delayedHeartbeatCount() const { return m_delayedHeartbeatCount; }
 
 private:
     // A server that is missing at `revision` and was still listed at `lastListedAt`. The revision of the deletion
@@ -125,8 +169,18 @@
     };
     struct Deletion {
         Revision revision;
+        // Revision of the last change of the key after which peers need the deletion.
+        Revision lastChangeRevision;
+        // Only a later heartbeat restores the server.
+        HeartbeatPosition lastHeartbeat;
         TimePoint deletedAt;
     };
+    struct Removal {
+        InstanceId id;
+        Revision revision;
+        // The latest heartbeat that the source of the removal knows, if any.
+        HeartbeatPosition lastHeartbeat;
+    };
 
     struct EntryContext {
         // A server that is not listed and whose entry is no newer was deleted since.
@@ -135,9 +189,14 @@
         bool mayHideDeletion { false };
     };
     bool apply(const ServerEntry& entry, const EntryContext& context, TimePoint now);
+    bool add(const ServerEntry& entry, const EntryContext& context, TimePoint now);
+    bool update(Entry& current, const ServerEntry& entry, const EntryContext& context, TimePoint now);
+    // Returns true if the entry restores the deleted server. Otherwise records what it tells of the server.
+    bool isAfterDeletion(const ServerEntry& entry, Deletion& deletion);
+    void recordDelayed(const ServerEntry& entry, const HeartbeatPosition& latest);
     // Deletes the entry, or marks it as missing while deletions are deferred. Returns true if it was deleted.
-    bool removeOrDefer(const InstanceId& id, Revision revision, TimePoint now);
-    bool drop(const InstanceId& id, Revision revision, TimePoint now);
+    bool removeOrDefer(const Removal& removal, TimePoint now);
+    bool drop(const Removal& removal, TimePoint now);
     // Drops the entries that are not among those of the listing.
     bool removeAbsent(const ServerChanges& listing, TimePoint now);
     // Limits what the directory tells peers to the time before the first deletion that it defers.
@@ -153,6 +212,8 @@
     bool m_isSourceLost { false };
     std::optional<TimePoint> m_sourceReturnedAt;
     uint64_t m_refusedCount { 0 };
+    std::vector<DelayedHeartbeat> m_delayedHeartbeats;
+    uint64_t m_delayedHeartbeatCount { 0 };
 };
 
 } // namespace skylark
--- a/src/membership/tests/ServerDirectoryFleetTest.cpp
+++ b/src/membership/tests/ServerDirectoryFleetTest.cpp
@@ -185,5 +185,174 @@
             play(seed);
     }
 
+    // Servers that send heartbeats, drain, leave, lose their entries and start again, while the source executes some of
+    // the heartbeats late. With all writes in hand the state is simple: the latest heartbeat so far, unless a deletion
+    // came after it.
+    class HeartbeatHistory {
+    public:
+        explicit HeartbeatHistory(Random& random)
+            : m_random(random)
+        {
+        }
+        void change()
+        {
+            const InstanceId id("s" + std::to_string(m_random.below(6)));
+            Server& server = m_servers[id];
+            switch (m_random.below(8)) {
+            case 0:
+                leave(id, server);
+                break;
+            case 1:
+                // The entry expires; the server goes on.
+                append({ .id = id, .revision = nextRevision() });
+                break;
+            case 2:
+                server = { .incarnation = Incarnation(server.incarnation.value() + 1) };
+                append(nextHeartbeat(id, server));
+                break;
+            case 3:
+                if (!server.hasLeft)
+                    server.isDraining = true;
+                [[fallthrough]];
+            default:
+                if (!server.hasLeft)
+                    sendHeartbeat(id, server);
+            }
+            executeDelayed();
+        }
+        Revision revision() const { return Revision(m_changes.size()); }
+        ServerChanges changes(Revision since) const
+        {
+            return { .entries = { m_changes.begin() + static_cast<ptrdiff_t>(since.value()), m_changes.end() },
+                .since = since,
+                .revision = revision() };
+        }
+        // The source's present item for this key, as a read returns it.
+        std::optional<ServerEntry> item(const InstanceId& id) const
+        {
+            for (auto change = m_changes.rbegin(); change != m_changes.rend(); ++change) {
+                if (change->id == id)
+                    return *change;
+            }
+            return std::nullopt;
+        }
+        // The servers in use, by id: true if the server drains.
+        std::map<InstanceId, bool> state() const
+        {
+            std::map<InstanceId, HeartbeatPosition> latest;
+            std::map<InstanceId, bool> state;
+            for (const ServerEntry& change : m_changes) {
+                if (!change.record) {
+                    state.erase(change.id);
+                } else if (change.record->position() > latest[change.id]) {
+                    latest[change.id] = change.record->position();
+                    state[change.id] = change.record->isDraining;
+                }
+            }
+            return state;
+        }
+
+    private:
+        struct Server {
+            Incarnation incarnation { 1 };
+            uint64_t number { 0 };
+            bool isDraining { false };
+            bool hasLeft { false };
+        };
+        Revision nextRevision() const { return Revision(m_changes.size() + 1); }
+        void append(ServerEntry entry)
+        {
+            entry.revision = nextRevision();
+            m_changes.push_back(std::move(entry));
+        }
+        static ServerEntry nextHeartbeat(const InstanceId& id, Server& server)
+        {
+            return { .id = id,
+                .record = ServerRecord { .id = id,
+                    .incarnation = server.incarnation,
+                    .heartbeat = HeartbeatNumber(++server.number),
+                    .service = ServiceName("work"),
+                    .address = { id.value(), 80 },
+                    .isDraining = server.isDraining } };
+        }
+        void sendHeartbeat(const InstanceId& id, Server& server)
+        {
+            ServerEntry heartbeat = nextHeartbeat(id, server);
+            if (m_random.below(3) == 0)
+                m_delayed.push_back(std::move(heartbeat));
+            else
+                append(std::move(heartbeat));
+        }
+        // The source is stable for a while before a server leaves, so a heartbeat after the delayed ones is known.
+        void leave(const InstanceId& id, Server& server)
+        {
+            if (!server.hasLeft)
+                append(nextHeartbeat(id, server));
+            server.hasLeft = true;
+            append({ .id = id });
+        }
+        void executeDelayed()
+        {
+            if (m_delayed.empty() || m_random.below(2) == 0)
+                return;
+            const size_t chosen = m_random.below(m_delayed.size());
+            append(m_delayed[chosen]);
+            m_delayed.erase(m_delayed.begin() + static_cast<ptrdiff_t>(chosen));
+        }
+
+        Random& m_random;
+        std::vector<ServerEntry> m_changes;
+        std::vector<ServerEntry> m_delayed;
+        std::map<InstanceId, Server> m_servers;
+    };
+
+    std::map<InstanceId, bool> serversInUse(const ServerDirectory& directory)
+    {
+        const auto view = directory.view();
+        std::map<InstanceId, bool> servers;
+        for (const InstanceState& state : view->instances())
+            servers[state.record.id] = state.record.isLeaving;
+        return servers;
+    }
+
+    void playDelayedHeartbeats(uint64_t seed)
+    {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Random random(seed);
+        HeartbeatHistory history(random);
+        TimePoint now = TimePoint() + 1h;
+        ServerDirectory reader({});
+        std::vector<ServerDirectory> followers(3, ServerDirectory({}));
+        for (int step = 0; step < 400; ++step) {
+            SCOPED_TRACE("step " + std::to_string(step));
+            now += std::chrono::milliseconds(random.below(100));
+            history.change();
+            ServerDirectory& follower = followers[random.below(followers.size())];
+            if (random.below(4) == 0) {
+                if (const auto item = history.item(InstanceId("s" + std::to_string(random.below(6)))))
+                    follower.apply(*item, now);
+            }
+            if (random.below(2) == 0)
+                continue;
+            reader.apply(history.changes(reader.revision()), now);
+            ASSERT_EQ(serversInUse(reader), history.state());
+            if (random.below(2) == 0)
+                continue;
+            follower.apply(reader.changesSince(follower.revision()), now);
+            ASSERT_EQ(follower.revision(), history.revision());
+            ASSERT_EQ(serversInUse(follower), history.state());
+        }
+    }
+
+    // Guards against servers that are in use again after they have left, or no longer drain, because the source
+    // executed one of their heartbeats late: at a node that reads the source, at its followers, and at a follower that
+    // reads a single entry itself.
+    TEST(ServerDirectoryFleetTest, DelayedHeartbeatsChangeNoServer)
+    {
+        constexpr uint64_t seeds = 200;
+        for (uint64_t seed = 1; seed <= seeds && !testing::Test::HasFailure(); ++seed)
+            playDelayedHeartbeats(seed);
+    }
+
 } // namespace
 } // namespace skylark
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -38,6 +38,13 @@
         return { .entries = std::move(entries), .since = Revision(since), .revision = Revision(revision) };
     }
 
+    ServerEntry heartbeat(const std::string& id, uint64_t revision, uint64_t number, bool isDraining = false)
+    {
+        ServerEntry result = entry(id, revision, 1, isDraining);
+        result.record->heartbeat = HeartbeatNumber(number);
+        return result;
+    }
+
     size_t listedCount(const ServerDirectory& directory) { return directory.view()->instances().size(); }
 
     TEST(ServerDirectoryTest, NewestRevisionWinsInAnyOrderOfArrival)
@@ -70,6 +77,129 @@
         EXPECT_FALSE(directory.atAddress({ "10.0.0.1", 80 })->isDraining);
     }
 
+    // Guards against calls to a server that has left: the source executed a heartbeat seconds after the removal of the
+    // server's entry, and its revision was newer than that of the removal.
+    TEST(ServerDirectoryTest, DelayedHeartbeatDoesNotRestoreAServerThatLeft)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ heartbeat("1", 5, 7) }, 5), start);
+        directory.apply(changes({ deletion("1", 6) }, 5, 6), start);
+        EXPECT_FALSE(directory.apply(changes({ heartbeat("1", 7, 6) }, 6, 7), start));
+        EXPECT_FALSE(directory.apply(changes({ heartbeat("1", 8, 7) }, 7, 8), start)) << "the same heartbeat again";
+        EXPECT_FALSE(directory.apply(heartbeat("1", 8, 7), start)) << "a read of the key";
+        EXPECT_FALSE(directory.apply(listing({ heartbeat("1", 8, 7) }, 9), start)) << "a listing";
+        EXPECT_EQ(listedCount(directory), 0u);
+        EXPECT_EQ(directory.revision(), Revision(9));
+    }
+
+    // Guards against a server that stays out of use after its entry expired while it could not reach the source.
+    TEST(ServerDirectoryTest, LaterHeartbeatOrStartRestoresAServerWhoseEntryWasDeleted)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ heartbeat("1", 5, 7), heartbeat("2", 5, 7) }, 5), start);
+        directory.apply(changes({ deletion("1", 6), deletion("2", 6) }, 5, 6), start);
+        ServerEntry laterStart = heartbeat("2", 9, 1);
+        laterStart.record->incarnation = Incarnation(2);
+        EXPECT_TRUE(directory.apply(changes({ heartbeat("1", 7, 8), laterStart }, 6, 9), start));
+        EXPECT_EQ(listedCount(directory), 2u);
+    }
+
+    // Guards against a delayed heartbeat from an earlier start after the later start has left.
+    TEST(ServerDirectoryTest, DelayedHeartbeatOfAnEarlierStartDoesNotRestoreAServerThatLeft)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ entry("1", 5, 20) }, 5), start);
+        directory.apply(changes({ deletion("1", 6), entry("1", 7, 10) }, 5, 7), start);
+        EXPECT_EQ(listedCount(directory), 0u);
+    }
+
+    // Guards against new requests to a draining server whose earlier heartbeat the source executed late.
+    TEST(ServerDirectoryTest, DelayedHeartbeatDoesNotEndDraining)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ heartbeat("1", 5, 7, true) }, 5), start);
+        EXPECT_FALSE(directory.apply(changes({ heartbeat("1", 6, 6) }, 5, 6), start));
+        EXPECT_EQ(directory.view()->find(InstanceId("1"))->condition, Condition::Leaving);
+        EXPECT_TRUE(directory.apply(changes({ deletion("1", 7) }, 6, 7), start));
+        EXPECT_EQ(listedCount(directory), 0u);
+    }
+
+    // Guards against a server that is kept because a delayed heartbeat ended the wait for its return after an outage.
+    TEST(ServerDirectoryTest, DelayedHeartbeatIsNoReturnAfterAnOutage)
+    {
+        ServerDirectory directory({ .returnGrace = 2s });
+        directory.apply(listing({ heartbeat("1", 5, 7), heartbeat("2", 5, 7) }, 5), start);
+        directory.recordSourceLost();
+        directory.recordSourceReturn(start, SourceOutage::AllNodes);
+        directory.apply(changes({ deletion("1", 6), deletion("2", 7) }, 5, 7), start);
+        directory.apply(changes({ heartbeat("1", 8, 7), heartbeat("2", 9, 8) }, 7, 9), start);
+        EXPECT_EQ(listedCount(directory), 2u);
+        EXPECT_TRUE(directory.advance(start + 2s));
+        EXPECT_EQ(directory.view()->find(InstanceId("1")), nullptr);
+        EXPECT_NE(directory.view()->find(InstanceId("2")), nullptr);
+    }
+
+    // Guards against a follower that uses a server that has left: it took a delayed heartbeat for a new one, since the
+    // node that it follows passes heartbeats on only if they change something.
+    TEST(ServerDirectoryTest, PeerCorrectsADelayedHeartbeatThatItsFollowerTookForNew)
+    {
+        ServerDirectory reader({});
+        ServerDirectory follower({});
+        reader.apply(listing({ heartbeat("1", 5, 1), heartbeat("2", 5, 1) }, 5), start);
+        follower.apply(reader.changesSince({}), start);
+        reader.apply(changes({ heartbeat("1", 6, 8), heartbeat("2", 7, 8), deletion("1", 8) }, 5, 8), start);
+        reader.apply(changes({ heartbeat("2", 9, 9, true) }, 8, 9), start);
+        // The follower reads two delayed heartbeats before it hears of what came before them.
+        follower.apply(heartbeat("1", 10, 4), start);
+        follower.apply(heartbeat("2", 11, 4), start);
+        reader.apply(changes({ heartbeat("1", 10, 4), heartbeat("2", 11, 4) }, 9, 11), start);
+        follower.apply(reader.changesSince(follower.revision()), start);
+        EXPECT_EQ(follower.view()->find(InstanceId("1")), nullptr);
+        EXPECT_EQ(follower.view()->find(InstanceId("2"))->condition, Condition::Leaving);
+        EXPECT_FALSE(follower.apply(heartbeat("1", 12, 5), start)) << "the deletion tells the last heartbeat";
+    }
+
+    // The same if the follower started after the deletion, which its listing does not tell.
+    TEST(ServerDirectoryTest, PeerCorrectsADelayedHeartbeatThatAStartedFollowerTookForNew)
+    {
+        ServerDirectory reader({});
+        reader.apply(listing({ heartbeat("1", 5, 7) }, 5), start);
+        reader.apply(changes({ deletion("1", 8) }, 5, 9), start);
+        ServerDirectory follower({});
+        follower.apply(listing({}, 9), start);
+        EXPECT_TRUE(follower.apply(heartbeat("1", 10, 4), start));
+        reader.apply(changes({ heartbeat("1", 10, 4) }, 9, 10), start);
+        EXPECT_TRUE(follower.apply(reader.changesSince(follower.revision()), start));
+        EXPECT_EQ(listedCount(follower), 0u);
+    }
+
+    // Guards against ignoring entries of peers that do not tell the number of a heartbeat.
+    TEST(ServerDirectoryTest, RevisionDecidesIfTheHeartbeatIsUnknown)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ heartbeat("1", 5, 7) }, 5), start);
+        EXPECT_TRUE(directory.apply(entry("1", 6, 1, true), start));
+        EXPECT_FALSE(directory.apply(entry("1", 5, 1), start));
+        EXPECT_TRUE(directory.apply(deletion("1", 7), start));
+        EXPECT_TRUE(directory.apply(entry("1", 8), start));
+    }
+
+    // Guards against an ignored heartbeat that nobody can find in the logs afterwards.
+    TEST(ServerDirectoryTest, DelayedHeartbeatsAreReportedOnce)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ heartbeat("1", 5, 7) }, 5), start);
+        directory.apply(changes({ heartbeat("1", 6, 6) }, 5, 6), start);
+        const std::vector<DelayedHeartbeat> delayed = directory.takeDelayedHeartbeats();
+        ASSERT_EQ(delayed.size(), 1u);
+        EXPECT_EQ(delayed.front().id, InstanceId("1"));
+        EXPECT_EQ(delayed.front().revision, Revision(6));
+        EXPECT_EQ(delayed.front().position.number, HeartbeatNumber(6));
+        EXPECT_EQ(delayed.front().latest.number, HeartbeatNumber(7));
+        EXPECT_TRUE(directory.takeDelayedHeartbeats().empty());
+        EXPECT_EQ(directory.delayedHeartbeatCount(), 1u);
+    }
+
     // Guards against calls to the former server at an address that another server now uses.
     TEST(ServerDirectoryTest, AddressBelongsToTheLaterStart)
     {
--- a/src/proxy/ListedServers.cpp
+++ b/src/proxy/ListedServers.cpp
@@ -5,10 +5,13 @@
 ListedServer toListed(const ServerEntry& entry)
 {
     ListedServer listed { .id = entry.id, .revision = entry.revision, .isDeleted = !entry.record };
+    const HeartbeatPosition position = entry.record ? entry.record->position() : entry.lastHeartbeat;
+    listed.incarnation = position.incarnation;
+    listed.knowsHeartbeat = position.number.has_value();
+    listed.heartbeat = position.number.value_or(HeartbeatNumber());
     if (!entry.record)
         return listed;
     const ServerRecord& record = *entry.record;
-    listed.incarnation = record.incarnation;
     listed.service = record.service;
     listed.zone = record.zone;
     listed.address = record.address;
@@ -21,16 +24,21 @@
 ServerEntry fromListed(const ListedServer& listed)
 {
     ServerEntry entry { .id = listed.id, .revision = listed.revision };
-    if (!listed.isDeleted) {
-        entry.record = ServerRecord { .id = listed.id,
-            .incarnation = listed.incarnation,
-            .service = listed.service,
-            .zone = listed.zone,
-            .address = listed.address,
-            .slots = static_cast<int>(listed.slots),
-            .isDraining = listed.isDraining,
-            .remainingSlowStart = listed.remainingSlowStart };
+    const HeartbeatPosition position { .incarnation = listed.incarnation,
+        .number = listed.knowsHeartbeat ? std::optional(listed.heartbeat) : std::nullopt };
+    if (listed.isDeleted) {
+        entry.lastHeartbeat = position;
+        return entry;
     }
+    entry.record = ServerRecord { .id = listed.id,
+        .incarnation = position.incarnation,
+        .heartbeat = position.number,
+        .service = listed.service,
+        .zone = listed.zone,
+        .address = listed.address,
+        .slots = static_cast<int>(listed.slots),
+        .isDraining = listed.isDraining,
+        .remainingSlowStart = listed.remainingSlowStart };
     return entry;
 }
 
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -167,7 +167,11 @@
 {
     m_metrics.countSourceCall("read", result.item.has_value());
     m_entryCheck.recordResult(result.item ? std::optional(result.requestedAt) : std::nullopt, m_loop.now());
-    if (result.item && m_directory.apply(m_adapter.decodeServer(*result.item), m_loop.now()))
+    if (!result.item)
+        return;
+    const bool isChanged = m_directory.apply(m_adapter.decodeServer(*result.item), m_loop.now());
+    logDelayedHeartbeats("own-entry");
+    if (isChanged)
         publishServers("own-entry");
 }
 
@@ -209,10 +213,26 @@
 {
     const bool isFirstListing = changes.isListing && !m_hasServers;
     m_hasServers |= changes.isListing || !changes.entries.empty();
-    if (m_directory.apply(changes, m_loop.now()) || isFirstListing)
+    const bool isChanged = m_directory.apply(changes, m_loop.now());
+    logDelayedHeartbeats(origin);
+    if (isChanged || isFirstListing)
         publishServers(origin);
 }
 
+void ProxyNode::logDelayedHeartbeats(const char* origin)
+{
+    const auto numberText = [](const HeartbeatPosition& position) {
+        return position.number ? std::to_string(position.number->value()) : "";
+    };
+    for (const DelayedHeartbeat& delayed : m_directory.takeDelayedHeartbeats())
+        logEvent(LogLevel::Info, "server-heartbeat-ignored",
+            { { "server", delayed.id.value() }, { "revision", std::to_string(delayed.revision.value()) },
+                { "incarnation", std::to_string(delayed.position.incarnation.value()) },
+                { "number", numberText(delayed.position) },
+                { "latest_incarnation", std::to_string(delayed.latest.incarnation.value()) },
+                { "latest_number", numberText(delayed.latest) }, { "origin", origin } });
+}
+
 void ProxyNode::publishServers(const char* origin)
 {
     m_view = m_directory.view();
@@ -417,6 +437,7 @@
     m_metrics.setValue("gate_unknown", static_cast<double>(counters.unknown));
     m_metrics.setValue("gate_joined", static_cast<double>(counters.joined));
     m_metrics.setValue("gate_cancelled", static_cast<double>(counters.cancelled));
+    m_metrics.setValue("delayed_heartbeats", static_cast<double>(m_directory.delayedHeartbeatCount()));
     m_metrics.setValue("server_connections_opened", static_cast<double>(counters.connectionsOpened));
     m_metrics.setValue("caller_connections", static_cast<double>(m_callerListener.connectionCount()));
     m_metrics.setValue("calls_in_progress", static_cast<double>(m_forwarder.callsInProgress()));
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -48,6 +48,7 @@
     void applyServers(const ServerChanges& changes, const char* origin);
     // `origin` names in the log what brought the change.
     void publishServers(const char* origin);
+    void logDelayedHeartbeats(const char* origin);
     // Reads the local server's entry if the node's knowledge is old.
     void checkOwnServer();
     void recordOwnServerRead(const KeyReadResult& result);
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -57,8 +57,9 @@
             .revision = item.revision };
         if (item.isDeleted)
             return entry;
-        // "ADDRESS INCARNATION draining|ready"
+        // "ADDRESS INCARNATION draining|ready", then the heartbeat's number if it is known.
         const std::vector<std::string> parts = absl::StrSplit(item.value, ' ');
+        constexpr size_t heartbeatPart = 3;
         entry.record = ServerRecord { .id = entry.id,
             .incarnation = Incarnation(std::stoull(parts.at(1))),
             .service = ServiceName("work"),
@@ -66,6 +67,8 @@
             .address = Endpoint::fromString(parts.at(0)),
             .slots = 8,
             .isDraining = parts.at(2) == "draining" };
+        if (parts.size() > heartbeatPart)
+            entry.record->heartbeat = HeartbeatNumber(std::stoull(parts[heartbeatPart]));
         return entry;
     }
 
@@ -264,11 +267,11 @@
     m_store.put("op/config", std::to_string(version) + " " + std::to_string(timeoutMilliseconds));
 }
 
-void ProxyFleet::putServerEntry(size_t index, bool isDraining, uint64_t incarnation)
+void ProxyFleet::putServerEntry(size_t index, bool isDraining, uint64_t incarnation, std::optional<uint64_t> heartbeat)
 {
-    m_store.put("servers/s" + std::to_string(index),
+    m_store.put(serverKey(index),
         hostOf(index) + ":" + std::to_string(m_firstPort + serverPortOffset) + " " + std::to_string(incarnation)
-            + (isDraining ? " draining" : " ready"));
+            + (isDraining ? " draining" : " ready") + (heartbeat ? " " + std::to_string(*heartbeat) : ""));
 }
 
 void ProxyFleet::startNode(size_t index, Duration listingDelay)
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -86,7 +86,9 @@
     Endpoint peerAddress(size_t index) const;
     Endpoint adminAddress(size_t index) const;
     void configure(uint64_t version, int timeoutMilliseconds);
-    void putServerEntry(size_t index, bool isDraining, uint64_t incarnation);
+    void putServerEntry(
+        size_t index, bool isDraining, uint64_t incarnation, std::optional<uint64_t> heartbeat = std::nullopt);
+    void removeServerEntry(size_t index) { m_store.remove(serverKey(index)); }
     // Waits until all nodes are ready; returns false if a node is not ready after about 5 s.
     bool waitUntilReady();
     // Stops the node gracefully, like SIGTERM, and waits for it.
@@ -102,6 +104,7 @@
         std::thread thread;
     };
     static const Clock& systemClock();
+    static std::string serverKey(size_t index) { return "servers/s" + std::to_string(index); }
     static std::string hostOf(size_t index) { return "127.0.0." + std::to_string(index + 1); }
 
     FakeStore m_store;
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -164,6 +164,32 @@
         EXPECT_TRUE(fleet.server(1).executions().empty());
     }
 
+    // Guards against requests to a server that has left: the source executed one of its heartbeats after the removal of
+    // its entry, and all nodes used the server again until that entry expired.
+    TEST(ProxyNodeTest, DelayedHeartbeatDoesNotRestoreAServerThatLeft)
+    {
+        constexpr size_t nodes = 3;
+        ProxyFleet fleet(nodes);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        const auto executionsAfterRequests = [&fleet](const std::string& name) {
+            for (int i = 0; i < 60; ++i) {
+                const Endpoint caller = fleet.callerAddress(static_cast<size_t>(i) % nodes);
+                EXPECT_EQ(sendRequest(caller, name + std::to_string(i), "/pay/x", "fee").status, 200) << name;
+            }
+            return fleet.server(0).executions().size();
+        };
+        fleet.putServerEntry(0, false, 1, 7);
+        std::this_thread::sleep_for(300ms);
+        fleet.removeServerEntry(0);
+        std::this_thread::sleep_for(300ms);
+        fleet.putServerEntry(0, false, 1, 6);
+        std::this_thread::sleep_for(300ms);
+        EXPECT_EQ(executionsAfterRequests("left-"), 0u);
+        fleet.putServerEntry(0, false, 1, 8);
+        std::this_thread::sleep_for(300ms);
+        EXPECT_GT(executionsAfterRequests("back-"), 0u) << "a later heartbeat restores it";
+    }
+
     // Guards against requests to a server that says in its answers that it leaves, while the source still lists it.
     TEST(ProxyNodeTest, ServerThatAnswersThatItLeavesGetsNoRequestsOfAnyNode)
     {
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -78,7 +78,7 @@
 auto fieldsOf(MaybeConst<ListedServer> auto& m)
 {
     return std::tie(m.id, m.revision, m.isDeleted, m.incarnation, m.service, m.zone, m.address, m.slots, m.isDraining,
-        m.remainingSlowStart);
+        m.remainingSlowStart, m.knowsHeartbeat, m.heartbeat);
 }
 auto fieldsOf(MaybeConst<SourceUpdate> auto& m)
 {
@@ -102,6 +102,7 @@
 // release sent the message.
 template <typename T> constexpr size_t requiredFields = std::tuple_size_v<decltype(fieldsOf(std::declval<T&>()))>;
 template <> inline constexpr size_t requiredFields<SourceUpdate> = 5;
+template <> inline constexpr size_t requiredFields<ListedServer> = 10;
 template <> inline constexpr size_t requiredFields<CallStart> = 17;
 template <> inline constexpr size_t requiredFields<LoadHint> = 5;
 
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -290,8 +290,9 @@
     InstanceId id;
     Revision revision;
     bool isDeleted { false };
-    // The fields below are empty for a deletion.
+    // Of the heartbeat that wrote the entry; for a deletion, of the latest one that the sender knows, if any.
     Incarnation incarnation;
+    // The fields from here to remainingSlowStart are empty for a deletion.
     ServiceName service;
     ZoneName zone;
     Endpoint address;
@@ -299,6 +300,9 @@
     bool isDraining { false };
     // The remaining time for which the server is slow after its start.
     Duration remainingSlowStart {};
+    // Belongs to `incarnation`. Earlier senders set neither field.
+    bool knowsHeartbeat { false };
+    HeartbeatNumber heartbeat;
     bool operator==(const ListedServer&) const = default;
 };
 
--- a/src/wire/tests/WireTest.cpp
+++ b/src/wire/tests/WireTest.cpp
@@ -4,6 +4,7 @@
 #include "wire/Fields.h"
 #include "wire/Frame.h"
 
+#include <cstring>
 #include <gtest/gtest.h>
 #include <limits>
 #include <map>
@@ -163,6 +164,22 @@
             decode(packArray(1, pingType, 7, "new", std::map<std::string, int> { { "a", 1 } })), Message(Ping { 7 }));
     }
 
+    // Guards against a fleet whose nodes do not understand each other while a release is rolled out.
+    TEST(CodecTest, ServerEntryOfAnEarlierReleaseHasNoHeartbeat)
+    {
+        const auto type = static_cast<uint32_t>(Message(SourceUpdate {}).index());
+        const auto binary
+            = [](const char* text) { return msgpack::type::raw_ref(text, static_cast<uint32_t>(std::strlen(text))); };
+        const auto server
+            = std::make_tuple("s1", 5, false, 7, "work", "z", std::make_tuple(binary("10.0.0.1"), 80), 4, false, 0);
+        const auto message = decode(packArray(1, type, 1, binary(""), 5, std::vector { server }, 0));
+        ASSERT_TRUE(message);
+        const auto& update = std::get<SourceUpdate>(*message);
+        ASSERT_EQ(update.servers.size(), 1u);
+        EXPECT_EQ(update.servers.front().address, (Endpoint { "10.0.0.1", 80 }));
+        EXPECT_FALSE(update.servers.front().knowsHeartbeat);
+    }
+
     TEST(CodecTest, DistinguishesUnknownTypesFromMalformedMessages)
     {
         EXPECT_EQ(decode(packArray(1, messageTypeCount, "field")), std::nullopt);
