--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -246,27 +246,43 @@
 
 const ServerRecord* ServerDirectory::atAddress(const Endpoint& address) const
 {
-    const ServerRecord* latestRecord = nullptr;
+    const ServerRecord* owner = nullptr;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.record.address == address && (!latestRecord || latestRecord->incarnation < entry.record.incarnation))
-            latestRecord = &entry.record;
+        if (entry.record.address == address && (!owner || hasPrecedence(entry.record, *owner)))
+            owner = &entry.record;
     }
-    return latestRecord;
+    return owner;
+}
+
+bool ServerDirectory::setNamedServices(std::set<ServiceName> services)
+{
+    if (m_namedServices == services)
+        return false;
+    m_namedServices = std::move(services);
+    return !m_entries.empty();
+}
+
+bool ServerDirectory::hasPrecedence(const ServerRecord& record, const ServerRecord& other) const
+{
+    const bool isRecordNamed = isNamed(record.service);
+    if (isRecordNamed != isNamed(other.service))
+        return isRecordNamed;
+    return record.incarnation > other.incarnation;
 }
 
 std::shared_ptr<const MembershipView> ServerDirectory::view() const
 {
-    std::map<Endpoint, const ServerRecord*> latestByAddress;
+    std::map<Endpoint, const ServerRecord*> owners;
     for (const auto& [id, entry] : m_entries) {
-        const ServerRecord*& record = latestByAddress[entry.record.address];
-        if (!record || record->incarnation < entry.record.incarnation)
-            record = &entry.record;
+        const ServerRecord*& owner = owners[entry.record.address];
+        if (!owner || hasPrecedence(entry.record, *owner))
+            owner = &entry.record;
     }
     std::vector<InstanceState> instances;
     instances.reserve(m_entries.size());
     for (const auto& [id, entry] : m_entries) {
         const ServerRecord& record = entry.record;
-        if (latestByAddress.at(record.address) != &record)
+        if (owners.at(record.address) != &record)
             continue;
         const auto region = m_options.regions.find(record.zone);
         instances.push_back({ .record = { .id = id,
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -8,7 +8,9 @@
 //   only between entries of equal or unknown position.
 // - A server that has left returns only with a heartbeat that is later than all those known before. A delayed heartbeat
 //   from before is ignored and counted.
-// - If two servers register the same address, it belongs to the later start.
+// - If two servers register the same address, it belongs to the later start. An entry of a service that no
+// configuration
+//   names may come from another writer of the source: it takes no address from a server of a named service.
 // - Entries expire during an outage of the source although their servers are alive. An entry that is missing within
 //   `returnGrace` after the source's return is therefore kept until that time ends and dropped only if still missing.
 // - At most maxEntries entries are kept; further ones are refused and counted.
@@ -128,6 +130,9 @@
     // Applies all changes, and raises the revision unless changes between it and `since` are missing. Returns true if
     // routing is affected.
     bool apply(const ServerChanges& changes, TimePoint now);
+    // Sets the services that the configuration names; before the first call every service counts as named. Returns true
+    // if routing may be affected.
+    bool setNamedServices(std::set<ServiceName> services);
     // Records that the source stopped responding to this node.
     void recordSourceLost();
     // Records that the source responds to this node again.
@@ -202,10 +207,14 @@
     // Limits what the directory tells peers to the time before the first deletion that it defers.
     Revision revisionForPeers() const;
     bool isGraceOver(TimePoint now) const;
+    bool isNamed(const ServiceName& service) const { return !m_namedServices || m_namedServices->contains(service); }
+    // True if the address of both records belongs to `record` and not to `other`.
+    bool hasPrecedence(const ServerRecord& record, const ServerRecord& other) const;
 
     ServerDirectoryOptions m_options;
     std::map<InstanceId, Entry> m_entries;
     std::map<InstanceId, Deletion> m_deletions;
+    std::optional<std::set<ServiceName>> m_namedServices;
     Revision m_revision;
     // Every deletion after this revision is in m_deletions.
     Revision m_deletionsKnownSince;
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -213,6 +213,45 @@
         EXPECT_EQ(listedCount(directory), 1u);
     }
 
+    // Guards against a server that nobody can call: another writer of the source registered a service that no
+    // configuration names at the server's address, with a later start.
+    TEST(ServerDirectoryTest, EntryOfAnUnnamedServiceTakesNoAddress)
+    {
+        for (const bool isForeignFirst : { false, true }) {
+            ServerDirectory directory({});
+            directory.setNamedServices({ ServiceName("work") });
+            ServerEntry foreign = entry("0", 5, 30);
+            foreign.record->address = { "10.0.0.1", 80 };
+            foreign.record->service = ServiceName("nobody");
+            if (isForeignFirst)
+                directory.apply(foreign, start);
+            directory.apply(entry("1", 6, 20), start);
+            if (!isForeignFirst)
+                directory.apply(foreign, start);
+            EXPECT_EQ(directory.atAddress({ "10.0.0.1", 80 })->id, InstanceId("1"));
+            EXPECT_NE(directory.view()->find(InstanceId("1")), nullptr);
+            EXPECT_EQ(listedCount(directory), 1u);
+        }
+    }
+
+    // Guards against calls to the former server at an address once the configuration names the service of the new one.
+    TEST(ServerDirectoryTest, AddressPassesToTheLaterStartWhenItsServiceIsNamed)
+    {
+        ServerDirectory directory({});
+        directory.apply(entry("1", 5, 20), start);
+        ServerEntry laterServer = entry("2", 6, 30);
+        laterServer.record->address = { "10.0.0.1", 80 };
+        laterServer.record->service = ServiceName("other");
+        directory.apply(laterServer, start);
+        EXPECT_EQ(directory.atAddress({ "10.0.0.1", 80 })->id, InstanceId("2")) << "no configuration yet";
+        EXPECT_TRUE(directory.setNamedServices({ ServiceName("work") }));
+        EXPECT_EQ(directory.atAddress({ "10.0.0.1", 80 })->id, InstanceId("1"));
+        EXPECT_FALSE(directory.setNamedServices({ ServiceName("work") }));
+        EXPECT_TRUE(directory.setNamedServices({ ServiceName("other"), ServiceName("work") }));
+        EXPECT_EQ(directory.atAddress({ "10.0.0.1", 80 })->id, InstanceId("2"));
+        EXPECT_EQ(directory.view()->find(InstanceId("1")), nullptr);
+    }
+
     // Guards against a node that drops all servers when their entries expire during an outage of the source.
     TEST(ServerDirectoryTest, EntriesExpiredDuringAnOutageHaveAGracePeriod)
     {
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -41,6 +41,14 @@
             .slowStart = slowStartTime };
     }
 
+    std::set<ServiceName> namesOf(const std::map<ServiceName, ServicePolicy>& services)
+    {
+        std::set<ServiceName> names;
+        for (const auto& [name, policy] : services)
+            names.insert(name);
+        return names;
+    }
+
     Incarnation newIncarnation()
     {
         std::random_device device;
@@ -193,6 +201,9 @@
     const auto& current = m_forwarder.configuration();
     if (current && configuration.manifest().version <= current->manifest().version)
         return;
+    // The servers go first: the forwarder may release requests that wait for the configuration.
+    if (m_directory.setNamedServices(namesOf(configuration.services())))
+        publishServers("configuration");
     m_forwarder.setConfiguration(update.configuration);
     m_gate.setRanks(configuration.ranks());
     const CallerLimits& limits = configuration.limits();
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -57,9 +57,11 @@
             .revision = item.revision };
         if (item.isDeleted)
             return entry;
-        // "ADDRESS INCARNATION draining|ready", then the heartbeat's number if it is known.
+        // "ADDRESS INCARNATION draining|ready", then the heartbeat's number if it is known, then the service if it is
+        // not "work".
         const std::vector<std::string> parts = absl::StrSplit(item.value, ' ');
         constexpr size_t heartbeatPart = 3;
+        constexpr size_t servicePart = 4;
         entry.record = ServerRecord { .id = entry.id,
             .incarnation = Incarnation(std::stoull(parts.at(1))),
             .service = ServiceName("work"),
@@ -69,6 +71,8 @@
             .isDraining = parts.at(2) == "draining" };
         if (parts.size() > heartbeatPart)
             entry.record->heartbeat = HeartbeatNumber(std::stoull(parts[heartbeatPart]));
+        if (parts.size() > servicePart)
+            entry.record->service = ServiceName(parts[servicePart]);
         return entry;
     }
 
@@ -222,9 +226,7 @@
 {
     configure(1, 1000);
     for (size_t index = 0; index < nodes; ++index) {
-        m_nodes[index].server = std::make_unique<TestServer>(
-            Endpoint { hostOf(index), static_cast<uint16_t>(m_firstPort + serverPortOffset) },
-            "s" + std::to_string(index), "work");
+        m_nodes[index].server = std::make_unique<TestServer>(serverAddress(index), "s" + std::to_string(index), "work");
         putServerEntry(index, false, 1);
         if (!m_stalledNodes.contains(index))
             startNode(index);
@@ -262,6 +264,16 @@
     return { hostOf(index), static_cast<uint16_t>(m_firstPort + metricsPortOffset) };
 }
 
+Endpoint ProxyFleet::serverAddress(size_t index) const
+{
+    return { hostOf(index), static_cast<uint16_t>(m_firstPort + serverPortOffset) };
+}
+
+void ProxyFleet::putForeignEntry(const std::string& id, const std::string& service, const Endpoint& address)
+{
+    m_store.put("servers/" + id, address.toString() + " 99 ready 1 " + service);
+}
+
 void ProxyFleet::configure(uint64_t version, int timeoutMilliseconds)
 {
     m_store.put("op/config", std::to_string(version) + " " + std::to_string(timeoutMilliseconds));
@@ -270,8 +282,8 @@
 void ProxyFleet::putServerEntry(size_t index, bool isDraining, uint64_t incarnation, std::optional<uint64_t> heartbeat)
 {
     m_store.put(serverKey(index),
-        hostOf(index) + ":" + std::to_string(m_firstPort + serverPortOffset) + " " + std::to_string(incarnation)
-            + (isDraining ? " draining" : " ready") + (heartbeat ? " " + std::to_string(*heartbeat) : ""));
+        serverAddress(index).toString() + " " + std::to_string(incarnation) + (isDraining ? " draining" : " ready")
+            + (heartbeat ? " " + std::to_string(*heartbeat) : ""));
 }
 
 void ProxyFleet::startNode(size_t index, Duration listingDelay)
@@ -297,7 +309,7 @@
         .readyAddress = readyAddress(index),
         .peerAddress = peerAddress(index),
         .metricsAddress = adminAddress(index),
-        .serverAddress = { hostOf(index), static_cast<uint16_t>(m_firstPort + serverPortOffset) },
+        .serverAddress = serverAddress(index),
         .sourceAddress = { hostOf(index), 1 },
         .sourceInterval = 20ms };
     node.node = std::make_unique<ProxyNode>(settings, std::move(adapter), m_clock);
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -88,6 +88,9 @@
     void configure(uint64_t version, int timeoutMilliseconds);
     void putServerEntry(
         size_t index, bool isDraining, uint64_t incarnation, std::optional<uint64_t> heartbeat = std::nullopt);
+    // Writes an entry under a key of its own that names this service, a later start and the address.
+    void putForeignEntry(const std::string& id, const std::string& service, const Endpoint& address);
+    Endpoint serverAddress(size_t index) const;
     void removeServerEntry(size_t index) { m_store.remove(serverKey(index)); }
     // Waits until all nodes are ready; returns false if a node is not ready after about 5 s.
     bool waitUntilReady();
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -190,6 +190,26 @@
         EXPECT_GT(executionsAfterRequests("back-"), 0u) << "a later heartbeat restores it";
     }
 
+    // Guards against servers that get no requests because another writer of the source registered a service that no
+    // configuration names at their addresses.
+    TEST(ProxyNodeTest, EntriesOfAnUnnamedServiceTakeNoServerOutOfUse)
+    {
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.putForeignEntry("other-0", "nobody", fleet.serverAddress(0));
+        fleet.putForeignEntry("other-1", "nobody", fleet.serverAddress(1));
+        std::this_thread::sleep_for(300ms);
+        for (int i = 0; i < 20; ++i) {
+            const Endpoint caller = fleet.callerAddress(static_cast<size_t>(i % 2));
+            EXPECT_EQ(sendRequest(caller, "u" + std::to_string(i), "/pay/x", "fee").status, 200);
+        }
+        // A node that starts reads the entries before it knows which services are named.
+        fleet.stopNode(0);
+        fleet.startNode(0);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        EXPECT_EQ(sendRequest(fleet.callerAddress(0), "restarted", "/pay/x", "fee").status, 200);
+    }
+
     // Guards against requests to a server that says in its answers that it leaves, while the source still lists it.
     TEST(ProxyNodeTest, ServerThatAnswersThatItLeavesGetsNoRequestsOfAnyNode)
     {
