--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -41,7 +41,7 @@
 bool ServerDirectory::apply(const ServerEntry& entry, const EntryContext& context, TimePoint now)
 {
     if (!entry.record)
-        return removeOrDefer({ .id = entry.id, .revision = entry.revision, .lastHeartbeat = entry.lastHeartbeat }, now);
+        return removeOrDefer(entry, now);
     const auto found = m_entries.find(entry.id);
     return found == m_entries.end() ? add(entry, context, now) : update(found->second, entry, context, now);
 }
@@ -170,7 +170,7 @@
     return !m_isSourceLost && (!m_sourceReturnedAt || now >= *m_sourceReturnedAt + m_options.returnGrace);
 }
 
-bool ServerDirectory::removeOrDefer(const Removal& removal, TimePoint now)
+bool ServerDirectory::removeOrDefer(const ServerEntry& removal, TimePoint now)
 {
     const auto found = m_entries.find(removal.id);
     if (found == m_entries.end()) {
@@ -193,7 +193,7 @@
     return false;
 }
 
-bool ServerDirectory::drop(const Removal& removal, TimePoint now)
+bool ServerDirectory::drop(const ServerEntry& removal, TimePoint now)
 {
     if (m_deletions.size() >= m_options.maxEntries) {
         for (const auto& [deletedId, deletion] : m_deletions)
@@ -224,12 +224,12 @@
     });
     if (!isGraceOver(now))
         return false;
-    std::vector<Removal> missing;
+    std::vector<ServerEntry> missing;
     for (const auto& [id, entry] : m_entries) {
         if (entry.absence)
             missing.push_back({ .id = id, .revision = entry.absence->revision });
     }
-    for (const Removal& removal : missing)
+    for (const ServerEntry& removal : missing)
         drop(removal, now);
     return !missing.empty();
 }
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -180,12 +180,6 @@
         HeartbeatPosition lastHeartbeat;
         TimePoint deletedAt;
     };
-    struct Removal {
-        InstanceId id;
-        Revision revision;
-        // The latest heartbeat that the source of the removal knows, if any.
-        HeartbeatPosition lastHeartbeat;
-    };
 
     struct EntryContext {
         // A server that is not listed and whose entry is no newer was deleted since.
@@ -199,9 +193,10 @@
     // Returns true if the entry restores the deleted server. Otherwise records what it tells of the server.
     bool isAfterDeletion(const ServerEntry& entry, Deletion& deletion);
     void recordDelayed(const ServerEntry& entry, const HeartbeatPosition& latest);
-    // Deletes the entry, or marks it as missing while deletions are deferred. Returns true if it was deleted.
-    bool removeOrDefer(const Removal& removal, TimePoint now);
-    bool drop(const Removal& removal, TimePoint now);
+    // Both take an entry without a record. The first one marks the server as missing while deletions are deferred.
+    // Returns true if it was deleted.
+    bool removeOrDefer(const ServerEntry& removal, TimePoint now);
+    bool drop(const ServerEntry& removal, TimePoint now);
     // Drops the entries that are not among those of the listing.
     bool removeAbsent(const ServerChanges& listing, TimePoint now);
     // Limits what the directory tells peers to the time before the first deletion that it defers.
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -23,6 +23,15 @@
                 .isDraining = isDraining } };
     }
 
+    // Another service at the address of server "1".
+    ServerEntry otherServiceAtFirstAddress(const std::string& id, uint64_t revision, uint64_t incarnation)
+    {
+        ServerEntry result = entry(id, revision, incarnation);
+        result.record->address = { "10.0.0.1", 80 };
+        result.record->service = ServiceName("other");
+        return result;
+    }
+
     ServerEntry deletion(const std::string& id, uint64_t revision)
     {
         return { .id = InstanceId(id), .revision = Revision(revision) };
@@ -205,10 +214,7 @@
     {
         ServerDirectory directory({});
         directory.apply(entry("1", 5, 20), start);
-        ServerEntry laterServer = entry("2", 6, 30);
-        laterServer.record->address = { "10.0.0.1", 80 };
-        laterServer.record->service = ServiceName("other");
-        directory.apply(laterServer, start);
+        directory.apply(otherServiceAtFirstAddress("2", 6, 30), start);
         EXPECT_EQ(directory.atAddress({ "10.0.0.1", 80 })->service, ServiceName("other"));
         EXPECT_EQ(listedCount(directory), 1u);
     }
@@ -220,9 +226,7 @@
         for (const bool isForeignFirst : { false, true }) {
             ServerDirectory directory({});
             directory.setNamedServices({ ServiceName("work") });
-            ServerEntry foreign = entry("0", 5, 30);
-            foreign.record->address = { "10.0.0.1", 80 };
-            foreign.record->service = ServiceName("nobody");
+            const ServerEntry foreign = otherServiceAtFirstAddress("0", 5, 30);
             if (isForeignFirst)
                 directory.apply(foreign, start);
             directory.apply(entry("1", 6, 20), start);
@@ -239,10 +243,7 @@
     {
         ServerDirectory directory({});
         directory.apply(entry("1", 5, 20), start);
-        ServerEntry laterServer = entry("2", 6, 30);
-        laterServer.record->address = { "10.0.0.1", 80 };
-        laterServer.record->service = ServiceName("other");
-        directory.apply(laterServer, start);
+        directory.apply(otherServiceAtFirstAddress("2", 6, 30), start);
         EXPECT_EQ(directory.atAddress({ "10.0.0.1", 80 })->id, InstanceId("2")) << "no configuration yet";
         EXPECT_TRUE(directory.setNamedServices({ ServiceName("work") }));
         EXPECT_EQ(directory.atAddress({ "10.0.0.1", 80 })->id, InstanceId("1"));
