Split ProxyNode.cpp by what it does

What the node learns from the source and from peers, and passes on, is in ProxyNodeSource.cpp; the pages for readiness, metrics and state are in ProxyNodeStatus.cpp.

--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -6,6 +6,8 @@
 //   * the state read from the source;
 //   * the pages for readiness, metrics and state.
 //
+// ProxyNodeSource.cpp has what the node learns and passes on, ProxyNodeStatus.cpp the pages, ProxyNode.cpp the rest.
+//
 // A SourceWatcher reads the source on its own thread and posts decoded items to the loop. SourceExchange decides
 // whether this node reads the source and shares the result with peers.
 //
--- /dev/null
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -0,0 +1,73 @@
+// The node's pages for the platform and for operators: readiness, metrics and state.
+#include "proxy/ProxyNode.h"
+
+#include <nlohmann/json.hpp>
+
+namespace skylark {
+
+void ProxyNode::handleReady(const std::shared_ptr<HttpConnection>& connection)
+{
+    constexpr int statusReady = 200;
+    constexpr int statusNotReady = 503;
+    connection->respond({ .status = isReady() ? statusReady : statusNotReady });
+}
+
+void ProxyNode::handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection)
+{
+    constexpr int statusOk = 200;
+    constexpr int statusNotFound = 404;
+    if (request.target == "/metrics")
+        connection->respond({ .status = statusOk,
+            .headers = { { "Content-Type", "text/plain; version=0.0.4" } },
+            .body = metricsText() });
+    else if (request.target == "/state")
+        connection->respond(
+            { .status = statusOk, .headers = { { "Content-Type", "application/json" } }, .body = stateText() });
+    else
+        connection->respond({ .status = statusNotFound });
+}
+
+std::string ProxyNode::metricsText()
+{
+    const GateCounters& counters = m_gate.counters();
+    m_metrics.setValue("gate_answered", static_cast<double>(counters.answered));
+    m_metrics.setValue("gate_refused", static_cast<double>(counters.refused));
+    m_metrics.setValue("gate_unknown", static_cast<double>(counters.unknown));
+    m_metrics.setValue("gate_joined", static_cast<double>(counters.joined));
+    m_metrics.setValue("gate_cancelled", static_cast<double>(counters.cancelled));
+    m_metrics.setValue("delayed_heartbeats", static_cast<double>(m_directory.delayedHeartbeatCount()));
+    m_metrics.setValue("server_connections_opened", static_cast<double>(counters.connectionsOpened));
+    m_metrics.setValue("caller_connections", static_cast<double>(m_callerListener.connectionCount()));
+    m_metrics.setValue("calls_in_progress", static_cast<double>(m_forwarder.callsInProgress()));
+    m_metrics.setValue("log_lines_suppressed", static_cast<double>(m_log.suppressedCount()));
+    m_metrics.setValue("unexpected_errors", static_cast<double>(m_loop.unexpectedErrors()));
+    m_metrics.setValue("source_lost", m_isSourceLost ? 1 : 0);
+    m_metrics.setReader(m_exchange.isReading());
+    m_metrics.setValue("source_age_seconds", std::chrono::duration<double>(m_exchange.age()).count());
+    return m_metrics.exposition();
+}
+
+std::string ProxyNode::stateText()
+{
+    nlohmann::json peers = nlohmann::json::object();
+    for (const auto& [endpoint, client] : m_peers)
+        peers[endpoint.toString()]
+            = { { "state", client->stateName() }, { "outstanding", client->outstandingCount() } };
+    const auto& current = m_forwarder.configuration();
+    const LoadHint load = m_gate.load();
+    nlohmann::json servers = nlohmann::json::array();
+    for (const InstanceState& state : m_view->instances())
+        servers.push_back({ { "id", state.record.id.value() }, { "service", state.record.service.value() },
+            { "zone", state.record.zone.value() }, { "peer", state.record.peer.toString() },
+            { "condition", conditionName(state.condition) } });
+    return nlohmann::json {
+        { "instance", m_settings.instance }, { "ready", isReady() },
+        { "version", current ? current->manifest().version.value() : 0 }, { "sourceLost", m_isSourceLost },
+        { "sourceRevision", m_directory.revision().value() }, { "peers", peers }, { "servers", servers },
+        { "gate", { { "running", load.inFlight }, { "queued", load.queued }, { "limit", load.limit } } },
+        { "callsInProgress", m_forwarder.callsInProgress() }
+    }.dump(2)
+        + "\n";
+}
+
+} // namespace skylark
