Let the soak's servers keep their start time and count their heartbeats

Each write of a server's entry had a new start time and the sequence number 1, unlike PROTOCOL.md, so that the order of heartbeats within one start never showed in a soak.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -54,6 +54,8 @@
         self.fault, self.fault_probability = ServerFault.NONE, 0.0
         self.id = ""
         self._starts = 0
+        self._started_at_ms = 0
+        self._heartbeats = 0
         self._server = None
         self._connections = set()
         self._is_draining = False
@@ -61,14 +63,17 @@
     async def start(self):
         self._starts += 1
         self.id = f"server-{self.number}-{self._starts}"
+        self._started_at_ms = int(time.time() * 1000)
+        self._heartbeats = 0
         self._is_draining = False
         self._server = await asyncio.start_server(self._serve, *self.address, backlog=256)
         self.publish()
 
     def publish(self):
+        self._heartbeats += 1
         host, port = self.address
         entry = wire.server_entry(self.service, f"{host}:{port}", self.zone, SLOTS, self._is_draining,
-                                  int(time.time() * 1000))
+                                  self._started_at_ms, self._heartbeats)
         self.store.put(wire.server_key(self.id), entry)
 
     def start_draining(self):
