--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -84,15 +84,19 @@
 
 bool ServerDirectory::update(Entry& current, const ServerEntry& entry, const EntryContext& context, TimePoint now)
 {
-    const std::partial_ordering order = entry.record->position() <=> current.record.position();
-    const Revision newestRevision
-        = current.absence ? std::max(current.revision, current.absence->revision) : current.revision;
+    Revision newestRevision = current.revision;
+    HeartbeatPosition latest = current.record.position();
+    if (current.absence) {
+        newestRevision = std::max(newestRevision, current.absence->revision);
+        latest = laterOf(latest, current.absence->lastHeartbeat);
+    }
+    const std::partial_ordering order = entry.record->position() <=> latest;
     const bool isNewer = entry.revision > newestRevision;
     if (!isNewer && !(order > 0))
         return false;
-    // The heartbeat before the server went absent is no sign of its return.
+    // The last heartbeat before the server went absent is no sign of its return.
     if (order < 0 || (order == 0 && current.absence)) {
-        recordDelayed(entry, current.record.position());
+        recordDelayed(entry, latest);
         return false;
     }
     const bool isChanged = !isSameForRouting(current.record, *entry.record);
@@ -190,6 +194,7 @@
     if (!entry.absence)
         entry.absence = Absence { .lastListedAt = m_revision };
     entry.absence->revision = std::max(entry.absence->revision, removal.revision);
+    entry.absence->lastHeartbeat = laterOf(entry.absence->lastHeartbeat, removal.lastHeartbeat);
     return false;
 }
 
@@ -227,7 +232,8 @@
     std::vector<ServerEntry> missing;
     for (const auto& [id, entry] : m_entries) {
         if (entry.absence)
-            missing.push_back({ .id = id, .revision = entry.absence->revision });
+            missing.push_back(
+                { .id = id, .revision = entry.absence->revision, .lastHeartbeat = entry.absence->lastHeartbeat });
     }
     for (const ServerEntry& removal : missing)
         drop(removal, now);
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -3,14 +3,13 @@
 // - The directory takes entries from the source or from a peer and provides a view for the router.
 // - The directory does no I/O.
 // - Each entry has the source's revision and the position of the heartbeat that wrote it. The source may execute a
-// write
-//   seconds after later ones, so among the entries of one server the latest heartbeat wins, and the revision decides
-//   only between entries of equal or unknown position.
+//   write seconds after later ones, so among the entries of one server the latest heartbeat wins, and the revision
+//   decides only between entries of equal or unknown position.
 // - A server that has left returns only with a heartbeat that is later than all those known before. A delayed heartbeat
 //   from before is ignored and counted.
-// - If two servers register the same address, it belongs to the later start. An entry of a service that no
-// configuration
-//   names may come from another writer of the source: it takes no address from a server of a named service.
+// - If two servers register the same address, it belongs to the later start. An entry of a service that the
+//   configuration does not name may come from another writer of the source: it takes no address from a server of a
+//   named service.
 // - Entries expire during an outage of the source although their servers are alive. An entry that is missing within
 //   `returnGrace` after the source's return is therefore kept until that time ends and dropped only if still missing.
 // - At most maxEntries entries are kept; further ones are refused and counted.
@@ -162,6 +161,8 @@
     struct Absence {
         Revision lastListedAt;
         Revision revision;
+        // Only a later heartbeat is a sign of the server's return.
+        HeartbeatPosition lastHeartbeat;
     };
     struct Entry {
         ServerRecord record;
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -148,6 +148,23 @@
         EXPECT_NE(directory.view()->find(InstanceId("2")), nullptr);
     }
 
+    // The same at a follower that was told a later heartbeat with the deletion than it had seen.
+    TEST(ServerDirectoryTest, DelayedHeartbeatIsNoReturnIfThePeerToldALaterOne)
+    {
+        ServerDirectory follower({ .returnGrace = 2s });
+        follower.apply(listing({ heartbeat("1", 5, 1) }, 5), start);
+        follower.recordSourceLost();
+        ServerEntry toldDeletion = deletion("1", 8);
+        toldDeletion.lastHeartbeat = { .incarnation = Incarnation(1), .number = HeartbeatNumber(7) };
+        follower.apply(changes({ toldDeletion }, 5, 8), start);
+        EXPECT_EQ(listedCount(follower), 1u) << "deferred while the source is lost";
+        follower.recordSourceReturn(start, SourceOutage::ThisNode);
+        follower.apply(heartbeat("1", 9, 4), start);
+        EXPECT_TRUE(follower.advance(start));
+        EXPECT_FALSE(follower.apply(heartbeat("1", 10, 5), start));
+        EXPECT_EQ(listedCount(follower), 0u);
+    }
+
     // Guards against a follower that uses a server that has left: it took a delayed heartbeat for a new one, since the
     // node that it follows passes heartbeats on only if they change something.
     TEST(ServerDirectoryTest, PeerCorrectsADelayedHeartbeatThatItsFollowerTookForNew)
