Log requests for news that the followed peer does not answer

Nothing in the log told the first from the others: only calls that wait for a peer are probed and logged. source-update-overdue names the peer, the wait and the age of the node's knowledge. No behaviour changes.

--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -130,7 +130,12 @@
         m_callbacks.setMaxRetryDelay(delay);
     }
     const bool isOtherPeer = m_role.followedPeer() != m_queriedPeer;
-    if (m_role.followedPeer() && (isOtherPeer || !m_queriedAt || now - *m_queriedAt > m_options.requestTimeout))
+    const bool isOverdue = !isOtherPeer && m_queriedAt && now - *m_queriedAt > m_options.requestTimeout;
+    if (isOverdue)
+        logEvent(LogLevel::Warning, "source-update-overdue",
+            { { "peer", m_queriedPeer ? m_queriedPeer->toString() : "" },
+                { "ms", millisecondsText(now - *m_queriedAt) }, { "age_ms", millisecondsText(age()) } });
+    if (m_role.followedPeer() && (isOtherPeer || !m_queriedAt || isOverdue))
         queryFollowedPeer(now);
     // A node that lost the source keeps trying to read it even if a peer is fresh. Until it succeeds, it keeps servers
     // whose entries may have expired only because they cannot reach the source either.
