--- a/src/http/tests/BlockingHttpClientTest.cpp
+++ b/src/http/tests/BlockingHttpClientTest.cpp
@@ -2,6 +2,8 @@
 // earlier request.
 #include "http/BlockingHttpClient.h"
 
+#include "testing/TcpRelay.h"
+
 #include <gtest/gtest.h>
 #include <httplib.h>
 #include <thread>
@@ -103,6 +105,20 @@
         interrupter.join();
     }
 
+    // Guards against a configuration that is in force late: a watch on a connection that had gone silent failed only
+    // after its whole timeout.
+    TEST_F(BlockingHttpClientTest, RequestOnASilentConnectionIsSentAgainOverANewOne)
+    {
+        TcpRelay relay({ "127.0.0.1", 0 }, address());
+        BlockingHttpClient client({ .server = relay.address() });
+        EXPECT_EQ(client.get("/echo?text=1", 2s).response.body, "1");
+        relay.silenceConnections();
+        const auto start = std::chrono::steady_clock::now();
+        EXPECT_EQ(client.get("/echo?text=2", 2s).response.body, "2");
+        EXPECT_LT(std::chrono::steady_clock::now() - start, 1s);
+        EXPECT_EQ(relay.acceptedCount(), 2u);
+    }
+
     TEST(BlockingHttpClientFaultTest, RefusedConnectionNamesTheServer)
     {
         BlockingHttpClient client({ .server = { "127.0.0.1", 1 } });
--- a/src/proxy/tests/PeerClientTest.cpp
+++ b/src/proxy/tests/PeerClientTest.cpp
@@ -20,20 +20,34 @@
         }
         Endpoint address() const { return { "127.0.0.1", m_listener.port() }; }
         void answer(StreamId stream) { m_channel->send(AnswerStart { .stream = stream, .status = 200 }); }
+        void answerUpdateRequest() { m_channel->send(SourceUpdate { .version = VersionNumber(7) }); }
         void dropConnection() { m_channel.reset(); }
+        // The open connection delivers nothing from now on and stays open; new ones work.
+        void silenceConnection() { m_silentChannels.push_back(std::move(m_channel)); }
 
         Incarnation incarnation { 1 };
         // Receives but never answers, like a frozen process.
         bool isSilent { false };
         std::vector<CallStart> calls;
         std::vector<StreamId> cancelledStreams;
+        std::vector<SourceUpdateRequest> updateRequests;
+        size_t pingCount { 0 };
 
     private:
         void accept(std::unique_ptr<TcpStream> stream)
         {
+            const size_t number = ++m_acceptedCount;
             m_channel = std::make_unique<FrameChannel>(m_loop, std::move(stream),
-                FrameChannel::Callbacks { .onMessage = [this](const Message& message) { handle(message); },
-                    .onEnd = [this](StreamEnd) { m_channel.reset(); } });
+                FrameChannel::Callbacks { .onMessage =
+                                              [this, number](const Message& message) {
+                                                  if (m_channel && number == m_acceptedCount)
+                                                      handle(message);
+                                              },
+                    .onEnd =
+                        [this, number](StreamEnd) {
+                            if (number == m_acceptedCount)
+                                m_channel.reset();
+                        } });
         }
         void handle(const Message& message)
         {
@@ -41,6 +55,10 @@
                 cancelledStreams.push_back(cancel->stream);
             if (const auto* call = std::get_if<CallStart>(&message))
                 calls.push_back(*call);
+            if (const auto* request = std::get_if<SourceUpdateRequest>(&message))
+                updateRequests.push_back(*request);
+            if (std::holds_alternative<Ping>(message))
+                ++pingCount;
             if (isSilent)
                 return;
             if (std::holds_alternative<Hello>(message))
@@ -50,7 +68,9 @@
         }
 
         EventLoop& m_loop;
+        size_t m_acceptedCount { 0 };
         std::unique_ptr<FrameChannel> m_channel;
+        std::vector<std::unique_ptr<FrameChannel>> m_silentChannels;
         TcpListener m_listener;
     };
 
@@ -60,9 +80,15 @@
             : peer(loop)
             , client(loop, peer.address(), Hello { .incarnation = Incarnation(9) },
                   { .connectTimeout = 200ms, .pingAfter = 50ms, .suspectAfter = 50ms, .pongTimeout = 150ms },
-                  [](const SourceUpdate&) {})
+                  [this](const SourceUpdate& update) { updates.push_back(update); })
         {
         }
+        void connect()
+        {
+            client.connect();
+            runFor(50ms);
+            ASSERT_TRUE(client.isConnected());
+        }
         void submit(uint64_t number, bool isIdempotent)
         {
             client.submit({ .key = { .sender = Incarnation(9), .stream = StreamId(number) },
@@ -84,6 +110,7 @@
         FakePeer peer;
         PeerClient client;
         std::map<uint64_t, GateReplyPtr> replies;
+        std::vector<SourceUpdate> updates;
     };
 
     // Guards against losing calls with their connection although the peer continues to run them.
@@ -179,6 +206,59 @@
         EXPECT_EQ(outcome(1), CallOutcome::Unknown);
     }
 
+    // Guards against a configuration that is in force late: a node that follows a peer over a connection that has gone
+    // silent waited until its knowledge was too old.
+    TEST_F(PeerClientTest, UpdateRequestOnASilentConnectionIsSentAgainOverANewOne)
+    {
+        connect();
+        ASSERT_TRUE(client.requestSourceUpdate({ .version = VersionNumber(6) }));
+        runFor(30ms);
+        ASSERT_EQ(peer.updateRequests.size(), 1u);
+        peer.silenceConnection();
+        runFor(700ms);
+        ASSERT_EQ(peer.updateRequests.size(), 2u);
+        EXPECT_EQ(peer.updateRequests[1].version, VersionNumber(6));
+        peer.answerUpdateRequest();
+        runFor(30ms);
+        ASSERT_EQ(updates.size(), 1u);
+        EXPECT_EQ(updates[0].version, VersionNumber(7));
+    }
+
+    TEST_F(PeerClientTest, UpdateRequestOnALostConnectionIsSentAgainOverANewOne)
+    {
+        connect();
+        ASSERT_TRUE(client.requestSourceUpdate({}));
+        runFor(30ms);
+        peer.dropConnection();
+        runFor(50ms);
+        EXPECT_EQ(peer.updateRequests.size(), 2u);
+    }
+
+    // A peer holds requests until it has news.
+    TEST_F(PeerClientTest, PeerThatHoldsAnUpdateRequestKeepsItsConnection)
+    {
+        connect();
+        ASSERT_TRUE(client.requestSourceUpdate({}));
+        runFor(1s);
+        EXPECT_EQ(peer.updateRequests.size(), 1u);
+        EXPECT_GE(peer.pingCount, 1u);
+        peer.answerUpdateRequest();
+        runFor(30ms);
+        EXPECT_EQ(updates.size(), 1u);
+    }
+
+    TEST_F(PeerClientTest, AnsweredUpdateRequestIsNotSentAgain)
+    {
+        connect();
+        ASSERT_TRUE(client.requestSourceUpdate({}));
+        runFor(30ms);
+        peer.answerUpdateRequest();
+        runFor(30ms);
+        peer.dropConnection();
+        runFor(300ms);
+        EXPECT_EQ(peer.updateRequests.size(), 1u);
+    }
+
     TEST_F(PeerClientTest, RecoveredPeerIsUsedAgain)
     {
         peer.isSilent = true;
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -218,14 +218,18 @@
     return clock;
 }
 
-ProxyFleet::ProxyFleet(size_t nodes, const Clock& clock, std::set<size_t> stalledNodes)
+ProxyFleet::ProxyFleet(size_t nodes, const Clock& clock, std::set<size_t> stalledNodes, PeerPath peerPath)
     : m_clock(clock)
     , m_stalledNodes(std::move(stalledNodes))
+    , m_peerPath(peerPath)
     , m_firstPort(nextFirstPort())
     , m_nodes(nodes)
 {
     configure(1, 1000);
     for (size_t index = 0; index < nodes; ++index) {
+        if (m_peerPath == PeerPath::Relayed)
+            m_nodes[index].relay = std::make_unique<TcpRelay>(
+                peerAddress(index), Endpoint { relayedHostOf(index), peerAddress(index).port });
         m_nodes[index].server = std::make_unique<TestServer>(serverAddress(index), "s" + std::to_string(index), "work");
         putServerEntry(index, false, 1);
         if (!m_stalledNodes.contains(index))
@@ -247,6 +251,12 @@
         stopNode(index);
 }
 
+void ProxyFleet::silencePeerConnections()
+{
+    for (const Node& node : m_nodes)
+        node.relay->silenceConnections();
+}
+
 Endpoint ProxyFleet::callerAddress(size_t index) const
 {
     return { hostOf(index), static_cast<uint16_t>(m_firstPort + callerPortOffset) };
@@ -312,6 +322,10 @@
         .serverAddress = serverAddress(index),
         .sourceAddress = { hostOf(index), 1 },
         .sourceInterval = 20ms };
+    if (m_peerPath == PeerPath::Relayed) {
+        settings.advertisedHost = hostOf(index);
+        settings.peerAddress.host = relayedHostOf(index);
+    }
     node.node = std::make_unique<ProxyNode>(settings, std::move(adapter), m_clock);
     node.thread = std::thread([&node] { node.node->run(); });
 }
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -6,6 +6,7 @@
 
 #include "proxy/ProxyNode.h"
 #include "proxy/tests/FakeSource.h"
+#include "testing/TcpRelay.h"
 
 #include <atomic>
 #include <set>
@@ -69,11 +70,19 @@
     std::thread m_thread;
 };
 
+// How nodes reach each other.
+enum class PeerPath : uint8_t {
+    Direct,
+    // Through a relay in front of each node.
+    Relayed,
+};
+
 class ProxyFleet {
 public:
     // All servers run the service "work". The clock of the nodes must outlive the fleet. Watches of the nodes in
     // stalledNodes return only by failing.
-    explicit ProxyFleet(size_t nodes, const Clock& clock = systemClock(), std::set<size_t> stalledNodes = {});
+    explicit ProxyFleet(size_t nodes, const Clock& clock = systemClock(), std::set<size_t> stalledNodes = {},
+        PeerPath peerPath = PeerPath::Direct);
     ~ProxyFleet();
 
     FakeStore& store() { return m_store; }
@@ -81,6 +90,8 @@
     void setSourceFailing(size_t index, bool isFailing) { m_nodes[index].source->setSourceFailing(isFailing); }
     // From now on the watches of this node return only by failing.
     void blockWatches(size_t index) { m_nodes[index].source->blockWatches(); }
+    // The open connections between nodes deliver nothing from now on, while new ones work. Needs PeerPath::Relayed.
+    void silencePeerConnections();
     Endpoint callerAddress(size_t index) const;
     Endpoint readyAddress(size_t index) const;
     Endpoint peerAddress(size_t index) const;
@@ -102,6 +113,7 @@
 private:
     struct Node {
         std::unique_ptr<TestServer> server;
+        std::unique_ptr<TcpRelay> relay;
         FakeSource* source { nullptr };
         std::unique_ptr<ProxyNode> node;
         std::thread thread;
@@ -109,10 +121,13 @@
     static const Clock& systemClock();
     static std::string serverKey(size_t index) { return "servers/s" + std::to_string(index); }
     static std::string hostOf(size_t index) { return "127.0.0." + std::to_string(index + 1); }
+    // Where a node behind a relay listens for peers.
+    static std::string relayedHostOf(size_t index) { return "127.0.1." + std::to_string(index + 1); }
 
     FakeStore m_store;
     const Clock& m_clock;
     const std::set<size_t> m_stalledNodes;
+    const PeerPath m_peerPath;
     const uint16_t m_firstPort;
     std::vector<Node> m_nodes;
 };
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -328,6 +328,33 @@
         EXPECT_EQ(followers, 1);
     }
 
+    // Guards against a node that keeps an older configuration after its connection to the peer that it follows has gone
+    // silent.
+    TEST(ProxyNodeTest, FollowerGetsAConfigurationAfterItsConnectionHasGoneSilent)
+    {
+        const SystemClock clock;
+        int followers = 0;
+        for (const size_t stalledNode : { size_t { 0 }, size_t { 1 } }) {
+            ProxyFleet fleet(2, clock, { stalledNode }, PeerPath::Relayed);
+            ASSERT_TRUE(fleet.waitUntilReady());
+            std::this_thread::sleep_for(1500ms);
+            httplib::Client client(fleet.adminAddress(stalledNode).host, fleet.adminAddress(stalledNode).port);
+            const auto metrics = client.Get("/metrics");
+            ASSERT_TRUE(metrics);
+            // The first node in the order of the zone reads the source and follows no peer.
+            if (metrics->body.find("{value=\"is_reader\"} 0") == std::string::npos)
+                continue;
+            ++followers;
+            fleet.silencePeerConnections();
+            fleet.configure(2, 1000);
+            std::this_thread::sleep_for(2500ms);
+            const auto state = client.Get("/state");
+            ASSERT_TRUE(state);
+            EXPECT_NE(state->body.find("\"version\": 2"), std::string::npos) << state->body;
+        }
+        EXPECT_EQ(followers, 1);
+    }
+
     // Guards against crashes and lost or duplicated requests while servers restart, drain and fail and configurations
     // change.
     TEST(ProxyNodeTest, RequestsSurviveChangesUnderLoad)
