Detect the silence of a connection on which only a request for news waits

Cause: PeerClient probes a connection only while calls are outstanding. A follower's request for news to the peer that it follows is no call, so the request waited on the silent connection; SourceExchange sent it again after 1 s, over the same connection. The follower turned to the store when its knowledge was 1.75 s old.

Change: an unanswered request for news counts like a call: after 400 ms without data the peer is pinged, a silent connection is replaced, and the request is sent again over the next one. The server side of a follower's connection is unchanged.

--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -77,7 +77,13 @@
         handleEnd(StreamEnd::NotConnected);
         return;
     }
-    m_silenceTimer.startRepeating(silenceCheckInterval);
+    startSilenceChecks();
+}
+
+void PeerClient::startSilenceChecks()
+{
+    if (!m_silenceTimer.isActive())
+        m_silenceTimer.startRepeating(silenceCheckInterval);
 }
 
 void PeerClient::submit(GateCall call, ReplyCallback onReply)
@@ -97,8 +103,8 @@
         open();
     else if (m_hasReceivedHello)
         write(outstanding);
-    if (m_channel && !m_silenceTimer.isActive())
-        m_silenceTimer.startRepeating(silenceCheckInterval);
+    if (m_channel)
+        startSilenceChecks();
 }
 
 void PeerClient::write(Outstanding& outstanding)
@@ -164,7 +170,9 @@
         connect();
         return false;
     }
+    m_updateRequest = request;
     m_channel->send(request);
+    startSilenceChecks();
     return true;
 }
 
@@ -192,6 +200,8 @@
     removeOldCancels();
     for (const SentCancel& cancel : m_cancels)
         m_channel->send(Cancel { .stream = cancel.stream });
+    if (m_updateRequest)
+        m_channel->send(*m_updateRequest);
     std::vector<StreamId> lostStreams;
     for (auto& [stream, outstanding] : m_calls) {
         outstanding.head.reset();
@@ -255,7 +265,11 @@
     logEvent(LogLevel::Info, "peer-leaving", { { "peer", m_peer.toString() } });
 }
 
-void PeerClient::on(const SourceUpdate& update) { m_onSourceUpdate(update); }
+void PeerClient::on(const SourceUpdate& update)
+{
+    m_updateRequest.reset();
+    m_onSourceUpdate(update);
+}
 
 void PeerClient::reply(StreamId stream, const GateReplyPtr& reply)
 {
@@ -275,9 +289,10 @@
     m_silenceTimer.stop();
     m_pingSentAt.reset();
     removeOldCancels();
-    if (hadReceivedHello && (!m_calls.empty() || !m_cancels.empty())) {
+    if (hadReceivedHello && (expectsData() || !m_cancels.empty())) {
         logEvent(LogLevel::Info, "peer-connection-lost",
             { { "peer", m_peer.toString() }, { "outstanding", std::to_string(m_calls.size()) },
+                { "update_requested", m_updateRequest ? "true" : "false" },
                 { "end", end == StreamEnd::Closed ? "closed" : "failed" } });
         open();
         return;
@@ -321,16 +336,18 @@
     if (m_pingSentAt) {
         if (now - *m_pingSentAt > m_options.pongTimeout) {
             logEvent(LogLevel::Warning, "peer-silent",
-                { { "peer", m_peer.toString() }, { "outstanding", std::to_string(m_calls.size()) } });
+                { { "peer", m_peer.toString() }, { "outstanding", std::to_string(m_calls.size()) },
+                    { "update_requested", m_updateRequest ? "true" : "false" } });
             handleEnd(StreamEnd::Failed);
         }
         return;
     }
-    if (m_calls.empty()) {
+    if (!expectsData()) {
         m_silenceTimer.stop();
         return;
     }
-    if (now - m_channel->lastReceived() > m_options.pingAfter) {
+    const Duration pingAfter = m_calls.empty() ? m_options.updatePingAfter : m_options.pingAfter;
+    if (now - m_channel->lastReceived() > pingAfter) {
         m_channel->send(Ping { .nonce = ++m_pingNonce });
         m_pingSentAt = now;
     }
--- a/src/proxy/PeerClient.h
+++ b/src/proxy/PeerClient.h
@@ -9,6 +9,9 @@
 // A cancellation is sent again over the next connection to the same process, since the connection may have lost it or
 // may not be open. Without it the peer runs a call for which nobody waits.
 //
+// A request for a source update that has no answer is treated alike: the silence of its connection is detected, and the
+// request is sent again over the next connection. A peer may hold it for long, so it alone leads to fewer pings.
+//
 // A peer that does not answer a ping within `suspectAfter` is suspect; it is unreachable if no connection can be
 // opened. The client reconnects by itself with backoff, so that no call has to probe the peer.
 //
@@ -29,6 +32,8 @@
     Duration connectTimeout { std::chrono::milliseconds(500) };
     // A ping is sent after this long without data while calls are outstanding.
     Duration pingAfter { std::chrono::milliseconds(200) };
+    // The same while only a request for a source update is outstanding. Followed peers answer about twice a second.
+    Duration updatePingAfter { std::chrono::milliseconds(400) };
     // Without an answer to a ping for this long, new calls go elsewhere.
     Duration suspectAfter { std::chrono::milliseconds(150) };
     // Without an answer to a ping for this long, the connection is closed.
@@ -55,6 +60,7 @@
     void cancel(StreamId stream);
     // Opens the connection if it is not open.
     void connect();
+    // Returns false if the connection is not open; it is being opened then. Replaces an earlier unanswered request.
     bool requestSourceUpdate(const SourceUpdateRequest& request);
 
     // False while the peer is unreachable, suspect or leaving.
@@ -82,6 +88,9 @@
     };
 
     void open();
+    void startSilenceChecks();
+    // True if an answer of the peer is outstanding.
+    bool expectsData() const { return !m_calls.empty() || m_updateRequest; }
     void recordCancel(StreamId stream);
     void removeOldCancels();
     void write(Outstanding& outstanding);
@@ -117,6 +126,8 @@
     Incarnation m_peerIncarnation;
     // In order of submission, which resends preserve.
     std::map<StreamId, Outstanding> m_calls;
+    // The last request for a source update, until it is answered.
+    std::optional<SourceUpdateRequest> m_updateRequest;
     // Cancellations of calls that were written to the process m_peerIncarnation.
     std::deque<SentCancel> m_cancels;
     std::optional<TimePoint> m_pingSentAt;
--- a/src/proxy/tests/PeerClientTest.cpp
+++ b/src/proxy/tests/PeerClientTest.cpp
@@ -79,7 +79,11 @@
         PeerClientTest()
             : peer(loop)
             , client(loop, peer.address(), Hello { .incarnation = Incarnation(9) },
-                  { .connectTimeout = 200ms, .pingAfter = 50ms, .suspectAfter = 50ms, .pongTimeout = 150ms },
+                  { .connectTimeout = 200ms,
+                      .pingAfter = 50ms,
+                      .updatePingAfter = 100ms,
+                      .suspectAfter = 50ms,
+                      .pongTimeout = 150ms },
                   [this](const SourceUpdate& update) { updates.push_back(update); })
         {
         }
@@ -234,6 +238,20 @@
         EXPECT_EQ(peer.updateRequests.size(), 2u);
     }
 
+    TEST_F(PeerClientTest, UpdateRequestIsSentAgainWhenAnUnreachablePeerIsBack)
+    {
+        connect();
+        ASSERT_TRUE(client.requestSourceUpdate({}));
+        runFor(30ms);
+        peer.isSilent = true;
+        peer.dropConnection();
+        runFor(600ms);
+        EXPECT_FALSE(client.isUsable());
+        peer.isSilent = false;
+        runFor(1500ms);
+        EXPECT_EQ(peer.updateRequests.size(), 2u);
+    }
+
     // A peer holds requests until it has news.
     TEST_F(PeerClientTest, PeerThatHoldsAnUpdateRequestKeepsItsConnection)
     {
