Send a call to the store again when its kept connection is silent

A node that turned to the store used the connection that it had kept, which was silent too.

Cause: BlockingHttpClient took a kept connection for a working one. A watch on a silent one failed only after its hold time and 1 s more, then the node counted the store as lost, waited for a backoff and connected.

Ruled out: a store that is down (new connections were answered in milliseconds), and a connection that the store had closed (isStale() tells that).

Change: a request whose response does not begin on a kept connection within its hold time and 400 ms, or that fails before it, is sent once more over a new connection, with its whole timeout. A connection that was idle for over 1 s is not used again. A server that answers later than that is slow, not silent: it gets one request twice, after which the client waits for it on kept connections too.

--- a/src/http/BlockingHttpClient.cpp
+++ b/src/http/BlockingHttpClient.cpp
@@ -1,5 +1,8 @@
 #include "http/BlockingHttpClient.h"
 
+#include "base/Log.h"
+
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <sys/eventfd.h>
@@ -45,19 +48,51 @@
     m_parser = std::make_unique<ResponseParser>(m_options.limits);
 }
 
-ReceivedResponse BlockingHttpClient::get(const std::string& target, Duration timeout)
+void BlockingHttpClient::closeUnusableConnection()
 {
-    if (m_socket && m_socket->isStale())
+    const bool wasIdleForLong = std::chrono::steady_clock::now() - m_lastUsedAt > m_options.maxIdleTime;
+    if (m_socket && (wasIdleForLong || m_socket->isStale()))
         m_socket.reset();
-    if (!m_socket)
-        connect();
-    const Deadline deadline = std::chrono::steady_clock::now() + timeout;
+}
+
+ReceivedResponse BlockingHttpClient::get(const std::string& target, Duration timeout, Duration holdTime)
+{
     const std::string request = serialize(
         HttpRequest { .method = "GET", .target = target, .headers = { { "Host", m_options.server.toString() } } });
+    const Duration expectedTime = std::min(timeout, holdTime + m_options.keptConnectionTimeout);
+    closeUnusableConnection();
+    if (m_socket) {
+        if (auto received = sendOnKeptConnection(request, timeout, expectedTime))
+            return std::move(*received);
+    }
+    connect();
+    return send(request, timeout, expectedTime);
+}
+
+std::optional<ReceivedResponse> BlockingHttpClient::sendOnKeptConnection(
+    const std::string& request, Duration timeout, Duration expectedTime)
+{
+    try {
+        return send(request, m_isServerSlow ? timeout : expectedTime, expectedTime);
+    } catch (const Error& error) {
+        if (m_firstByteTime || m_isServerSlow)
+            throw;
+        logEvent(LogLevel::Info, "kept-connection-replaced",
+            { { "server", m_options.server.toString() }, { "reason", error.message() } });
+        return std::nullopt;
+    }
+}
+
+ReceivedResponse BlockingHttpClient::send(const std::string& request, Duration timeout, Duration expectedTime)
+{
+    const TimePoint startedAt = std::chrono::steady_clock::now();
+    m_firstByteTime.reset();
     try {
-        if (const char* reason = m_socket->sendAll(request, deadline))
+        if (const char* reason = m_socket->sendAll(request, startedAt + timeout))
             fail(reason);
-        ReceivedResponse received = receive(deadline);
+        ReceivedResponse received = receive(startedAt + timeout);
+        m_isServerSlow = *m_firstByteTime - startedAt > expectedTime;
+        m_lastUsedAt = std::chrono::steady_clock::now();
         if (!received.response.keepsAlive)
             m_socket.reset();
         return received;
@@ -71,23 +106,23 @@
 {
     std::string bytes;
     bool isClosed = false;
-    std::optional<TimePoint> firstByteTime;
     Deadline deadline = firstByteDeadline;
     while (!isClosed) {
         bytes.clear();
         if (const char* reason = m_socket->receive(bytes, isClosed, deadline))
             fail(reason);
         const TimePoint now = std::chrono::steady_clock::now();
-        if (!firstByteTime)
-            firstByteTime = now;
+        if (!m_firstByteTime && !bytes.empty())
+            m_firstByteTime = now;
         deadline = now + m_options.progressTimeout;
         m_parser->append(bytes);
         if (auto response = m_parser->next())
-            return { .response = std::move(*response), .transferTime = now - *firstByteTime };
+            return { .response = std::move(*response), .transferTime = now - *m_firstByteTime };
     }
     if (auto response = m_parser->finish()) {
         response->keepsAlive = false;
-        return { .response = std::move(*response), .transferTime = std::chrono::steady_clock::now() - *firstByteTime };
+        return { .response = std::move(*response),
+            .transferTime = std::chrono::steady_clock::now() - *m_firstByteTime };
     }
     fail("the server closed the connection before the response was complete");
 }
--- a/src/http/tests/BlockingHttpClientTest.cpp
+++ b/src/http/tests/BlockingHttpClientTest.cpp
@@ -23,7 +23,8 @@
             m_server.Get("/large", [](const httplib::Request&, httplib::Response& response) {
                 response.set_content(std::string(1'000'000, 'x'), "text/plain");
             });
-            m_server.Get("/slow", [](const httplib::Request&, httplib::Response& response) {
+            m_server.Get("/slow", [this](const httplib::Request&, httplib::Response& response) {
+                ++m_slowRequestCount;
                 std::this_thread::sleep_for(400ms);
                 response.set_content("late", "text/plain");
             });
@@ -46,6 +47,8 @@
         }
         Endpoint address() const { return { "127.0.0.1", static_cast<uint16_t>(m_port) }; }
 
+        std::atomic<int> m_slowRequestCount { 0 };
+
     private:
         httplib::Server m_server;
         int m_port { 0 };
@@ -119,6 +122,49 @@
         EXPECT_EQ(relay.acceptedCount(), 2u);
     }
 
+    TEST_F(BlockingHttpClientTest, HeldRequestOnASilentConnectionIsSentAgainAfterTheHoldTime)
+    {
+        TcpRelay relay({ "127.0.0.1", 0 }, address());
+        BlockingHttpClient client({ .server = relay.address(), .keptConnectionTimeout = 100ms });
+        EXPECT_EQ(client.get("/echo?text=1", 2s).response.body, "1");
+        EXPECT_EQ(client.get("/slow", 2s, 400ms).response.body, "late");
+        EXPECT_EQ(relay.acceptedCount(), 1u);
+        relay.silenceConnections();
+        EXPECT_EQ(client.get("/slow", 2s, 400ms).response.body, "late");
+        EXPECT_EQ(relay.acceptedCount(), 2u);
+    }
+
+    TEST_F(BlockingHttpClientTest, ConnectionThatWasIdleForLongIsNotUsedAgain)
+    {
+        TcpRelay relay({ "127.0.0.1", 0 }, address());
+        BlockingHttpClient client({ .server = relay.address(), .keptConnectionTimeout = 2s, .maxIdleTime = 100ms });
+        EXPECT_EQ(client.get("/echo?text=1", 2s).response.body, "1");
+        relay.silenceConnections();
+        std::this_thread::sleep_for(150ms);
+        const auto start = std::chrono::steady_clock::now();
+        EXPECT_EQ(client.get("/echo?text=2", 2s).response.body, "2");
+        EXPECT_LT(std::chrono::steady_clock::now() - start, 1s);
+    }
+
+    // Guards against doubling the load of a server that is slow already.
+    TEST_F(BlockingHttpClientTest, ServerThatBecomesSlowGetsOnlyOneRequestTwice)
+    {
+        BlockingHttpClient client({ .server = address(), .keptConnectionTimeout = 100ms });
+        EXPECT_EQ(client.get("/echo?text=1", 2s).response.body, "1");
+        for (int i = 0; i < 3; ++i)
+            EXPECT_EQ(client.get("/slow", 2s).response.body, "late");
+        EXPECT_EQ(m_slowRequestCount, 4);
+    }
+
+    TEST_F(BlockingHttpClientTest, RequestThatFailsOnANewConnectionIsNotSentAgain)
+    {
+        BlockingHttpClient client({ .server = address(), .keptConnectionTimeout = 50ms });
+        EXPECT_EQ(client.get("/echo?text=1", 2s).response.body, "1");
+        EXPECT_THROW(client.get("/slow", 200ms), Error);
+        std::this_thread::sleep_for(500ms);
+        EXPECT_EQ(m_slowRequestCount, 2);
+    }
+
     TEST(BlockingHttpClientFaultTest, RefusedConnectionNamesTheServer)
     {
         BlockingHttpClient client({ .server = { "127.0.0.1", 1 } });
