Probe skylarkd's connections to the platform

No other reader takes over, since the zone's mark says that the reader tries.

Ruled out: shorter watches.

Change: the kernel probes the connection after 1 s without data and ends it when data or a probe is not acknowledged for 2 s. It checks the options on the client's own sockets; a network that drops packets was not played, since a relay on loopback acknowledges probes.

--- a/src/base/Socket.cpp
+++ b/src/base/Socket.cpp
@@ -37,12 +37,13 @@
         return { list, &freeaddrinfo };
     }
 
-    void enableOption(int fd, int level, int option)
+    bool setOption(int socket, int level, int option, int value)
     {
-        const int isOn = 1;
-        setsockopt(fd, level, option, &isOn, sizeof(isOn));
+        return setsockopt(socket, level, option, &value, sizeof(value)) == 0;
     }
 
+    void enableOption(int socket, int level, int option) { setOption(socket, level, option, 1); }
+
 } // namespace
 
 void FileDescriptor::reset()
@@ -106,4 +107,12 @@
     return error;
 }
 
+bool enableKeepAlive(int socket, const KeepAliveOptions& options)
+{
+    return setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1)
+        && setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(options.idleTime.count()))
+        && setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(options.interval.count()))
+        && setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.unacknowledgedTimeout.count()));
+}
+
 } // namespace skylark
--- a/src/base/Socket.h
+++ b/src/base/Socket.h
@@ -3,6 +3,7 @@
 
 #include "base/Types.h"
 
+#include <chrono>
 #include <string>
 #include <utility>
 
@@ -45,4 +46,16 @@
 // Returns the pending error of a socket (SO_ERROR), or 0. For a finished startConnect(), 0 means success.
 int pendingError(const FileDescriptor& socket);
 
+struct KeepAliveOptions {
+    // A probe is sent after this long without data, and then once an interval. Both are whole seconds.
+    std::chrono::seconds idleTime { 1 };
+    std::chrono::seconds interval { 1 };
+    // The kernel closes the connection when sent data or a probe is not acknowledged for this long.
+    std::chrono::milliseconds unacknowledgedTimeout { 2000 };
+};
+
+// Makes the kernel probe the connection, so that one that the path has forgotten ends. Returns false and sets errno if
+// the kernel rejects an option.
+bool enableKeepAlive(int socket, const KeepAliveOptions& options = {});
+
 } // namespace skylark
--- a/src/source/PlatformClient.cpp
+++ b/src/source/PlatformClient.cpp
@@ -1,7 +1,12 @@
 #include "source/PlatformClient.h"
 
+#include "base/Log.h"
+#include "base/Socket.h"
+
+#include <cerrno>
 #include <charconv>
 #include <condition_variable>
+#include <cstring>
 #include <httplib.h>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -56,6 +61,11 @@
     {
         m_client.set_keep_alive(true);
         m_client.set_tcp_nodelay(true);
+        // A watch waits for seconds, and on a connection that the path has forgotten it would never end.
+        m_client.set_socket_options([](socket_t socket) {
+            if (!enableKeepAlive(socket))
+                logEvent(LogLevel::Warning, "keep-alive-failed", { { "reason", std::strerror(errno) } });
+        });
         m_client.set_connection_timeout(options.timeout);
         m_client.set_write_timeout(options.timeout);
     }
--- a/src/source/tests/PlatformClientTest.cpp
+++ b/src/source/tests/PlatformClientTest.cpp
@@ -4,7 +4,10 @@
 
 #include <future>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 
 namespace skylark {
 namespace {
@@ -54,6 +57,47 @@
         EXPECT_EQ(absent.storeRevision, Revision(2));
     }
 
+    // The open sockets of this process that are connected to the endpoint.
+    std::vector<int> socketsConnectedTo(const Endpoint& endpoint)
+    {
+        constexpr int maxDescriptor = 1024;
+        std::vector<int> sockets;
+        for (int descriptor = 0; descriptor < maxDescriptor; ++descriptor) {
+            sockaddr_in peer {};
+            socklen_t size = sizeof(peer);
+            if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) == 0 && peer.sin_family == AF_INET
+                && ntohs(peer.sin_port) == endpoint.port)
+                sockets.push_back(descriptor);
+        }
+        return sockets;
+    }
+
+    int tcpOption(int socket, int level, int option)
+    {
+        int value = 0;
+        socklen_t size = sizeof(value);
+        EXPECT_EQ(getsockopt(socket, level, option, &value, &size), 0);
+        return value;
+    }
+
+    // Guards against a reader that waits for the end of a watch of 10 s on a connection that has gone silent, while
+    // versions are due everywhere within 3 s.
+    TEST(PlatformClientTest, KernelEndsASilentConnectionWithinTwoSeconds)
+    {
+        PlatformStandin platform({ .threads = 8 });
+        PlatformClient client({ .platform = platform.address() });
+        client.watch("skylarkbay/", Revision(), 0ms);
+        client.read("skylarkbay/manifest");
+        const std::vector<int> sockets = socketsConnectedTo(platform.address());
+        ASSERT_EQ(sockets.size(), 2u);
+        for (const int socket : sockets) {
+            EXPECT_EQ(tcpOption(socket, SOL_SOCKET, SO_KEEPALIVE), 1);
+            EXPECT_EQ(tcpOption(socket, IPPROTO_TCP, TCP_KEEPIDLE), 1);
+            EXPECT_EQ(tcpOption(socket, IPPROTO_TCP, TCP_KEEPINTVL), 1);
+            EXPECT_EQ(tcpOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT), 2000);
+        }
+    }
+
     TEST(PlatformClientTest, WatchListsKeysThenWaitsForAChange)
     {
         PlatformStandin platform({ .threads = 8 });
