Close a peer's connection on which nothing arrives for a minute

Cause: the accepting side never learns that a connection has gone silent: the peer replaces it, and the end of the old one does not arrive. PeerServer kept it for good; each such event leaves up to one session and descriptor a peer in every node.

Ruled out: kernel probes on each connection, since a fleet of nodes that know each other would send them for every idle pair.

Change: PeerServer closes a connection on which nothing arrived for 60 s. A peer that waits for an answer sends pings; one that waits for nothing connects when it needs it, and a call that crosses the close is sent again over the next connection.

--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -33,6 +33,10 @@
                 .instance = m_server.m_options.self.instance, .incarnation = m_server.m_options.self.incarnation });
     }
 
+    bool isIdleSince(TimePoint time) const { return m_channel && m_channel->lastReceived() <= time; }
+    void close() { m_channel.reset(); }
+    const std::string& peerName() const { return m_peer.instance.value(); }
+
     size_t unsentBytes() const { return m_channel ? m_channel->pendingBytes() : 0; }
 
 private:
@@ -154,7 +158,7 @@
     void end()
     {
         const auto self = shared_from_this();
-        m_channel.reset();
+        close();
         m_server.m_sessions.erase(self);
     }
 
@@ -171,10 +175,14 @@
     , m_options(std::move(options))
     , m_gate(gate)
     , m_callbacks(std::move(callbacks))
-    , m_listener(loop, m_options.listenAddress, [this](std::unique_ptr<TcpStream> stream) {
-        m_sessions.insert(std::make_shared<Session>(*this, std::move(stream)));
-    })
+    , m_listener(loop, m_options.listenAddress,
+          [this](std::unique_ptr<TcpStream> stream) {
+              m_sessions.insert(std::make_shared<Session>(*this, std::move(stream)));
+          })
+    , m_idleTimer(loop, [this] { closeIdleSessions(); })
 {
+    constexpr int checksPerTimeout = 4;
+    m_idleTimer.startRepeating(m_options.idleTimeout / checksPerTimeout);
 }
 
 PeerServer::~PeerServer() = default;
@@ -186,6 +194,18 @@
         session->announceLeaving();
 }
 
+void PeerServer::closeIdleSessions()
+{
+    const TimePoint idleSince = m_loop.now() - m_options.idleTimeout;
+    absl::erase_if(m_sessions, [idleSince](const std::shared_ptr<Session>& session) {
+        if (!session->isIdleSince(idleSince))
+            return false;
+        logEvent(LogLevel::Info, "idle-peer-connection-closed", { { "peer", session->peerName() } });
+        session->close();
+        return true;
+    });
+}
+
 size_t PeerServer::unsentBytes() const
 {
     size_t bytes = 0;
--- a/src/proxy/PeerServer.h
+++ b/src/proxy/PeerServer.h
@@ -3,6 +3,10 @@
 // If a peer's connection is lost, its queued and running calls continue; the peer resends them over a new connection
 // and joins them there.
 //
+// A connection that the path has forgotten reports no end, so one on which nothing arrives for idleTimeout is closed.
+// A peer that waits for something sends pings meanwhile, and one that waits for nothing opens a connection when it
+// needs it.
+//
 // Bounds: maxBodyBytes per call, and the gate's own bounds.
 #pragma once
 
@@ -18,6 +22,7 @@
     Hello self;
     Endpoint listenAddress;
     size_t maxBodyBytes { 16 * 1024 * 1024 };
+    Duration idleTimeout { std::chrono::seconds(60) };
 };
 
 class PeerServer {
@@ -42,6 +47,8 @@
 private:
     class Session;
 
+    void closeIdleSessions();
+
     EventLoop& m_loop;
     PeerServerOptions m_options;
     BackendGate& m_gate;
@@ -49,6 +56,7 @@
     bool m_isLeaving { false };
     absl::flat_hash_set<std::shared_ptr<Session>> m_sessions;
     TcpListener m_listener;
+    Timer m_idleTimer;
 };
 
 } // namespace skylark
