--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,8 @@
 
 from soak.callers import REQUEST_KINDS  # noqa: E402
 from soak.fleet import Fleet  # noqa: E402
-from soak.invariants import InvariantChecker  # noqa: E402
+from soak.invariants import SETTLING_TIME_S, InvariantChecker  # noqa: E402
+from soak.links import LinkFault  # noqa: E402
 from soak.schedule import Schedule  # noqa: E402
 
 RECOVERY_TIMEOUT_S = 15.0
@@ -63,6 +64,26 @@
         await asyncio.sleep(1)
 
 
+async def check_silent_connections(fleet, invariants, log):
+    """Checks that a version published just after all open connections between processes have gone silent is in force
+    on each node within SETTLING_TIME_S."""
+    silenced_at = invariants.clock()
+    for node in fleet.nodes:
+        for link in (node.peer_link, node.store_link):
+            link.inject_fault(LinkFault.SILENCE)
+    invariants.fault_windows.add([silenced_at, invariants.clock()])
+    fleet.publish_configuration(timeout_ms=1000)
+    log(f"silence of all links, then configuration {fleet.version}")
+    await asyncio.sleep(SETTLING_TIME_S)
+    for node in fleet.nodes:
+        applied_version = invariants.version_of(node.number, node.starts)
+        if applied_version < fleet.version:
+            invariants.record_violation("configuration applied", "",
+                                        f"node {node.number} has version {applied_version}, but version "
+                                        f"{fleet.version} was published {SETTLING_TIME_S} s ago, just after its "
+                                        "connections had gone silent")
+
+
 async def soak(options):
     started_at = time.monotonic()
     invariants = InvariantChecker(lambda: time.monotonic() - started_at)
@@ -87,6 +108,8 @@
                 node.callers.is_sending = False
             await load
             await asyncio.gather(*(node.callers.drain() for node in fleet.nodes))
+            # Without load, since calls between nodes find silent connections, too.
+            await check_silent_connections(fleet, invariants, log)
             await asyncio.sleep(1)
         invariants.check_completed_run()
         for violation in invariants.violations:
