Give the four users of an event descriptor one class

BlockingHttpClient, BackendCancellation, HttpServer and NetworkContext each created an eventfd, checked it and wrote to it in the same words. Also removed: HttpListener::busyCount(), which nothing calls, and unused includes.

--- a/src/http/BlockingHttpClient.cpp
+++ b/src/http/BlockingHttpClient.cpp
@@ -3,10 +3,6 @@
 #include "base/Log.h"
 
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
-#include <sys/eventfd.h>
-#include <unistd.h>
 
 namespace skylark {
 
@@ -18,21 +14,12 @@
 
 BlockingHttpClient::BlockingHttpClient(BlockingHttpClientOptions options)
     : m_options(std::move(options))
-    , m_interrupt(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    , m_interrupt("start-http-client")
 {
-    if (!m_interrupt)
-        throw Error({ .step = "start-http-client", .message = std::strerror(errno) });
 }
 
 BlockingHttpClient::~BlockingHttpClient() = default;
 
-void BlockingHttpClient::interrupt() const
-{
-    const uint64_t one = 1;
-    // write() fails only when the counter is full, and then the descriptor is readable already.
-    [[maybe_unused]] const ssize_t count = ::write(m_interrupt.value(), &one, sizeof(one));
-}
-
 void BlockingHttpClient::fail(const std::string& message) const
 {
     throw Error({ .step = "http-get", .peer = m_options.server.toString(), .message = message });
@@ -40,7 +27,7 @@
 
 void BlockingHttpClient::connect()
 {
-    auto socket = std::make_unique<BlockingSocket>(m_options.server, m_interrupt);
+    auto socket = std::make_unique<BlockingSocket>(m_options.server, m_interrupt.descriptor());
     const Deadline deadline = std::chrono::steady_clock::now() + m_options.connectTimeout;
     if (const char* reason = socket->awaitConnect(deadline))
         fail(std::string("cannot connect: ") + reason);
--- a/src/http/BlockingHttpClient.h
+++ b/src/http/BlockingHttpClient.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "base/Types.h"
+#include "base/WakeupDescriptor.h"
 #include "http/BlockingSocket.h"
 #include "http/HttpMessage.h"
 #include "http/MessageParser.h"
@@ -52,7 +53,7 @@
     // request. The timeout includes holdTime, for which the server may hold the request.
     ReceivedResponse get(const std::string& target, Duration timeout, Duration holdTime = {});
     // Makes the current get() and all later ones throw Error. May be called from any thread.
-    void interrupt() const;
+    void interrupt() const { m_interrupt.notify(); }
 
 private:
     void connect();
@@ -72,8 +73,7 @@
     std::optional<TimePoint> m_firstByteTime;
     // The last response began later than a kept connection allows, so silence tells nothing of the connection.
     bool m_isServerSlow { false };
-    // An eventfd that becomes readable when interrupt() is called.
-    const FileDescriptor m_interrupt;
+    const WakeupDescriptor m_interrupt;
 };
 
 } // namespace skylark
--- a/src/node/BackendClient.cpp
+++ b/src/node/BackendClient.cpp
@@ -5,11 +5,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
 #include <limits>
-#include <sys/eventfd.h>
-#include <unistd.h>
 
 namespace skylark {
 
@@ -62,19 +58,10 @@
     });
 }
 
-BackendCancellation::BackendCancellation()
-    : m_interrupt(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
-{
-    if (!m_interrupt)
-        throw Error({ .step = "backend-cancellation", .message = std::strerror(errno) });
-}
-
 void BackendCancellation::cancel()
 {
     m_isCancelled = true;
-    const uint64_t one = 1;
-    // write() fails only when the counter is full, and then the descriptor is readable already.
-    [[maybe_unused]] const ssize_t count = ::write(m_interrupt.value(), &one, sizeof(one));
+    m_interrupt.notify();
 }
 
 struct BackendClient::Connection {
@@ -182,11 +169,11 @@
     std::unique_ptr<Connection> connection = takeIdle();
     try {
         if (!connection)
-            connection = connect(cancellation->m_interrupt, request.deadline);
+            connection = connect(cancellation->m_interrupt.descriptor(), request.deadline);
     } catch (const Error& error) {
         return { .outcome = CallOutcome::NotRun, .step = "backend-connect", .message = error.message() };
     }
-    connection->socket.setInterrupt(cancellation->m_interrupt);
+    connection->socket.setInterrupt(cancellation->m_interrupt.descriptor());
 
     BackendResult result { .step = "backend-exchange" };
     connection->parser.setSink({ .onHead =
--- a/src/node/BackendClient.h
+++ b/src/node/BackendClient.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "base/Types.h"
+#include "base/WakeupDescriptor.h"
 #include "http/BlockingSocket.h"
 #include "http/MessageParser.h"
 #include "wire/Messages.h"
@@ -54,8 +55,6 @@
 // Lets another thread abort an exchange whose result is no longer needed.
 class BackendCancellation {
 public:
-    // Throws Error if no descriptor is left.
-    BackendCancellation();
     void cancel();
     bool isCancelled() const { return m_isCancelled; }
 
@@ -63,7 +62,7 @@
     friend class BackendClient;
     std::atomic<bool> m_isCancelled { false };
     // Becomes readable with cancel().
-    const FileDescriptor m_interrupt;
+    const WakeupDescriptor m_interrupt { "backend-cancellation" };
 };
 
 struct BackendClientOptions {
--- a/src/node/HttpServer.cpp
+++ b/src/node/HttpServer.cpp
@@ -9,7 +9,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -211,10 +210,7 @@
 
 HttpServer::HttpServer(HttpServerOptions options)
     : m_options(options)
-    , m_drainEvent(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
-    if (m_drainEvent < 0)
-        throw Error({ .step = "create-http-server", .message = std::string("eventfd: ") + std::strerror(errno) });
     set_tcp_nodelay(true);
     set_keep_alive_max_count(SIZE_MAX);
     set_socket_options([](socket_t socket) {
@@ -224,7 +220,7 @@
     new_task_queue = [threads = m_options.threads] { return new httplib::ThreadPool(threads); };
 }
 
-HttpServer::~HttpServer() { ::close(m_drainEvent); }
+HttpServer::~HttpServer() = default;
 
 uint16_t HttpServer::bind(const Endpoint& address)
 {
@@ -242,8 +238,7 @@
 {
     if (m_isDraining.exchange(true))
         return;
-    const uint64_t one = 1;
-    [[maybe_unused]] const ssize_t written = ::write(m_drainEvent, &one, sizeof(one));
+    m_drainEvent.notify();
     // Closing the listener resets connections that are not accepted yet. With a backlog of 0 no new ones are queued,
     // and the accept loop has time to accept those in the queue.
     constexpr auto backlogDrainTime = std::chrono::milliseconds(50);
@@ -267,7 +262,7 @@
     const int on = 1;
     ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     BoundedStream stream(socket, m_options);
-    while (stream.hasBufferedBytes() || waitForRequest(socket, m_drainEvent, m_options)) {
+    while (stream.hasBufferedBytes() || waitForRequest(socket, m_drainEvent.descriptor().value(), m_options)) {
         stream.startRequest();
         m_inFlight.fetch_add(1);
         bool isClosed = false;
--- a/src/node/HttpServer.h
+++ b/src/node/HttpServer.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "base/Types.h"
+#include "base/WakeupDescriptor.h"
 
 #include <atomic>
 #include <httplib.h>
@@ -54,7 +55,7 @@
 
     HttpServerOptions m_options;
     // Becomes readable when the drain starts.
-    int m_drainEvent;
+    const WakeupDescriptor m_drainEvent { "create-http-server" };
     std::atomic<bool> m_isDraining { false };
     std::atomic<int> m_inFlight { 0 };
     std::atomic<int> m_connections { 0 };
--- a/src/proxy/HttpListener.cpp
+++ b/src/proxy/HttpListener.cpp
@@ -179,12 +179,4 @@
         connection->finishAndClose();
 }
 
-size_t HttpListener::busyCount() const
-{
-    size_t count = 0;
-    for (const auto& connection : m_connections)
-        count += connection->isBusy() ? 1 : 0;
-    return count;
-}
-
 } // namespace skylark
--- a/src/proxy/HttpListener.h
+++ b/src/proxy/HttpListener.h
@@ -76,7 +76,6 @@
     void beginDrain() { m_isDraining = true; }
     // Closes the connections without a request in progress, after their pending data has been sent.
     void closeIdle();
-    size_t busyCount() const;
     size_t connectionCount() const { return m_connections.size(); }
     uint16_t port() const { return m_listener.port(); }
 
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -1,7 +1,5 @@
 #include "proxy/ProxyNode.h"
 
-#include "base/Invariant.h"
-
 #include <algorithm>
 #include <csignal>
 #include <random>
--- a/src/transport/Connection.cpp
+++ b/src/transport/Connection.cpp
@@ -6,9 +6,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
-#include <sys/eventfd.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 namespace skylark {
 
@@ -24,21 +22,11 @@
 NetworkContext::NetworkContext(PeerNetworkOptions networkOptions, const Clock& networkClock)
     : options(std::move(networkOptions))
     , clock(networkClock)
-    , wakeup(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
-    if (!wakeup)
-        throw Error({ .step = "start-network", .message = std::string("eventfd: ") + std::strerror(errno) });
 }
 
 NetworkContext::~NetworkContext() = default;
 
-void NetworkContext::wake() const
-{
-    const uint64_t one = 1;
-    // The write fails only if the counter is full, in which case the thread wakes up anyway.
-    [[maybe_unused]] const ssize_t written = ::write(wakeup.value(), &one, sizeof(one));
-}
-
 Connection::Connection(
     std::shared_ptr<NetworkContext> context, uint64_t serial, Endpoint remote, ConnectionPurpose purpose, bool isDialed)
     : m_context(std::move(context))
--- a/src/transport/Connection.h
+++ b/src/transport/Connection.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "base/Socket.h"
+#include "base/WakeupDescriptor.h"
 #include "transport/PeerNetwork.h"
 #include "transport/Stream.h"
 #include "wire/Frame.h"
@@ -28,12 +29,12 @@
     NetworkContext& operator=(const NetworkContext&) = delete;
 
     // Wakes the network's thread for one iteration of its loop.
-    void wake() const;
+    void wake() const { wakeup.notify(); }
 
     PeerNetworkOptions options;
     const Clock& clock;
     TrafficCounters counters;
-    FileDescriptor wakeup;
+    WakeupDescriptor wakeup { "start-network" };
     // The number of connections with frames delayed by the fault injector.
     std::atomic<int> delayedConnections { 0 };
 };
--- a/src/transport/NetworkLoop.cpp
+++ b/src/transport/NetworkLoop.cpp
@@ -159,7 +159,7 @@
     if (serial == listenerKey)
         return acceptConnections();
     if (serial == wakeupKey)
-        return clearEventCount(m_context->wakeup.value());
+        return clearEventCount(m_context->wakeup.descriptor().value());
     if (serial == timerKey)
         return clearEventCount(m_timer.value());
     const auto entry = m_connections.find(serial);
--- a/src/transport/PeerNetwork.cpp
+++ b/src/transport/PeerNetwork.cpp
@@ -42,7 +42,7 @@
 {
     m_listenAddress = boundEndpoint(m_listener);
     addToEpoll(m_epoll.value(), m_listener.value(), listenerKey);
-    addToEpoll(m_epoll.value(), m_context->wakeup.value(), wakeupKey);
+    addToEpoll(m_epoll.value(), m_context->wakeup.descriptor().value(), wakeupKey);
     addToEpoll(m_epoll.value(), m_timer.value(), timerKey);
     m_thread = std::thread([this] { run(); });
 }
