Ask any peer for news before knowledge is too old

In force late on other nodes, too, where no request happened to tell.

Cause: a zone learns of a version through one reader, and trusts it for 1.75 s. A reader behind a full link is alive and slow: its followers wait for all of that time, then each begins a call of its own, on its own busy link. The rule allows 2.5 s.

Zone lom-d follows sidecar-lom-d-9, whose link is full after the burst and which is not in touch (9.1 to 19.75): it applies version 9 at 15.245. Their knowledge is from 12.69; they begin to read at 14.37 to 14.6 and apply it at 15.3 to 15.55; on sidecar-lom-d-7 and -d-14 at 16.11 and 16.13, 2.6 s after the confirmation. The configuration has 14,203 bytes between peers, compressed; the store sends it as plain text in base64. Other zones had it by 13.5.

Ruled out: silent connections (no peer-silent of the followed peer), a slow decode (0.02 s from receipt to application), a version passed by the revision (it came with the first answer).

Change: a node whose knowledge is older than 0.9 s asks a random reachable peer of any zone, every 0.5 s, the reader too. It goes on following, and reads the store at 1.75 s as before. The age of such an answer counts its way, so that nodes which ask each other do not keep each other's knowledge young.

--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -38,6 +38,7 @@
 void SourceExchange::recordSourceResponse(Duration age)
 {
     m_isSourceLost = false;
+    m_hasBeenConfirmed = true;
     m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - age);
     m_sourceSeenAt = std::max(m_sourceSeenAt, m_loop.now() - age);
     m_role.recordSourceResponse(m_loop.now());
@@ -101,12 +102,16 @@
 void SourceExchange::handlePeerUpdate(const Endpoint& peer, const SourceUpdate& update, bool isWhole)
 {
     const TimePoint now = m_loop.now();
-    m_confirmedByPeerAt = std::max(m_confirmedByPeerAt, now - update.age);
+    const bool isFollowed = m_role.followedPeer() == peer;
+    const Duration transit = transitTime(peer, update, now);
+    // Nodes that query each other must not make their knowledge younger by the time that the answers take.
+    m_confirmedByPeerAt = std::max(m_confirmedByPeerAt, now - update.age - (isFollowed ? Duration(0) : transit));
     recordSourceSeen(now - update.sourceAge, now);
     m_confirmedAt = std::max(m_confirmedAt, m_confirmedByPeerAt);
+    m_hasBeenConfirmed = m_hasBeenConfirmed || update.age < incompleteAge;
     if (isWhole)
-        recordApplied(now - std::max(update.age, update.serversAge) - transitTime(peer, update, now));
-    if (m_role.followedPeer() != peer)
+        recordApplied(now - std::max(update.age, update.serversAge) - transit);
+    if (!isFollowed)
         return;
     const bool wasHeld = m_queriedAt && now - *m_queriedAt >= m_options.minRequestTime;
     m_queriedAt.reset();
@@ -147,10 +152,16 @@
                 { "age_ms", millisecondsText(age()) } });
         m_callbacks.setReading(readsSource);
     }
-    if (m_isReading && m_isSourceLost && now - m_searchedAt > m_options.searchInterval)
+    if (mustSearch() && now - m_searchedAt > m_options.searchInterval)
         queryAnyPeer(now);
 }
 
+bool SourceExchange::mustSearch() const
+{
+    const bool isKnowledgeOld = m_hasBeenConfirmed && age() > m_options.searchAge;
+    return isKnowledgeOld || (m_isReading && m_isSourceLost);
+}
+
 void SourceExchange::queryFollowedPeer(TimePoint now)
 {
     if (m_callbacks.sendRequest(*m_role.followedPeer(), m_callbacks.makeRequest()))
--- a/src/proxy/SourceExchange.h
+++ b/src/proxy/SourceExchange.h
@@ -2,8 +2,11 @@
 //
 // ReaderRole decides whether this node reads the source or follows a peer. A follower keeps one request open at the
 // followed peer. The peer holds the request until it has something newer than the follower, the source confirms its
-// state again, or holdTime has passed, and reports the age of its state. A node that can neither read the source nor
-// follow a peer queries any reachable peer.
+// state again, or holdTime has passed, and reports the age of its state.
+//
+// A node whose knowledge is older than searchAge queries any reachable peer, in every zone: the node that reads for its
+// zone may be alive and slow, for example behind a full link, while another zone has the news already. A node that has
+// lost the source does so at any age.
 //
 // There are two ages. age() counts from the source's last response and decides who reads: a node that is busy with a
 // large configuration still has the source, and followers that read too would only add load. serversConfirmedAt()
@@ -32,7 +35,9 @@
     // After an answer that came sooner than this, the next request waits for the tick: a peer at capacity answers each
     // request immediately.
     Duration minRequestTime { std::chrono::milliseconds(100) };
-    // Time between two requests to arbitrary peers while the source is lost.
+    // Older than the knowledge of a follower in calm times, and young enough that an answer comes before maxPeerAge.
+    Duration searchAge { std::chrono::milliseconds(900) };
+    // Time between two requests to arbitrary peers.
     Duration searchInterval { std::chrono::milliseconds(500) };
     // The source counts as reachable for this long after its last response to this node or to a peer.
     Duration reachableAge { std::chrono::milliseconds(1500) };
@@ -101,6 +106,7 @@
     // Returns false without responding if the update is empty and mayBeEmpty is false.
     bool respond(const PendingRequest& pending, bool mayBeEmpty);
     void queryFollowedPeer(TimePoint now);
+    bool mustSearch() const;
     void queryAnyPeer(TimePoint now);
 
     EventLoop& m_loop;
@@ -110,6 +116,8 @@
     Random m_random;
     bool m_isReading { true };
     bool m_isSourceLost { false };
+    // Unset until the first confirmation: when all nodes start, no peer has news.
+    bool m_hasBeenConfirmed { false };
     TimePoint m_confirmedAt;
     TimePoint m_serversConfirmedAt;
     // Maximum time between two attempts that was last passed on.
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -355,6 +355,29 @@
         EXPECT_EQ(followers, 1);
     }
 
+    // Guards against a reader that keeps an older configuration, and its zone with it, while its call to the source
+    // takes long.
+    TEST(ProxyNodeTest, ReaderWhoseWatchHangsGetsAConfigurationFromAPeer)
+    {
+        ProxyFleet fleet(3);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        std::this_thread::sleep_for(1500ms);
+        const auto pageOf = [&fleet](size_t index, const char* page) {
+            const Endpoint address = fleet.adminAddress(index);
+            const auto response = httplib::Client(address.host, address.port).Get(page);
+            return response ? response->body : std::string();
+        };
+        size_t reader = 0;
+        while (pageOf(reader, "/metrics").find("{value=\"is_reader\"} 1") == std::string::npos)
+            ASSERT_LT(++reader, 3u);
+        fleet.blockWatches(reader);
+        // The watch that is in progress still ends.
+        std::this_thread::sleep_for(600ms);
+        fleet.configure(2, 1000);
+        std::this_thread::sleep_for(3500ms);
+        EXPECT_NE(pageOf(reader, "/state").find("\"version\": 2"), std::string::npos);
+    }
+
     // Guards against crashes and lost or duplicated requests while servers restart, drain and fail and configurations
     // change.
     TEST(ProxyNodeTest, RequestsSurviveChangesUnderLoad)
--- a/src/proxy/tests/SourceExchangeTest.cpp
+++ b/src/proxy/tests/SourceExchangeTest.cpp
@@ -159,6 +159,59 @@
 
     // Guards against a search that spends each attempt on an unconnected peer. Configurations arrived up to 4.6 s late
     // in a large run in which the store silently dropped the requests of some machines.
+    // Guards against a configuration that is in force late in a whole zone: the node that reads for it takes seconds
+    // for one answer of the source, while other zones have the configuration.
+    TEST_F(SourceExchangeTest, NodeWithOldKnowledgeQueriesOtherPeersBeforeItReadsTheSource)
+    {
+        reachablePeers = { node(100) };
+        run(3s, true);
+        queriedPeers.clear();
+        readingStates.clear();
+        run(1250ms, false);
+        EXPECT_NE(std::find(queriedPeers.begin(), queriedPeers.end(), node(100)), queriedPeers.end());
+        EXPECT_TRUE(readingStates.empty());
+    }
+
+    TEST_F(SourceExchangeTest, ReaderWithOldKnowledgeQueriesAnyPeer)
+    {
+        reachablePeers = { node(100) };
+        SourceExchange reader(loop, { .self = node(1) }, callbacks());
+        reader.setMembers({ node(1) }, 1);
+        reader.recordSourceResponse(0ms);
+        reader.tick();
+        EXPECT_TRUE(queriedPeers.empty());
+        clock.advance(1s);
+        reader.tick();
+        EXPECT_EQ(queriedPeers, std::vector { node(100) });
+        reader.recordSourceResponse(0ms);
+        clock.advance(600ms);
+        reader.tick();
+        EXPECT_EQ(queriedPeers.size(), 1u);
+    }
+
+    // Guards against nodes that query each other and never notice that none of them has the source.
+    TEST_F(SourceExchangeTest, AgeIncludesTheWayFromAnArbitraryPeer)
+    {
+        reachablePeers = { node(100) };
+        SourceExchange reader(loop, { .self = node(1) }, callbacks());
+        reader.setMembers({ node(1) }, 1);
+        reader.recordSourceResponse(0ms);
+        clock.advance(1s);
+        reader.tick();
+        ASSERT_EQ(queriedPeers, std::vector { node(100) });
+        clock.advance(400ms);
+        reader.handlePeerUpdate(node(100), { .age = 100ms, .heldFor = 150ms });
+        EXPECT_EQ(reader.age(), 350ms);
+    }
+
+    // Guards against a storm of requests among nodes that all start and know nothing.
+    TEST_F(SourceExchangeTest, NodeThatHasJustStartedQueriesOnlyTheFollowedPeer)
+    {
+        reachablePeers = { node(100) };
+        run(1s, false);
+        EXPECT_EQ(std::count(queriedPeers.begin(), queriedPeers.end(), node(100)), 0);
+    }
+
     TEST_F(SourceExchangeTest, SearchContinuesToAConnectedPeer)
     {
         reachablePeers = { node(200), node(201), node(202) };
