--- a/src/document/Configuration.h
+++ b/src/document/Configuration.h
@@ -60,6 +60,10 @@
     std::string healthPath;
     // Maximum number of calls that wait at one gate, over all ranks.
     int maxQueue { 256 };
+    // Requests per second that one backend server bears while it is cold; zero if the service states no such limit.
+    double coldRequestsPerSecond { 0 };
+    // Time for which a backend server is cold after its start.
+    Duration coldStart {};
 
     bool operator==(const ServicePolicy&) const = default;
 };
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -32,6 +32,13 @@
     constexpr double maxRatio = 10;
     constexpr double maxSlack = 1e6;
     constexpr double maxLogLinesPerSecond = 1e5;
+    constexpr double maxLinkMegabits = 1e6;
+    constexpr double bitsPerMegabit = 1e6;
+    constexpr int64_t bytesPerMegabyte = 1024 * 1024;
+    constexpr int64_t minMemoryMegabytes = 16;
+    constexpr int64_t maxMemoryMegabytes = 1024 * 1024;
+    constexpr int64_t minDescriptors = 64;
+    constexpr int64_t maxDescriptors = 1024 * 1024;
     ProxySettings settings;
     SettingsReader reader(json, "");
     settings.instance = reader.text("instance");
@@ -51,6 +58,14 @@
     settings.retrySlack = reader.number("retrySlack", settings.retrySlack, 0, maxSlack);
     settings.retryWindow = reader.duration("retryWindow", settings.retryWindow, 1s, 10min);
     settings.sourceInterval = reader.duration("sourceInterval", settings.sourceInterval, 10ms, 1min);
+    settings.coldOverage = reader.number("coldOverage", settings.coldOverage, 1, maxRatio);
+    settings.coldSlack = reader.number("coldSlack", settings.coldSlack, 0, maxSlack);
+    const auto defaultMegabytes = static_cast<int64_t>(settings.memoryLimit.value()) / bytesPerMegabyte;
+    settings.memoryLimit = ByteCount(static_cast<uint64_t>(
+        reader.integer("memoryLimitMb", defaultMegabytes, minMemoryMegabytes, maxMemoryMegabytes) * bytesPerMegabyte));
+    settings.descriptorLimit
+        = static_cast<int>(reader.integer("descriptorLimit", settings.descriptorLimit, minDescriptors, maxDescriptors));
+    settings.linkBitsPerSecond = reader.number("linkMbps", 0, 0, maxLinkMegabits) * bitsPerMegabit;
     settings.logLinesPerSecond
         = reader.number("logLinesPerSecond", settings.logLinesPerSecond, 1, maxLogLinesPerSecond);
     settings.logLevel = logLevelFromName(reader.text("logLevel", "info"));
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -36,6 +36,16 @@
     Duration retryWindow { std::chrono::seconds(10) };
     // Minimum time between two calls to the source.
     Duration sourceInterval { std::chrono::milliseconds(400) };
+    // Requests that a cold server may get in one second, summed over all nodes: coldOverage * the service's rate +
+    // coldSlack.
+    double coldOverage { 1.5 };
+    double coldSlack { 8 };
+    // The platform kills the process when it uses more memory than this.
+    ByteCount memoryLimit { 256 * 1024 * 1024 };
+    // Number of file descriptors that the process may have open.
+    int descriptorLimit { 4096 };
+    // Bits per second of the instance's own link; zero if unknown.
+    double linkBitsPerSecond { 0 };
     double logLinesPerSecond { 100 };
     LogLevel logLevel { LogLevel::Info };
 
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -60,21 +60,22 @@
 {
     return std::tie(m.stream, m.requestId, m.gateIncarnation, m.service, m.method, m.target, m.headers, m.rank,
         m.remainingDeadline, m.worth, m.isIdempotent, m.isResend, m.depth, m.attempt, m.hasBody, m.idempotencyKey,
-        m.remainingLatencyTarget, m.serverIncarnation, m.knowsServerRate, m.serverRateThousandths);
+        m.remainingLatencyTarget, m.serverIncarnation, m.knowsServerRate, m.serverRateThousandths, m.route);
 }
 auto fieldsOf(MaybeConst<BodyChunk> auto& m) { return std::tie(m.stream, m.offset, m.data, m.isLast); }
 auto fieldsOf(MaybeConst<WindowUpdate> auto& m) { return std::tie(m.stream, m.bytes); }
 auto fieldsOf(MaybeConst<LoadHint> auto& m)
 {
-    return std::tie(m.inFlight, m.queued, m.limit, m.isLeaving, m.meanServiceTime, m.requestDelay);
+    return std::tie(m.inFlight, m.queued, m.limit, m.isLeaving, m.meanServiceTime, m.requestDelay, m.remainingWork);
 }
 auto fieldsOf(MaybeConst<AnswerStart> auto& m)
 {
-    return std::tie(m.stream, m.status, m.headers, m.hasBody, m.load, m.endsWithClose);
+    return std::tie(m.stream, m.status, m.headers, m.hasBody, m.load, m.endsWithClose, m.serviceTime);
 }
 auto fieldsOf(MaybeConst<Refusal> auto& m) { return std::tie(m.stream, m.outcome, m.step, m.reason, m.load); }
 auto fieldsOf(MaybeConst<Cancel> auto& m) { return std::tie(m.stream); }
-auto fieldsOf(MaybeConst<SourceUpdateRequest> auto& m) { return std::tie(m.version, m.revision); }
+auto fieldsOf(MaybeConst<SourceUpdateRequest> auto& m) { return std::tie(m.version, m.revision, m.evacuationRevision); }
+auto fieldsOf(MaybeConst<ListedEvacuation> auto& m) { return std::tie(m.zone, m.revision, m.isEvacuated); }
 auto fieldsOf(MaybeConst<ListedServer> auto& m)
 {
     return std::tie(m.id, m.revision, m.isDeleted, m.incarnation, m.service, m.zone, m.address, m.slots, m.isDraining,
@@ -83,7 +84,7 @@
 auto fieldsOf(MaybeConst<SourceUpdate> auto& m)
 {
     return std::tie(m.version, m.configuration, m.revision, m.servers, m.age, m.since, m.isListing, m.heldFor,
-        m.serversAge, m.sourceAge, m.ageWithDeferral);
+        m.serversAge, m.sourceAge, m.ageWithDeferral, m.evacuations);
 }
 
 template <typename T>
@@ -105,6 +106,8 @@
 template <> inline constexpr size_t requiredFields<ListedServer> = 10;
 template <> inline constexpr size_t requiredFields<CallStart> = 17;
 template <> inline constexpr size_t requiredFields<LoadHint> = 5;
+template <> inline constexpr size_t requiredFields<AnswerStart> = 6;
+template <> inline constexpr size_t requiredFields<SourceUpdateRequest> = 2;
 
 // The maximum number of elements in a list of this type. Lists of the largest fleet that the design supports stay well
 // below these bounds.
@@ -119,6 +122,7 @@
 template <> inline constexpr size_t maxElements<InstanceId> = 32768;
 template <> inline constexpr size_t maxElements<ConditionReport> = 64;
 template <> inline constexpr size_t maxElements<ListedServer> = 32768;
+template <> inline constexpr size_t maxElements<ListedEvacuation> = 1024;
 template <> inline constexpr size_t maxElements<std::pair<std::string, std::string>> = 256;
 
 } // namespace skylark
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -212,6 +212,8 @@
     // restarted does not know it.
     bool knowsServerRate { false };
     uint64_t serverRateThousandths { 0 };
+    // The name of the route in the sender's configuration. Empty if an earlier release sent the call.
+    std::string route;
     bool operator==(const CallStart&) const = default;
 };
 
@@ -240,6 +242,9 @@
     Duration meanServiceTime {};
     // The time after which the receiver may send its next request; zero unless the server limits its requests.
     Duration requestDelay {};
+    // The expected time that the backend server still needs for the calls that run or wait at the gate, summed over the
+    // calls; zero when unknown.
+    Duration remainingWork {};
     bool operator==(const LoadHint&) const = default;
 };
 
@@ -252,6 +257,8 @@
     // The backend server marked the end of the response by closing the connection. Such a response may be truncated, so
     // the caller must check that it is complete.
     bool endsWithClose { false };
+    // The time from the start of the request at the backend server to its complete response; zero when unknown.
+    Duration serviceTime {};
     bool operator==(const AnswerStart&) const = default;
 };
 
@@ -282,6 +289,8 @@
 struct SourceUpdateRequest {
     VersionNumber version;
     Revision revision;
+    // The highest revision among the zone evacuations that the sender knows.
+    Revision evacuationRevision;
     bool operator==(const SourceUpdateRequest&) const = default;
 };
 
@@ -306,6 +315,14 @@
     bool operator==(const ListedServer&) const = default;
 };
 
+// The evacuation of a zone at a revision of the source, or its end.
+struct ListedEvacuation {
+    ZoneName zone;
+    Revision revision;
+    bool isEvacuated { false };
+    bool operator==(const ListedEvacuation&) const = default;
+};
+
 struct SourceUpdate {
     VersionNumber version;
     // The configuration text of the source as a zstd frame; empty when the requesting node has this version.
@@ -327,6 +344,8 @@
     Duration sourceAge { std::chrono::hours(1) };
     // Like `age`, but also set while the sender has the source and only holds back deletions after an outage.
     Duration ageWithDeferral { std::chrono::hours(1) };
+    // All zone evacuations that the sender knows, ended ones included; empty if the requesting node has them.
+    std::vector<ListedEvacuation> evacuations;
     bool operator==(const SourceUpdate&) const = default;
 };
 
--- a/src/wire/tests/WireTest.cpp
+++ b/src/wire/tests/WireTest.cpp
@@ -36,7 +36,7 @@
     static_assert(listsEveryMember(static_cast<const Message*>(nullptr)));
     static_assert(listsEveryMember(
         static_cast<const std::variant<Endpoint, FreshnessMark, RejectedVersion, SectionDigest, CompressedSection,
-            ManifestDelta, InstanceRecord, ZoneListDelta, ConditionReport, LoadHint>*>(nullptr)));
+            ManifestDelta, InstanceRecord, ZoneListDelta, ConditionReport, LoadHint, ListedEvacuation>*>(nullptr)));
 
     template <typename T> T arbitraryValue();
 
