Report a failed write as a failed end of the connection

A server answered a long upload with a 200 without a length, sent a part of the body and reset the connection; the caller received the truncated body as a complete response.

Cause: a failed write takes the socket's pending error, TcpStream ignored the result of uv_try_write and uv_write, and the next read then reported an orderly end, which completes a response without a length. Besides, nothing compared the end of the response with the request: a server that shuts down its sending side and then fails also passed for complete while the upload still waited.

Ruled out: the check for a reset (a peek at the socket) finds nothing once a write has taken the error, so it cannot be repaired on its own.

Change: TcpStream remembers a failed write and reports StreamEnd::Failed at the end; received bytes are still passed on first. BackendConnection takes a response without a length only after an orderly end at which the server's system had acknowledged the whole request, and does not keep a connection with a write error.

--- a/src/eventloop/TcpStream.cpp
+++ b/src/eventloop/TcpStream.cpp
@@ -4,7 +4,9 @@
 
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -62,6 +64,8 @@
     bool isConnected { false };
     bool hasEnded { false };
     bool isClosing { false };
+    // A write takes the socket's pending error, so that the next read of a reset connection reports an orderly end.
+    bool hasWriteError { false };
 
     uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket); }
 
@@ -122,7 +126,8 @@
                 if (count > 0)
                     handle.receive({ buffer->base, static_cast<size_t>(count) });
                 else if (count < 0)
-                    handle.end(count == UV_EOF && !handle.wasReset() ? StreamEnd::Closed : StreamEnd::Failed);
+                    handle.end(count == UV_EOF && !handle.hasWriteError && !handle.wasReset() ? StreamEnd::Closed
+                                                                                              : StreamEnd::Failed);
             });
     }
 
@@ -169,8 +174,10 @@
         if (uv_stream_get_write_queue_size(stream()) == 0) {
             uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
             const int result = uv_try_write(stream(), &buffer, 1);
-            if (result < 0 && result != UV_EAGAIN)
+            if (result < 0 && result != UV_EAGAIN) {
+                hasWriteError = true;
                 return;
+            }
             sent = result < 0 ? 0 : static_cast<size_t>(result);
         }
         if (sent < bytes.size())
@@ -188,10 +195,15 @@
         pending->request.data = pending.get();
         uv_buf_t buffer
             = uv_buf_init(pending->bytes.data() + offset, static_cast<unsigned>(pending->bytes.size() - offset));
-        const int result = uv_write(&pending->request, stream(), &buffer, 1,
-            [](uv_write_t* request, int) { delete static_cast<PendingWrite*>(request->data); });
+        const int result = uv_write(&pending->request, stream(), &buffer, 1, [](uv_write_t* request, int status) {
+            if (status < 0)
+                fromData(request->handle->data).hasWriteError = true;
+            delete static_cast<PendingWrite*>(request->data);
+        });
         if (result == 0)
             pending.release();
+        else
+            hasWriteError = true;
     }
 };
 
@@ -242,6 +254,18 @@
 
 size_t TcpStream::pendingBytes() const { return uv_stream_get_write_queue_size(m_handle->stream()); }
 
+size_t TcpStream::undeliveredBytes() const
+{
+    uv_os_fd_t descriptor = -1;
+    int unacknowledgedBytes = 0;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&m_handle->socket), &descriptor) != 0
+        || ioctl(descriptor, SIOCOUTQ, &unacknowledgedBytes) != 0)
+        unacknowledgedBytes = 0;
+    return pendingBytes() + static_cast<size_t>(unacknowledgedBytes);
+}
+
+bool TcpStream::hasWriteError() const { return m_handle->hasWriteError; }
+
 bool TcpStream::isConnected() const { return m_handle->isConnected && !m_handle->hasEnded; }
 
 std::string TcpStream::peerHost() const
--- a/src/eventloop/TcpStream.h
+++ b/src/eventloop/TcpStream.h
@@ -3,7 +3,8 @@
 // - write() sends what the socket accepts and queues the rest. pendingBytes() returns the size of the queue, so that
 //   the owner can bound it.
 // - A stream reports its end once, through onEnd(), and never after its destruction.
-// - Write errors are not reported separately: they end the stream on the reading side.
+// - Write errors are not reported separately: they end the stream on the reading side. Received bytes are still passed
+//   on first; the end after a failed write is never reported as orderly.
 #pragma once
 
 #include "eventloop/EventLoop.h"
@@ -18,7 +19,7 @@
 enum class StreamEnd : uint8_t {
     // The peer closed its side of the connection.
     Closed,
-    // The peer reset the connection, or the connection timed out.
+    // The peer reset the connection, the connection timed out, or a write failed.
     Failed,
     // The connection was never established, and nothing was sent.
     NotConnected,
@@ -59,6 +60,9 @@
     void stopReading();
     void write(std::string bytes);
     size_t pendingBytes() const;
+    // Pending bytes and sent bytes that the peer's system has not acknowledged.
+    size_t undeliveredBytes() const;
+    bool hasWriteError() const;
     bool isConnected() const;
     // The peer's address without the port. Empty if it is unknown.
     std::string peerHost() const;
--- a/src/eventloop/tests/EventLoopTest.cpp
+++ b/src/eventloop/tests/EventLoopTest.cpp
@@ -1,9 +1,12 @@
 #include "eventloop/TcpStream.h"
 
 #include "base/Error.h"
+#include "base/Socket.h"
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <optional>
+#include <sys/socket.h>
 #include <thread>
 
 namespace skylark {
@@ -129,6 +132,91 @@
         EXPECT_EQ(stream->pendingBytes(), 0u);
     }
 
+    // A stream to a peer that the test drives by system calls, so that it decides what the stream does before it reads.
+    class ManualPeerTest : public EventLoopTest {
+    protected:
+        ManualPeerTest()
+            : listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+        {
+            sockaddr_in address { .sin_family = AF_INET, .sin_port = 0, .sin_addr = { htonl(INADDR_LOOPBACK) } };
+            socklen_t length = sizeof(address);
+            auto* genericAddress = reinterpret_cast<sockaddr*>(&address);
+            EXPECT_EQ(bind(listener.value(), genericAddress, length), 0);
+            EXPECT_EQ(listen(listener.value(), 1), 0);
+            EXPECT_EQ(getsockname(listener.value(), genericAddress, &length), 0);
+            stream = TcpStream::connect(loop, { "127.0.0.1", ntohs(address.sin_port) }, client, {});
+            peer = FileDescriptor(accept(listener.value(), nullptr, nullptr));
+            runLoopFor(20ms);
+            EXPECT_TRUE(client.isConnected);
+            client.onEnded = [this] { loop.stop(); };
+        }
+        void sendFromPeer(std::string_view bytes)
+        {
+            EXPECT_EQ(send(peer.value(), bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+        }
+        void resetFromPeer()
+        {
+            const linger immediate { .l_onoff = 1, .l_linger = 0 };
+            setsockopt(peer.value(), SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
+            peer = FileDescriptor();
+            // The reset arrives at the stream's socket, while the loop does not run.
+            std::this_thread::sleep_for(20ms);
+        }
+
+        RecordingHandler client;
+        FileDescriptor listener;
+        FileDescriptor peer;
+        std::unique_ptr<TcpStream> stream;
+    };
+
+    // Guards against a truncated response that looks complete: a failed write takes the reset from the socket, and the
+    // next read then reports an orderly end.
+    TEST_F(ManualPeerTest, ResetThatAWriteConsumesIsAFailedEnd)
+    {
+        sendFromPeer("part");
+        resetFromPeer();
+        stream->write("more of the request");
+        EXPECT_TRUE(stream->hasWriteError());
+        runLoopFor(2s);
+        EXPECT_EQ(client.received, "part");
+        EXPECT_EQ(client.end, StreamEnd::Failed);
+    }
+
+    // The same for bytes that waited in the stream's queue.
+    TEST_F(ManualPeerTest, ResetThatAQueuedWriteConsumesIsAFailedEnd)
+    {
+        stream->stopReading();
+        stream->write(std::string(16'000'000, 'x'));
+        ASSERT_GT(stream->pendingBytes(), 0u);
+        sendFromPeer("part");
+        resetFromPeer();
+        runLoopFor(50ms);
+        EXPECT_TRUE(stream->hasWriteError());
+        stream->startReading();
+        runLoopFor(2s);
+        EXPECT_EQ(client.received, "part");
+        EXPECT_EQ(client.end, StreamEnd::Failed);
+    }
+
+    TEST_F(ManualPeerTest, OrderlyEndWithoutAWriteErrorIsClosed)
+    {
+        stream->write("request");
+        sendFromPeer("whole");
+        shutdown(peer.value(), SHUT_WR);
+        runLoopFor(2s);
+        EXPECT_EQ(client.received, "whole");
+        EXPECT_EQ(client.end, StreamEnd::Closed);
+        EXPECT_FALSE(stream->hasWriteError());
+        EXPECT_EQ(stream->undeliveredBytes(), 0u);
+    }
+
+    // Guards against a peer that closes its side while its system has not accepted the whole request yet.
+    TEST_F(ManualPeerTest, BytesThatThePeerDoesNotAcceptAreUndelivered)
+    {
+        stream->write(std::string(16'000'000, 'x'));
+        EXPECT_GT(stream->undeliveredBytes(), stream->pendingBytes());
+    }
+
     TEST_F(EventLoopTest, RefusedConnectionEndsAsNotConnected)
     {
         uint16_t port = 0;
--- a/src/proxy/BackendConnection.cpp
+++ b/src/proxy/BackendConnection.cpp
@@ -82,15 +82,21 @@
         finish(BackendUnreachable {});
         return;
     }
-    // A response without a length is complete only after an orderly close.
-    auto response = end == StreamEnd::Closed ? m_parser.finish() : std::nullopt;
+    // A response without a length is complete only after an orderly close, and only if the server has accepted the
+    // whole request: otherwise the close may be that of a server that failed in the middle of both.
+    const bool hasAcceptedRequest = !m_stream->hasWriteError() && m_stream->undeliveredBytes() == 0;
+    auto response = end == StreamEnd::Closed && hasAcceptedRequest ? m_parser.finish() : std::nullopt;
     if (response && isOwnResponse(*response)) {
         response->keepsAlive = false;
         acceptResponse(std::move(*response));
         return;
     }
-    finish(BackendFailure {
-        end == StreamEnd::Closed ? "the server closed the connection" : "the server reset the connection" });
+    if (end != StreamEnd::Closed)
+        finish(BackendFailure { "the server reset the connection" });
+    else if (!hasAcceptedRequest)
+        finish(BackendFailure { "the server closed the connection before it had accepted the whole request" });
+    else
+        finish(BackendFailure { "the server closed the connection" });
 }
 
 bool BackendConnection::isOwnResponse(const HttpResponse& response) const
@@ -106,7 +112,9 @@
 {
     recordKeepAlive(response);
     m_hasAnswered = true;
-    m_isReusable = response.keepsAlive && !m_parser.isWithinMessage() && m_stream->pendingBytes() == 0;
+    // A server that responds early may still read, and what follows would not be the rest of the request's body.
+    m_isReusable = response.keepsAlive && !m_parser.isWithinMessage() && m_stream->pendingBytes() == 0
+        && !m_stream->hasWriteError();
     m_idleSince = m_loop.now();
     finish(BackendResponse { std::move(response) });
 }
--- a/src/proxy/BackendConnection.h
+++ b/src/proxy/BackendConnection.h
@@ -3,7 +3,9 @@
 // send() may be called while the connection is being opened or is idle. Its callback runs exactly once, unless close()
 // is called first. A response is never matched to the wrong request: unexpected bytes after a response close the
 // connection, and a response with the id of another request is skipped. A refusal without an id counts only as the
-// first response on its connection: on a kept one a faulty server may have written an earlier refusal once more.
+// first response on its connection: on a kept one a faulty server may have written an earlier refusal once more. A
+// response without a length is complete only after an orderly end of the connection, without an error on the read or
+// the write side, and only if the server's system had accepted the whole request.
 #pragma once
 
 #include "eventloop/TcpStream.h"
--- a/src/proxy/tests/ServerAnswerTest.cpp
+++ b/src/proxy/tests/ServerAnswerTest.cpp
@@ -1,8 +1,11 @@
 // Tests what the gate makes of the bytes of a faulty server: answers that are cut at each byte, and second copies of
 // answers at each moment of the next request.
+#include "base/Socket.h"
 #include "proxy/BackendGate.h"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <thread>
 
 namespace skylark {
 namespace {
@@ -141,25 +144,30 @@
             : server(loop, [](const std::string&) { return Script {}; })
             , gate(loop, { .server = server.address() }, httpConventions)
         {
-            gate.setServer(ServerRecord { .id = InstanceId("server"),
-                .incarnation = Incarnation(1),
-                .service = ServiceName("work"),
-                .slots = 4 });
+            gate.setServer(serverRecord());
+        }
+        static ServerRecord serverRecord()
+        {
+            return {
+                .id = InstanceId("server"), .incarnation = Incarnation(1), .service = ServiceName("work"), .slots = 4
+            };
         }
 
         // Sends one call to the gate and returns its reply, or null if none came in time.
-        GateReplyPtr call(const std::string& id)
+        GateReplyPtr call(const std::string& id) { return callThrough(gate, id, ""); }
+        GateReplyPtr callThrough(BackendGate& target, const std::string& id, std::string body)
         {
             auto request = std::make_shared<HttpRequest>();
             request->method = "POST";
             request->target = "/pay/" + id;
             request->headers = { { "Host", "x" }, { HttpConventions().requestId, id } };
+            request->body = std::move(body);
             GateReplyPtr reply;
-            gate.submit({ .key = { .sender = Incarnation(9), .stream = StreamId(++m_lastStream) },
-                            .requestId = RequestId(id),
-                            .service = ServiceName("work"),
-                            .request = std::move(request),
-                            .deadline = loop.now() + 3s },
+            target.submit({ .key = { .sender = Incarnation(9), .stream = StreamId(++m_lastStream) },
+                              .requestId = RequestId(id),
+                              .service = ServiceName("work"),
+                              .request = std::move(request),
+                              .deadline = loop.now() + 3s },
                 [&](const GateReplyPtr& received) {
                     reply = received;
                     loop.stop();
@@ -303,6 +311,86 @@
         }
     }
 
+    // How the server that reads almost nothing of a request ends the connection after its answer.
+    enum class EarlyEnding : uint8_t {
+        ResetAtOnce,
+        ResetLater,
+        CloseWithUnreadBytes,
+        ShutdownThenReset,
+    };
+
+    // Answers the first connection before it has read the request, and ends it. Uses system calls, so that the end does
+    // not wait for the loop.
+    class EarlyAnswerServer {
+    public:
+        EarlyAnswerServer(std::string answer, EarlyEnding ending)
+            : m_listener(listenOn({ "127.0.0.1", 0 }))
+            , m_thread([this, answer = std::move(answer), ending] { run(answer, ending); })
+        {
+        }
+        ~EarlyAnswerServer() { m_thread.join(); }
+        Endpoint address() const { return boundEndpoint(m_listener); }
+
+    private:
+        void run(const std::string& answer, EarlyEnding ending)
+        {
+            FileDescriptor connection;
+            for (int wait = 0; wait < 2000 && !connection; ++wait) {
+                connection = acceptFrom(m_listener);
+                std::this_thread::sleep_for(1ms);
+            }
+            const int smallBuffer = 4096;
+            setsockopt(connection.value(), SOL_SOCKET, SO_RCVBUF, &smallBuffer, sizeof(smallBuffer));
+            std::array<char, 1024> bytes;
+            while (recv(connection.value(), bytes.data(), bytes.size(), 0) < 0 && errno == EAGAIN)
+                std::this_thread::sleep_for(1ms);
+            send(connection.value(), answer.data(), answer.size(), MSG_NOSIGNAL);
+            if (ending == EarlyEnding::ShutdownThenReset)
+                shutdown(connection.value(), SHUT_WR);
+            if (ending == EarlyEnding::ResetLater || ending == EarlyEnding::ShutdownThenReset)
+                std::this_thread::sleep_for(20ms);
+            if (ending != EarlyEnding::CloseWithUnreadBytes) {
+                const linger immediate { .l_onoff = 1, .l_linger = 0 };
+                setsockopt(connection.value(), SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
+            }
+        }
+
+        const FileDescriptor m_listener;
+        std::thread m_thread;
+    };
+
+    // Guards against a truncated body that the caller receives as a whole one: the server answers a long upload at
+    // once, without a length, and ends the connection while the upload is being written.
+    TEST_F(ServerAnswerTest, AnswerWithoutLengthThatEndsBeforeTheUploadIsNoAnswer)
+    {
+        for (const EarlyEnding ending : { EarlyEnding::ResetAtOnce, EarlyEnding::ResetLater,
+                 EarlyEnding::CloseWithUnreadBytes, EarlyEnding::ShutdownThenReset }) {
+            for (int round = 0; round < 10; ++round) {
+                SCOPED_TRACE(testing::Message() << "ending " << static_cast<int>(ending) << ", round " << round);
+                const Answer answer = makeAnswer("upload", Framing::UntilClose);
+                EarlyAnswerServer earlyServer(answer.bytes.substr(0, answer.headBytes + 5), ending);
+                BackendGate uploadGate(loop, { .server = earlyServer.address() }, httpConventions);
+                uploadGate.setServer(serverRecord());
+                const GateReplyPtr reply = callThrough(uploadGate, "upload", std::string(24'000'000, 'u'));
+                ASSERT_NE(refusal(reply), nullptr);
+                EXPECT_EQ(refusal(reply)->outcome, CallOutcome::Unknown);
+                EXPECT_EQ(refusal(reply)->step, "backend-server");
+            }
+        }
+    }
+
+    // The same for the last bytes of an upload, which the gate's system holds because the server's accepts no more.
+    TEST_F(ServerAnswerTest, AnswerWithoutLengthThatEndsBeforeTheServerAcceptedTheRequestIsNoAnswer)
+    {
+        const Answer answer = makeAnswer("upload", Framing::UntilClose);
+        EarlyAnswerServer earlyServer(answer.bytes, EarlyEnding::ShutdownThenReset);
+        BackendGate uploadGate(loop, { .server = earlyServer.address() }, httpConventions);
+        uploadGate.setServer(serverRecord());
+        const GateReplyPtr reply = callThrough(uploadGate, "upload", std::string(1'500'000, 'u'));
+        ASSERT_NE(refusal(reply), nullptr);
+        EXPECT_EQ(refusal(reply)->outcome, CallOutcome::Unknown);
+    }
+
     // Guards against a lost answer of a request that ran which is reported as "not run": the server refuses the
     // connection only before the request was sent.
     TEST_F(ServerAnswerTest, BytesThatAreNoAnswerLeaveTheFateUnknown)
