Refuse responses whose status is not from 100 to 599

A server in trouble sent a response with the status 000.

Cause: the parser took every status below 200 for an interim response. After 000 or 099 the caller waited until its deadline and got 504; statuses from 600 were forwarded.

Change: only 100 to 599 are responses. 101 is refused too, because no request of this program asks for another protocol. At most 16 interim responses come before a response. The expectation that a response has no body (HEAD) now outlives interim responses; before, such a response waited for a body that never came.

Before: ResponseParserTest.OnlyStatusesFrom100To599AreResponses, InterimResponsesAreBoundedInNumberAndSize and InterimResponseBeforeAResponseWithoutBody failed.

--- a/src/http/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -71,6 +71,13 @@
     });
 }
 
+bool isResponseStatus(int status)
+{
+    constexpr int firstStatus = 100;
+    constexpr int lastStatus = 599;
+    return status >= firstStatus && status <= lastStatus;
+}
+
 std::string serialize(const HttpRequest& request)
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -29,6 +29,9 @@
 // Upgrade, Proxy-Connection and Expect. Also removes Content-Length, which serialize() adds again.
 void removeConnectionHeaders(HttpHeaders& headers);
 
+// Returns true for a status from 100 to 599. Others have no meaning, so a message with one is no response.
+bool isResponseStatus(int status);
+
 struct HttpLimits {
     uint32_t headerBytes { 64 * 1024 };
     uint64_t bodyBytes { 16 * 1024 * 1024 };
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -17,6 +17,9 @@
     constexpr int statusTooLarge = 413;
     constexpr int statusHeadersTooLarge = 431;
     constexpr int firstFinalStatus = 200;
+    constexpr int statusSwitchingProtocols = 101;
+    // A server sends few of them for one response: 100, and some of 102 and 103.
+    constexpr int maxInterimResponses = 16;
 
     std::string toString(BeastView text) { return { text.data(), text.size() }; }
 
@@ -58,9 +61,12 @@
                 message.target = toString(target);
             }
         }
-        void on_response_impl(int code, BeastView reason, int, ErrorCode&) override
+        void on_response_impl(int code, BeastView reason, int, ErrorCode& error) override
         {
             if constexpr (!isRequest) {
+                // No request of this program asks for another protocol.
+                if (!isResponseStatus(code) || code == statusSwitchingProtocols)
+                    error = http::error::bad_status;
                 message.status = code;
                 message.reason = toString(reason);
             }
@@ -218,11 +224,22 @@
 }
 
 struct ResponseParser::State : ParserState<false> {
+    // Interim responses since the last message that next() returned.
+    int interimResponses { 0 };
+    bool expectsNoBody { false };
+
     std::optional<HttpResponse> takeFinalResponse()
     {
         HttpResponse response = take();
-        if (response.status < firstFinalStatus)
+        if (response.status < firstFinalStatus) {
+            if (++interimResponses > maxInterimResponses)
+                throw HttpError(statusBadRequest, "too many interim responses");
+            if (expectsNoBody)
+                current().skip(true);
             return std::nullopt;
+        }
+        interimResponses = 0;
+        expectsNoBody = false;
         return response;
     }
 };
@@ -237,7 +254,11 @@
 
 void ResponseParser::setSink(ResponseSink sink) { m_state->sink = std::move(sink); }
 
-void ResponseParser::expectNoBody() { m_state->current().skip(true); }
+void ResponseParser::expectNoBody()
+{
+    m_state->expectsNoBody = true;
+    m_state->current().skip(true);
+}
 
 void ResponseParser::append(std::string_view bytes) { m_state->buffer.append(bytes); }
 
--- a/src/http/MessageParser.h
+++ b/src/http/MessageParser.h
@@ -5,7 +5,8 @@
 // read the end of a forwarded message as a second request (request smuggling). They buffer at most one message and the
 // bytes that one read delivered beyond it. What is not body (heads, interim responses, chunk sizes and extensions,
 // trailers) may take twice the head's limit and 16 bytes more for each byte of the body; a peer that sends more, such
-// as a chunk extension without end, is refused.
+// as a chunk extension without end, is refused. A response has a status from 100 to 599 and at most 16 interim
+// responses before it; 101 is refused, because no request of this program asks for another protocol.
 #pragma once
 
 #include "base/Error.h"
--- a/src/http/tests/MessageParserTest.cpp
+++ b/src/http/tests/MessageParserTest.cpp
@@ -140,6 +140,90 @@
         EXPECT_THROW(parser.next(), HttpError);
     }
 
+    // Returns the status of the first whole response, or 0 if the bytes are refused. Fails if they are neither.
+    int responseStatusOf(const std::string& bytes)
+    {
+        ResponseParser parser({});
+        parser.append(bytes);
+        try {
+            const auto response = parser.next();
+            EXPECT_TRUE(response) << "neither a response nor an error: " << bytes;
+            return response ? response->status : -1;
+        } catch (const HttpError&) {
+            return 0;
+        }
+    }
+
+    // Guards against a status outside the valid range that is taken for an interim response, for which the caller then
+    // waits until its deadline, or that is forwarded.
+    TEST(ResponseParserTest, OnlyStatusesFrom100To599AreResponses)
+    {
+        for (int status = 0; status <= 999; ++status) {
+            std::string digits = std::to_string(status);
+            digits.insert(0, 3 - digits.size(), '0');
+            const bool isFinal = status >= 200 && status <= 599;
+            const bool isInterim = status >= 100 && status <= 199 && status != 101;
+            const std::string head = "HTTP/1.1 " + digits + " Text\r\n";
+            const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            const std::string bytes = isInterim ? head + "\r\n" + final : head + "Content-Length: 0\r\n\r\n";
+            const int expected = isFinal ? status : isInterim ? 200 : 0;
+            EXPECT_EQ(responseStatusOf(bytes), expected) << digits;
+        }
+        for (const char* status : { "20", "2000", "2x0", "-20", "+20", " 20", "" })
+            EXPECT_EQ(responseStatusOf(std::string("HTTP/1.1 ") + status + " OK\r\nContent-Length: 0\r\n\r\n"), 0)
+                << status;
+    }
+
+    // Guards against a server that sends interim responses without end.
+    TEST(ResponseParserTest, InterimResponsesAreBoundedInNumberAndSize)
+    {
+        const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+        const std::string final = "HTTP/1.1 204 No Content\r\n\r\n";
+        std::string bytes;
+        for (int count = 0; count <= 20; ++count) {
+            EXPECT_EQ(responseStatusOf(bytes + final), count <= 16 ? 204 : 0) << count;
+            bytes += interim;
+        }
+        ResponseParser parser({ .headerBytes = 1000 });
+        const std::string largeInterim = "HTTP/1.1 103 Early Hints\r\nX: " + std::string(900, 'a') + "\r\n\r\n";
+        EXPECT_THROW(
+            {
+                for (int count = 0; count < 10; ++count) {
+                    parser.append(largeInterim);
+                    parser.next();
+                }
+            },
+            HttpError);
+    }
+
+    // Guards against interim responses of one exchange that count against the next one on the connection.
+    TEST(ResponseParserTest, InterimResponsesAreCountedForEachResponse)
+    {
+        ResponseParser parser({});
+        for (int exchange = 0; exchange < 10; ++exchange) {
+            for (int count = 0; count < 5; ++count)
+                parser.append("HTTP/1.1 100 Continue\r\n\r\n");
+            parser.append("HTTP/1.1 204 No Content\r\n\r\n");
+            ASSERT_TRUE(parser.next()) << exchange;
+        }
+    }
+
+    // Guards against a response to a HEAD request that waits for a body, because an interim response came before it.
+    TEST(ResponseParserTest, InterimResponseBeforeAResponseWithoutBody)
+    {
+        ResponseParser parser({});
+        parser.expectNoBody();
+        parser.append("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+        const auto response = parser.next();
+        ASSERT_TRUE(response);
+        EXPECT_EQ(response->status, 200);
+        EXPECT_FALSE(parser.isWithinMessage());
+        parser.append("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+        const auto next = parser.next();
+        ASSERT_TRUE(next);
+        EXPECT_EQ(next->body, "ab");
+    }
+
     TEST(HttpMessageTest, RemovesHopByHopHeaders)
     {
         HttpHeaders headers { { "Connection", "close, X-Hop" }, { "x-hop", "1" }, { "Keep-Alive", "timeout=5" },
