Refuse folded lines, invalid fields and trailers that change the head

A server in trouble sent a response with a blank or a control byte in a field name; the caller received it, with that line forwarded or with a body that was not the server's.

Cause: a line that begins with a blank or a tab is an obsolete line folding, which Boost.Beast joins with the value of the field before it. The field disappears; if it is Content-Length, the body ends with the connection. Other blanks and control bytes were refused already: of all bytes at the first, a middle and the last place of a name, only a blank and a tab at the first place were accepted.

Change: the response parser refuses folded lines, names that are no tokens and values with control bytes besides tabs. Trailer fields are checked and dropped; they were added to the head's fields. A response with HTTP/1.0 and a transfer encoding is refused. Requests are read as before.

--- a/src/http/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -78,6 +78,20 @@
     return status >= firstStatus && status <= lastStatus;
 }
 
+bool isFieldName(std::string_view name)
+{
+    constexpr std::string_view tokenMarks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [&](char byte) {
+        return absl::ascii_isalnum(static_cast<unsigned char>(byte)) || tokenMarks.find(byte) != std::string_view::npos;
+    });
+}
+
+bool isFieldValue(std::string_view value)
+{
+    return std::none_of(value.begin(), value.end(),
+        [](char byte) { return byte != '\t' && absl::ascii_iscntrl(static_cast<unsigned char>(byte)); });
+}
+
 std::string serialize(const HttpRequest& request)
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -31,6 +31,10 @@
 
 // Returns true for a status from 100 to 599. Others have no meaning, so a message with one is no response.
 bool isResponseStatus(int status);
+// Returns true for a token.
+bool isFieldName(std::string_view name);
+// Returns true if the value has no control bytes besides tabs.
+bool isFieldValue(std::string_view value);
 
 struct HttpLimits {
     uint32_t headerBytes { 64 * 1024 };
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -20,6 +20,7 @@
     constexpr int statusSwitchingProtocols = 101;
     // A server sends few of them for one response: 100, and some of 102 and 103.
     constexpr int maxInterimResponses = 16;
+    constexpr int httpVersion11 = 11;
 
     std::string toString(BeastView text) { return { text.data(), text.size() }; }
 
@@ -51,6 +52,10 @@
         int contentLengthHeaders { 0 };
         int hostHeaders { 0 };
         bool hasUnsupportedEncoding { false };
+        // HTTP/1.0 has no chunked encoding; a response of that version that uses it may be read in two ways.
+        bool hasChunkedEncoding { true };
+        // The bytes of the current call of put().
+        std::string_view input;
         bool wantsContinue { false };
 
     private:
@@ -61,24 +66,46 @@
                 message.target = toString(target);
             }
         }
-        void on_response_impl(int code, BeastView reason, int, ErrorCode& error) override
+        void on_response_impl(int code, BeastView reason, int version, ErrorCode& error) override
         {
             if constexpr (!isRequest) {
                 // No request of this program asks for another protocol.
                 if (!isResponseStatus(code) || code == statusSwitchingProtocols)
                     error = http::error::bad_status;
+                hasChunkedEncoding = version >= httpVersion11;
                 message.status = code;
                 message.reason = toString(reason);
             }
         }
-        void on_field_impl(http::field field, BeastView name, BeastView value, ErrorCode&) override
+        // Beast joins a folded line with the value of the field before it, so that a field whose name begins with a
+        // blank would be lost. A joined value is outside the input, or behind a line end in it.
+        bool isFolded(BeastView name, BeastView value) const
         {
+            const auto begin = reinterpret_cast<uintptr_t>(name.data() + name.size());
+            const auto end = reinterpret_cast<uintptr_t>(input.data() + input.size());
+            const auto valueBegin = reinterpret_cast<uintptr_t>(value.data());
+            if (valueBegin < begin || valueBegin > end)
+                return true;
+            return std::string_view(name.data() + name.size(), valueBegin - begin).find('\n') != std::string_view::npos;
+        }
+        void on_field_impl(http::field field, BeastView name, BeastView value, ErrorCode& error) override
+        {
+            if constexpr (!isRequest) {
+                if (isFolded(name, value) || !isFieldName({ name.data(), name.size() })
+                    || !isFieldValue({ value.data(), value.size() })) {
+                    error = http::error::bad_field;
+                    return;
+                }
+                // Trailer fields must not change what the head said, such as the id of the request.
+                if (this->is_header_done())
+                    return;
+            }
             if (field == http::field::content_length)
                 ++contentLengthHeaders;
             if (field == http::field::host)
                 ++hostHeaders;
             if (field == http::field::transfer_encoding)
-                hasUnsupportedEncoding |= !boost::beast::iequals(value, "chunked");
+                hasUnsupportedEncoding |= !hasChunkedEncoding || !boost::beast::iequals(value, "chunked");
             if (field == http::field::expect)
                 wantsContinue = boost::beast::iequals(value, "100-continue");
             message.headers.push_back({ toString(name), toString(value) });
@@ -139,6 +166,7 @@
             size_t offset = 0;
             while (offset < buffer.size() && !parser.is_done()) {
                 ErrorCode error;
+                parser.input = std::string_view(buffer).substr(offset);
                 const size_t count
                     = parser.put(boost::asio::const_buffer(buffer.data() + offset, buffer.size() - offset), error);
                 offset += count;
--- a/src/http/MessageParser.h
+++ b/src/http/MessageParser.h
@@ -6,7 +6,9 @@
 // bytes that one read delivered beyond it. What is not body (heads, interim responses, chunk sizes and extensions,
 // trailers) may take twice the head's limit and 16 bytes more for each byte of the body; a peer that sends more, such
 // as a chunk extension without end, is refused. A response has a status from 100 to 599 and at most 16 interim
-// responses before it; 101 is refused, because no request of this program asks for another protocol.
+// responses before it; 101 is refused, because no request of this program asks for another protocol. Its field names
+// are tokens, its values have no control bytes besides tabs, and no line is folded. Trailer fields are checked and
+// dropped.
 #pragma once
 
 #include "base/Error.h"
--- a/src/http/tests/MessageParserTest.cpp
+++ b/src/http/tests/MessageParserTest.cpp
@@ -4,6 +4,8 @@
 
 #include "base/Random.h"
 
+#include <cctype>
+#include <cstring>
 #include <gtest/gtest.h>
 
 namespace skylark {
@@ -224,6 +226,99 @@
         EXPECT_EQ(next->body, "ab");
     }
 
+    bool isTokenByte(int byte) { return std::isalnum(byte) || (byte != 0 && std::strchr("!#$%&'*+-.^_`|~", byte)); }
+
+    // Guards against a response that is forwarded with an invalid field name: each byte at the first, a middle and the
+    // last place of the name of the first and of the last field. A blank at the first place is a line folding, which
+    // would make the field a part of the value before it.
+    TEST(ResponseParserTest, FieldNamesAreTokens)
+    {
+        const std::vector<std::string> fields { "X-First: 1\r\n", "X-Other: 2\r\n", "Content-Length: 2\r\n" };
+        for (int byte = 0; byte < 256; ++byte) {
+            if (byte == ':')
+                continue;
+            for (const size_t changedField : { size_t(0), fields.size() - 1 }) {
+                const size_t nameSize = fields[changedField].find(':');
+                for (const size_t position : { size_t(0), nameSize / 2, nameSize - 1 }) {
+                    for (const bool replaces : { false, true }) {
+                        std::vector<std::string> changed = fields;
+                        changed[changedField].replace(position, replaces ? 1 : 0, 1, static_cast<char>(byte));
+                        // The body's length may be lost with the name, so the response ends with the connection.
+                        ResponseParser parser({});
+                        parser.append("HTTP/1.1 200 OK\r\n" + changed[0] + changed[1] + changed[2] + "\r\nok");
+                        bool isAccepted = false;
+                        try {
+                            isAccepted = parser.next() || parser.finish();
+                        } catch (const HttpError&) {
+                        }
+                        EXPECT_EQ(isAccepted, isTokenByte(byte))
+                            << "byte " << byte << ", field " << changedField << ", position " << position;
+                    }
+                }
+            }
+        }
+    }
+
+    TEST(ResponseParserTest, FieldValuesHaveNoControlBytesButATab)
+    {
+        for (int byte = 0; byte < 256; ++byte) {
+            const bool isAllowed = byte == '\t' || (byte >= ' ' && byte != 127);
+            const std::string text(1, static_cast<char>(byte));
+            for (const std::string& value : { text + "ab", "a" + text + "b", "ab" + text })
+                EXPECT_EQ(responseStatusOf("HTTP/1.1 204 No\r\nX: " + value + "\r\n\r\n"), isAllowed ? 204 : 0) << byte;
+        }
+    }
+
+    // Guards against a field that disappears into the value of the field before it, for example the length.
+    TEST(ResponseParserTest, FoldedLinesAreRefusedHoweverTheyAreSplit)
+    {
+        for (const char* fields : { "X: y\r\n Content-Length: 0\r\n", "X: y\r\n\tContent-Length: 0\r\n",
+                 "X:\r\n Content-Length: 0\r\n", "X: y\r\n \r\n", "X:\r\n \r\n" }) {
+            const std::string bytes = std::string("HTTP/1.1 204 No\r\n") + fields + "\r\n";
+            EXPECT_EQ(responseStatusOf(bytes), 0) << bytes;
+            for (size_t split = 1; split < bytes.size(); ++split) {
+                ResponseParser parser({});
+                EXPECT_THROW(
+                    {
+                        parser.append(bytes.substr(0, split));
+                        parser.next();
+                        parser.append(bytes.substr(split));
+                        parser.next();
+                    },
+                    HttpError)
+                    << bytes << split;
+            }
+        }
+    }
+
+    // Guards against a trailer field that changes what the head said, such as the id of the request. An invalid trailer
+    // still makes the whole message invalid.
+    TEST(ResponseParserTest, TrailerFieldsAreCheckedAndDropped)
+    {
+        const std::string start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+        ResponseParser parser({});
+        parser.append(start + "X-Trailer: 1\r\n\r\n");
+        const auto response = parser.next();
+        ASSERT_TRUE(response);
+        EXPECT_EQ(response->body, "a");
+        EXPECT_FALSE(findHeader(response->headers, "X-Trailer"));
+        for (const char* trailer :
+            { "X Y: 1\r\n", "X\x01: 1\r\n", "X: \x01\r\n", "X: 1\r\n Y: 2\r\n", "Content-Length: 1\r\n" })
+            EXPECT_EQ(responseStatusOf(start + trailer + "\r\n"), 0) << trailer;
+    }
+
+    // Guards against two readings of one message: an HTTP/1.0 sender knows no chunked encoding.
+    TEST(ResponseParserTest, AmbiguousFramingIsRefused)
+    {
+        for (const char* message : { "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 1, 1\r\nContent-Length: 1\r\n\r\na",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\na",
+                 "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 O\x01K\r\n\r\n" })
+            EXPECT_EQ(responseStatusOf(message), 0) << message;
+    }
+
     TEST(HttpMessageTest, RemovesHopByHopHeaders)
     {
         HttpHeaders headers { { "Connection", "close, X-Hop" }, { "x-hop", "1" }, { "Keep-Alive", "timeout=5" },
