Check the status and the fields of a peer's response

Cause: PeerClient took each AnswerStart as it came, so a peer that does not check its server's response (an older release during an update) could still deliver one that is none.

Change: a status outside 200 to 599, a name that is no token or a value with control bytes ends the attempt as unknown, step "backend-server".

Before: PeerClientTest.ResponseWithAnInvalidHeadIsUnknown failed. After: PeerClientTest passes.

--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -18,6 +18,16 @@
         return static_cast<uint64_t>(std::min(rate, maxRate) * 1000);
     }
 
+    // The peer checks its server's responses too; this guards the callers against a peer of another release.
+    bool isValidHead(const AnswerStart& head)
+    {
+        constexpr uint32_t firstFinalStatus = 200;
+        constexpr uint32_t endOfStatuses = 600;
+        return head.status >= firstFinalStatus && head.status < endOfStatuses
+            && std::all_of(head.headers.begin(), head.headers.end(),
+                [](const auto& header) { return isFieldName(header.first) && isFieldValue(header.second); });
+    }
+
 } // namespace
 
 PeerClient::PeerClient(
@@ -223,6 +233,10 @@
     if (found == m_calls.end())
         return;
     const StreamId stream = response.stream;
+    if (!isValidHead(response)) {
+        reply(stream, makeRefusal(CallOutcome::Unknown, "backend-server", "the response has an invalid head"));
+        return;
+    }
     const bool hasBody = response.hasBody;
     found->second.head = std::move(response);
     found->second.body.clear();
--- a/src/proxy/tests/PeerClientTest.cpp
+++ b/src/proxy/tests/PeerClientTest.cpp
@@ -20,6 +20,10 @@
         }
         Endpoint address() const { return { "127.0.0.1", m_listener.port() }; }
         void answer(StreamId stream) { m_channel->send(AnswerStart { .stream = stream, .status = 200 }); }
+        void answer(StreamId stream, uint32_t status, HeaderList headers)
+        {
+            m_channel->send(AnswerStart { .stream = stream, .status = status, .headers = std::move(headers) });
+        }
         void answerUpdateRequest() { m_channel->send(SourceUpdate { .version = VersionNumber(7) }); }
         void dropConnection() { m_channel.reset(); }
         // The open connection delivers nothing from now on and stays open; new ones work.
@@ -135,6 +139,34 @@
         EXPECT_TRUE(std::holds_alternative<GateResponse>(*replies.at(1)));
     }
 
+    // Guards against a response that is none and reaches the caller through a peer that did not check it.
+    TEST_F(PeerClientTest, ResponseWithAnInvalidHeadIsUnknown)
+    {
+        struct Head {
+            uint32_t status { 200 };
+            HeaderList headers;
+            bool isValid { false };
+        };
+        const std::vector<Head> heads { { .status = 0 }, { .status = 99 }, { .status = 100 }, { .status = 101 },
+            { .status = 199 }, { .status = 600 }, { .status = 700 }, { .status = 4'000'000'000U },
+            { .headers = { { "", "v" } } }, { .headers = { { "X Y", "v" } } }, { .headers = { { " X", "v" } } },
+            { .headers = { { "X\x01", "v" } } }, { .headers = { { "X:", "v" } } },
+            { .headers = { { "X", "a\r\nSet-Cookie: b" } } }, { .headers = { { "X", std::string("a\0b", 3) } } },
+            { .headers = { { "X", "\x7f" } } }, { .headers = { { "X", "a\tb" } }, .isValid = true },
+            { .status = 599, .headers = { { "X", "" } }, .isValid = true } };
+        for (size_t i = 0; i < heads.size(); ++i) {
+            submit(i, false);
+            runFor(i == 0 ? 50ms : 5ms);
+            peer.answer(StreamId(i), heads[i].status, heads[i].headers);
+            runFor(10ms);
+            ASSERT_TRUE(replies.contains(i)) << i;
+            ASSERT_EQ(std::holds_alternative<GateResponse>(*replies.at(i)), heads[i].isValid) << i;
+            if (!heads[i].isValid) {
+                EXPECT_EQ(outcome(i), CallOutcome::Unknown) << i;
+            }
+        }
+    }
+
     // Guards against work for callers that have left: the gate runs a call until its deadline if it never learns that
     // the caller left while the connection between the nodes was being opened again.
     TEST_F(PeerClientTest, CallCancelledDuringAReconnectIsCancelledAtThePeer)
