Close the store's connection when bytes follow a response

Cause: BlockingHttpClient kept the connection and the parser with the bytes behind a response, and returned them as the response to the next request on that connection. Only the socket was checked for unsolicited bytes, not the parser.

Change: such a connection is closed.

Before: BlockingHttpClientTest.BytesBehindAResponseReachNoLaterRequest failed (the second request got "first"). After: it passes.

--- a/src/http/BlockingHttpClient.cpp
+++ b/src/http/BlockingHttpClient.cpp
@@ -80,7 +80,8 @@
         ReceivedResponse received = receive(startedAt + timeout);
         m_isServerSlow = *m_firstByteTime - startedAt > expectedTime;
         m_lastUsedAt = std::chrono::steady_clock::now();
-        if (!received.response.keepsAlive)
+        // Bytes behind the response belong to no request, and the next response would begin with them.
+        if (!received.response.keepsAlive || m_parser->isWithinMessage())
             m_socket.reset();
         return received;
     } catch (const Error&) {
--- a/src/http/tests/BlockingHttpClientTest.cpp
+++ b/src/http/tests/BlockingHttpClientTest.cpp
@@ -2,10 +2,12 @@
 // earlier request.
 #include "http/BlockingHttpClient.h"
 
+#include "base/Socket.h"
 #include "testing/TcpRelay.h"
 
 #include <gtest/gtest.h>
 #include <httplib.h>
+#include <sys/socket.h>
 #include <thread>
 
 namespace skylark {
@@ -68,6 +70,70 @@
         EXPECT_EQ(client.get("/none", 2s).response.status, 404);
     }
 
+    // Answers the requests on all connections with the given texts, one after the other, and keeps the connections
+    // open.
+    class ScriptedServer {
+    public:
+        explicit ScriptedServer(std::vector<std::string> answers)
+            : m_listener(listenOn({ "127.0.0.1", 0 }))
+            , m_thread([this, answers = std::move(answers)] { run(answers); })
+        {
+        }
+        ~ScriptedServer()
+        {
+            m_isStopping = true;
+            m_thread.join();
+        }
+        Endpoint address() const { return boundEndpoint(m_listener); }
+
+    private:
+        void run(const std::vector<std::string>& answers)
+        {
+            std::vector<FileDescriptor> connections;
+            size_t answered = 0;
+            while (!m_isStopping) {
+                if (FileDescriptor connection = acceptFrom(m_listener))
+                    connections.push_back(std::move(connection));
+                for (const FileDescriptor& connection : connections) {
+                    std::array<char, 4096> bytes;
+                    if (answered < answers.size() && recv(connection.value(), bytes.data(), bytes.size(), 0) > 0) {
+                        const std::string& answer = answers[answered++];
+                        send(connection.value(), answer.data(), answer.size(), MSG_NOSIGNAL);
+                    }
+                }
+                std::this_thread::sleep_for(1ms);
+            }
+        }
+
+        const FileDescriptor m_listener;
+        std::atomic<bool> m_isStopping { false };
+        std::thread m_thread;
+    };
+
+    // Guards against bytes behind a response that are taken for the response to the next request.
+    TEST_F(BlockingHttpClientTest, BytesBehindAResponseReachNoLaterRequest)
+    {
+        const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+        for (const std::string& extra : { first, std::string("H"), std::string("HTTP/1.1 100 Continue\r\n\r\n") }) {
+            ScriptedServer server({ first + extra, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond" });
+            BlockingHttpClient client({ .server = server.address() });
+            EXPECT_EQ(client.get("/first", 2s).response.body, "first");
+            EXPECT_EQ(client.get("/second", 2s).response.body, "second") << extra;
+        }
+    }
+
+    // Guards against a store's response that is none.
+    TEST_F(BlockingHttpClientTest, InvalidResponseIsAnError)
+    {
+        for (const std::string& answer : { std::string("HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n"),
+                 std::string("HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 2\r\n\r\nok"),
+                 std::string("HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nok") }) {
+            ScriptedServer server({ answer });
+            BlockingHttpClient client({ .server = server.address() });
+            EXPECT_THROW(client.get("/", 300ms), Error) << answer;
+        }
+    }
+
     TEST_F(BlockingHttpClientTest, LateResponseIsAnErrorAndIsNotReturnedToALaterRequest)
     {
         BlockingHttpClient client({ .server = address() });
