--- a/src/document/Configuration.h
+++ b/src/document/Configuration.h
@@ -108,6 +108,10 @@
     Duration target {};
     // If true, the prefix itself does not match; the prefix with a trailing slash and all paths below it do.
     bool isSubtreeOnly { false };
+    // This release does not know the route's kind, so that its requests are never repeated.
+    bool hasUnknownKind { false };
+    // This release knows no destination in the route's action: `service` is empty and all requests are refused.
+    bool hasUnknownAction { false };
 
     bool operator==(const Route&) const = default;
 };
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -120,6 +120,11 @@
         finish(call, failure(statusNotFound, "no route"), "no-route");
         return;
     }
+    if (call->route->hasUnknownAction) {
+        call->lastReason = "this release knows no destination in the route's action";
+        finish(call, refusal(*call), "not-run");
+        return;
+    }
     call->service = m_splits.choose(*call->route);
     call->rank = call->isNestedCall ? 0 : call->route->rank;
     setDeadlines(*call);
--- a/src/proxy/HttpListener.cpp
+++ b/src/proxy/HttpListener.cpp
@@ -166,6 +166,8 @@
     m_options.limits = limits;
     m_options.headerTimeout = headerTimeout;
     m_options.idleTimeout = idleTimeout;
+    for (const auto& connection : m_connections)
+        connection->m_parser.setLimits(limits);
 }
 
 void HttpListener::closeIdle()
--- a/src/proxy/HttpListener.h
+++ b/src/proxy/HttpListener.h
@@ -46,6 +46,7 @@
     void onEnd(StreamEnd end) override;
 
 private:
+    friend class HttpListener;
     void readNext();
     void startTimeout();
     void handleTimeout();
@@ -70,7 +71,7 @@
     HttpListener(EventLoop& loop, HttpListenerOptions options, Handler handler);
     ~HttpListener();
 
-    // The header and body limits apply to new connections, the timeouts to all.
+    // Applies to all connections, the header and body limits from their next request.
     void setLimits(HttpLimits limits, Duration headerTimeout, Duration idleTimeout);
     // From now on each response closes its connection.
     void beginDrain() { m_isDraining = true; }
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -73,6 +73,7 @@
     void handleReady(const std::shared_ptr<HttpConnection>& connection);
     void handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection);
     std::string metricsText();
+    size_t countRoutes(bool Route::*isCounted) const;
     std::string stateText();
     void logReloadRequest();
     void beginStop();
--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -1,6 +1,7 @@
 // The node's pages for the platform and for operators: readiness, metrics and state.
 #include "proxy/ProxyNode.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace skylark {
@@ -42,11 +43,23 @@
     m_metrics.setValue("log_lines_suppressed", static_cast<double>(m_log.suppressedCount()));
     m_metrics.setValue("unexpected_errors", static_cast<double>(m_loop.unexpectedErrors()));
     m_metrics.setValue("source_lost", m_isSourceLost ? 1 : 0);
+    m_metrics.setValue("routes_with_unknown_kind", static_cast<double>(countRoutes(&Route::hasUnknownKind)));
+    m_metrics.setValue("routes_with_unknown_action", static_cast<double>(countRoutes(&Route::hasUnknownAction)));
     m_metrics.setReader(m_exchange.isReading());
     m_metrics.setValue("source_age_seconds", std::chrono::duration<double>(m_exchange.age()).count());
     return m_metrics.exposition();
 }
 
+size_t ProxyNode::countRoutes(bool Route::*isCounted) const
+{
+    const auto& current = m_forwarder.configuration();
+    if (!current)
+        return 0;
+    const auto& routes = current->routes();
+    return static_cast<size_t>(
+        std::count_if(routes.begin(), routes.end(), [isCounted](const Route& route) { return route.*isCounted; }));
+}
+
 std::string ProxyNode::stateText()
 {
     nlohmann::json peers = nlohmann::json::object();
