--- a/src/admission/ServerRateLimit.cpp
+++ b/src/admission/ServerRateLimit.cpp
@@ -17,22 +17,22 @@
 
 } // namespace
 
-void ServerRateLimit::set(std::optional<double> rate, TimePoint now)
+void ServerRateLimit::set(std::optional<double> rate, std::optional<double> burstSize, TimePoint now)
 {
     if (rate)
         rate = std::max(minRate, *rate);
-    if (rate == m_rate)
+    if (rate == m_rate && burstSize == m_burst)
         return;
-    // A new limit starts without tokens, since the requests of the last moments were not counted.
     const double tokens = m_rate ? tokensAt(now) : 0;
     m_rate = rate;
+    m_burst = burstSize;
     m_updatedAt = now;
     m_tokens = m_rate ? std::min(tokens, burst()) : 0;
     if (!m_rate)
         m_senders.clear();
 }
 
-double ServerRateLimit::burst() const { return std::max(1.0, *m_rate * burstSeconds); }
+double ServerRateLimit::burst() const { return std::max(1.0, m_burst.value_or(*m_rate * burstSeconds)); }
 
 double ServerRateLimit::tokensAt(TimePoint now) const
 {
@@ -41,6 +41,14 @@
 
 bool ServerRateLimit::hasRoom(TimePoint now) const { return !m_rate || tokensAt(now) >= 1; }
 
+Duration ServerRateLimit::timeUntilRoom(TimePoint now) const
+{
+    if (hasRoom(now))
+        return Duration(0);
+    const std::chrono::duration<double> wait((1 - tokensAt(now)) / *m_rate);
+    return std::chrono::duration_cast<Duration>(wait);
+}
+
 bool ServerRateLimit::startRequest(TimePoint now)
 {
     if (!m_rate)
