Treat the change of a server between cold and warm as relevant to routing

Cause: a server whose remaining cold time went from zero to a positive value without a new start kept its age, and peers that follow a reader never learned of it. The view now also has the time until which a server is cold by its entry.

Measured: membership_test 43 of 43; the new test did not compile before (no coldUntil), and the directory's rule for routing compared no cold time.

--- a/src/membership/MembershipView.h
+++ b/src/membership/MembershipView.h
@@ -62,6 +62,8 @@
     // Times at which the condition last changed and this incarnation was first seen.
     TimePoint since;
     TimePoint firstSeen;
+    // The server counts as cold until this time, by its entry.
+    TimePoint coldUntil {};
 };
 
 // A peer's report about the condition of a third instance.
--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -12,16 +12,25 @@
     // Age of a server that is not cold, so that the router applies no slow start to it.
     constexpr Duration warmServerAge = std::chrono::hours(1);
 
-    // Heartbeats change only the revision, which does not affect routing.
+    bool isCold(const ServerRecord& record) { return record.remainingSlowStart > Duration::zero(); }
+
+    // Heartbeats change only the revision and the remaining cold time. Of the latter only the change between cold and
+    // warm affects routing.
     bool isSameForRouting(const ServerRecord& left, const ServerRecord& right)
     {
         return left.incarnation == right.incarnation && left.service == right.service && left.zone == right.zone
-            && left.address == right.address && left.slots == right.slots && left.isDraining == right.isDraining;
+            && left.address == right.address && left.slots == right.slots && left.isDraining == right.isDraining
+            && isCold(left) == isCold(right);
     }
 
     TimePoint firstSeen(const ServerRecord& record, TimePoint now)
     {
-        return record.remainingSlowStart > Duration::zero() ? now : now - warmServerAge;
+        return isCold(record) ? now : now - warmServerAge;
+    }
+
+    TimePoint coldUntil(const ServerRecord& record, TimePoint now)
+    {
+        return isCold(record) ? now + record.remainingSlowStart : TimePoint();
     }
 
     // Of two positions of the same incarnation, prefers the one whose number is known.
@@ -63,7 +72,8 @@
         Entry { .record = *entry.record,
             .revision = entry.revision,
             .lastChangeRevision = entry.revision,
-            .firstSeen = firstSeen(*entry.record, now) });
+            .firstSeen = firstSeen(*entry.record, now),
+            .coldUntil = coldUntil(*entry.record, now) });
     return true;
 }
 
@@ -100,8 +110,13 @@
         return false;
     }
     const bool isChanged = !isSameForRouting(current.record, *entry.record);
-    if (current.record.incarnation != entry.record->incarnation)
+    const bool isNewStart = current.record.incarnation != entry.record->incarnation;
+    if (isNewStart || isCold(current.record) != isCold(*entry.record))
         current.firstSeen = firstSeen(*entry.record, now);
+    // The same heartbeat from another source does not extend the time.
+    if (entry.record->position() != current.record.position()
+        || entry.record->remainingSlowStart != current.record.remainingSlowStart)
+        current.coldUntil = coldUntil(*entry.record, now);
     current.record = *entry.record;
     current.revision = entry.revision;
     // Peers may have dropped a server that was absent here.
@@ -300,7 +315,8 @@
                                   .isLeaving = record.isDraining },
             .condition = record.isDraining ? Condition::Leaving : Condition::Live,
             .since = entry.firstSeen,
-            .firstSeen = entry.firstSeen });
+            .firstSeen = entry.firstSeen,
+            .coldUntil = entry.coldUntil });
     }
     return std::make_shared<const MembershipView>(std::move(instances));
 }
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -169,7 +169,9 @@
         Revision revision;
         // Revision of the last change that affects routing.
         Revision lastChangeRevision;
+        // Age of the server for the slow start; counts anew when the server becomes cold.
         TimePoint firstSeen;
+        TimePoint coldUntil;
         // Set while the entry is missing and its grace period runs.
         std::optional<Absence> absence;
     };
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -56,6 +56,28 @@
 
     size_t listedCount(const ServerDirectory& directory) { return directory.view()->instances().size(); }
 
+    // Guards against a zone whose servers become cold again without a new start: the router and the peers would take
+    // them for warm ones.
+    TEST(ServerDirectoryTest, BecomingColdOrWarmAffectsRoutingAndReachesPeers)
+    {
+        const auto withCold = [](uint64_t revision, uint64_t number, Duration cold) {
+            ServerEntry result = heartbeat("1", revision, number);
+            result.record->remainingSlowStart = cold;
+            return result;
+        };
+        ServerDirectory directory({});
+        directory.apply(listing({ withCold(1, 1, 0s) }, 1), start);
+        EXPECT_TRUE(directory.apply(changes({ withCold(2, 2, 3s) }, 1, 2), start + 1s));
+        EXPECT_EQ(directory.changesSince(Revision(1)).entries.size(), 1u);
+        EXPECT_EQ(directory.view()->instances().front().coldUntil, start + 4s);
+        EXPECT_EQ(directory.view()->instances().front().firstSeen, start + 1s);
+        EXPECT_FALSE(directory.apply(changes({ withCold(3, 3, 1500ms) }, 2, 3), start + 2500ms));
+        EXPECT_TRUE(directory.changesSince(Revision(2)).entries.empty());
+        EXPECT_TRUE(directory.apply(changes({ withCold(4, 4, 0s) }, 3, 4), start + 4s));
+        EXPECT_EQ(directory.changesSince(Revision(3)).entries.size(), 1u);
+        EXPECT_LE(directory.view()->instances().front().coldUntil, start + 4s);
+    }
+
     TEST(ServerDirectoryTest, NewestRevisionWinsInAnyOrderOfArrival)
     {
         ServerDirectory directory({ .peerPort = 7000 });
