Send bodies to peers in pieces, as the socket accepts them

Cause: FrameChannel::sendWithBody serialized all chunks of a body into one string and wrote it at once. Whatever followed on the connection, a nested call of a few bytes or a ping, waited until the body had left, and the body was copied. A caller that had left did not stop it.

FrameChannel produces pieces only when the socket has accepted everything before (StreamHandler::onDrained). TCP_NOTSENT_LOWAT bounds what the kernel holds unsent to 10 ms of the link, at least 16 KiB and at most 64 KiB. Cancel drops the rest of a body. pendingBytes() includes the bodies that wait. The channels report what they queue to LinkBudget, which only counts so far.

Ruled out: SO_SNDBUF, which also counts bytes on their way and so limits the throughput to one buffer per round trip.

--- a/src/eventloop/TcpStream.cpp
+++ b/src/eventloop/TcpStream.cpp
@@ -110,6 +110,13 @@
             end(StreamEnd::Failed);
     }
 
+    void reportDrained()
+    {
+        if (handler && !hasEnded && uv_stream_get_write_queue_size(stream()) == 0
+            && !loop->runGuarded("stream-drained", [this] { handler->onDrained(); }))
+            end(StreamEnd::Failed);
+    }
+
     void startReading()
     {
         if (isClosing || hasEnded || !isConnected)
@@ -188,8 +195,11 @@
         pending->request.data = pending.get();
         uv_buf_t buffer
             = uv_buf_init(pending->bytes.data() + offset, static_cast<unsigned>(pending->bytes.size() - offset));
-        const int result = uv_write(&pending->request, stream(), &buffer, 1,
-            [](uv_write_t* request, int) { delete static_cast<PendingWrite*>(request->data); });
+        const int result = uv_write(&pending->request, stream(), &buffer, 1, [](uv_write_t* request, int status) {
+            delete static_cast<PendingWrite*>(request->data);
+            if (status == 0)
+                fromData(request->handle->data).reportDrained();
+        });
         if (result == 0)
             pending.release();
     }
@@ -240,6 +250,14 @@
 
 void TcpStream::write(std::string bytes) { m_handle->write(std::move(bytes)); }
 
+void TcpStream::limitUnsentBytes(size_t bytes)
+{
+    uv_os_fd_t descriptor = -1;
+    const auto limit = static_cast<unsigned>(bytes);
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&m_handle->socket), &descriptor) == 0)
+        setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &limit, sizeof(limit));
+}
+
 size_t TcpStream::pendingBytes() const { return uv_stream_get_write_queue_size(m_handle->stream()); }
 
 bool TcpStream::isConnected() const { return m_handle->isConnected && !m_handle->hasEnded; }
--- a/src/eventloop/TcpStream.h
+++ b/src/eventloop/TcpStream.h
@@ -29,6 +29,8 @@
     virtual ~StreamHandler() = default;
     virtual void onConnected() { }
     virtual void onData(std::string_view bytes) = 0;
+    // The kernel has accepted the bytes that write() had queued: pendingBytes() is zero again.
+    virtual void onDrained() { }
     // The stream sends and receives nothing more; the handler should destroy it.
     virtual void onEnd(StreamEnd end) = 0;
 };
@@ -59,6 +61,9 @@
     void stopReading();
     void write(std::string bytes);
     size_t pendingBytes() const;
+    // The kernel accepts no more bytes while it holds this many that it has not sent (TCP_NOTSENT_LOWAT). Bytes on
+    // their way to the peer do not count, so the throughput is not limited.
+    void limitUnsentBytes(size_t bytes);
     bool isConnected() const;
     // The peer's address without the port. Empty if it is unknown.
     std::string peerHost() const;
--- a/src/eventloop/tests/EventLoopTest.cpp
+++ b/src/eventloop/tests/EventLoopTest.cpp
@@ -26,7 +26,9 @@
             if (onEnded)
                 onEnded();
         }
+        void onDrained() override { ++drainedCount; }
         std::string received;
+        int drainedCount { 0 };
         std::optional<StreamEnd> end;
         bool isConnected { false };
         std::function<void()> onReceived;
@@ -189,6 +191,35 @@
     // More than the socket buffers of both ends hold.
     constexpr size_t largeResponseBytes = 24'000'000;
 
+    // Guards against a sender that is not told when it may write again, and against a kernel that takes megabytes ahead
+    // of what is written next.
+    TEST_F(EventLoopTest, HandlerLearnsThatTheKernelAcceptedThePendingBytes)
+    {
+        RecordingHandler sender;
+        std::unique_ptr<TcpStream> accepted;
+        TcpListener listener(loop, { "127.0.0.1", 0 }, [&](std::unique_ptr<TcpStream> stream) {
+            accepted = std::move(stream);
+            accepted->setHandler(sender);
+            accepted->limitUnsentBytes(16 * 1024);
+            accepted->write("start");
+        });
+        SlowReader reader(loop, listener.port());
+        runLoopFor(50ms);
+        ASSERT_TRUE(accepted);
+        EXPECT_EQ(sender.drainedCount, 0);
+        accepted->write(std::string(largeResponseBytes, 'x'));
+        runLoopFor(50ms);
+        // The rest is what the reader's kernel holds.
+        EXPECT_GT(accepted->pendingBytes(), largeResponseBytes / 2);
+        EXPECT_EQ(sender.drainedCount, 0);
+        reader.handler.onReceived = nullptr;
+        reader.startReading();
+        runLoopFor(2s);
+        EXPECT_EQ(accepted->pendingBytes(), 0u);
+        EXPECT_GE(sender.drainedCount, 1);
+        EXPECT_EQ(reader.handler.received.size(), largeResponseBytes + 5);
+    }
+
     // Guards against a response that is cut because its reader needs longer than the wait for the peer's close.
     TEST_F(EventLoopTest, CloseAfterFlushWaitsForASlowReader)
     {
--- a/src/proxy/FrameChannel.cpp
+++ b/src/proxy/FrameChannel.cpp
@@ -4,55 +4,128 @@
 #include "base/Log.h"
 #include "wire/Codec.h"
 
+#include <algorithm>
+
 namespace skylark {
 
 namespace {
 
-    constexpr size_t chunkBytes = 64 * 1024;
+    constexpr double unsentSeconds = 0.01;
+    constexpr size_t maxUnsentBytes = 64 * 1024;
 
 } // namespace
 
-FrameChannel::FrameChannel(EventLoop& loop, const Endpoint& peer, const ConnectOptions& options, Callbacks callbacks)
+size_t unsentBytesFor(double linkBitsPerSecond)
+{
+    constexpr double bitsPerByte = 8;
+    if (linkBitsPerSecond <= 0)
+        return maxUnsentBytes;
+    const double bytes = std::min<double>(maxUnsentBytes, linkBitsPerSecond / bitsPerByte * unsentSeconds);
+    return std::max(FrameQueue::pieceBytes, static_cast<size_t>(bytes));
+}
+
+FrameChannel::FrameChannel(EventLoop& loop, const Endpoint& peer, const ConnectOptions& connectOptions,
+    Callbacks callbacks, const FrameChannelOptions& options)
     : m_loop(loop)
     , m_callbacks(std::move(callbacks))
-    , m_stream(TcpStream::connect(loop, peer, *this, options))
+    , m_stream(TcpStream::connect(loop, peer, *this, connectOptions))
+    , m_link(options.link)
     , m_lastReceived(loop.now())
 {
+    m_stream->limitUnsentBytes(unsentBytesFor(options.linkBitsPerSecond));
 }
 
-FrameChannel::FrameChannel(EventLoop& loop, std::unique_ptr<TcpStream> stream, Callbacks callbacks)
+FrameChannel::FrameChannel(
+    EventLoop& loop, std::unique_ptr<TcpStream> stream, Callbacks callbacks, const FrameChannelOptions& options)
     : m_loop(loop)
     , m_callbacks(std::move(callbacks))
     , m_stream(std::move(stream))
+    , m_link(options.link)
     , m_lastReceived(loop.now())
 {
     m_stream->setHandler(*this);
+    m_stream->limitUnsentBytes(unsentBytesFor(options.linkBitsPerSecond));
     m_stream->startReading();
 }
 
+FrameChannel::~FrameChannel()
+{
+    *m_isAlive = false;
+    if (!m_link)
+        return;
+    m_link->recordDropped(m_queue.pendingBytes());
+    m_link->changeWaiting(-static_cast<int64_t>(m_reportedWaiting));
+}
+
+void FrameChannel::recordQueued(size_t bytes, size_t messageBytes)
+{
+    if (m_link)
+        m_link->recordQueued(bytes, messageBytes, m_loop.now());
+}
+
+void FrameChannel::reportWaiting()
+{
+    if (!m_link)
+        return;
+    const size_t waiting = pendingBytes();
+    m_link->changeWaiting(static_cast<int64_t>(waiting) - static_cast<int64_t>(m_reportedWaiting));
+    m_reportedWaiting = waiting;
+}
+
 void FrameChannel::send(const Message& message)
 {
     std::string bytes;
     appendFrame(bytes, message, maxProtocolVersion);
+    recordQueued(bytes.size(), bytes.size());
+    const std::shared_ptr<bool> isAlive = m_isAlive;
     m_stream->write(std::move(bytes));
+    if (*isAlive)
+        reportWaiting();
 }
 
-void FrameChannel::sendWithBody(const Message& head, StreamId stream, std::string_view body)
+void FrameChannel::sendWithBody(const Message& head, StreamId stream, uint32_t rank, SharedBody body)
 {
     std::string bytes;
     appendFrame(bytes, head, maxProtocolVersion);
-    for (size_t offset = 0; offset < body.size(); offset += chunkBytes) {
-        const std::string_view part = body.substr(offset, chunkBytes);
-        appendFrame(bytes,
-            BodyChunk { .stream = stream,
-                .offset = offset,
-                .data = std::string(part),
-                .isLast = offset + part.size() == body.size() },
-            maxProtocolVersion);
+    recordQueued(bytes.size() + body->size(), body->size());
+    m_queue.add(stream, rank, std::move(body));
+    write(std::move(bytes));
+}
+
+void FrameChannel::cancelBody(StreamId stream)
+{
+    const size_t bytes = m_queue.cancel(stream);
+    if (bytes == 0 || !m_link)
+        return;
+    m_link->recordDropped(bytes);
+    reportWaiting();
+}
+
+void FrameChannel::write(std::string bytes)
+{
+    const std::shared_ptr<bool> isAlive = m_isAlive;
+    while (true) {
+        // A head and small bodies are written together.
+        while (m_stream->pendingBytes() == 0 && bytes.size() < FrameQueue::pieceBytes / 2) {
+            const auto piece = m_queue.next();
+            if (!piece)
+                break;
+            appendFrame(bytes, *piece, maxProtocolVersion);
+        }
+        if (bytes.empty())
+            break;
+        m_stream->write(std::move(bytes));
+        if (!*isAlive)
+            return;
+        if (m_stream->pendingBytes() > 0)
+            break;
+        bytes.clear();
     }
-    m_stream->write(std::move(bytes));
+    reportWaiting();
 }
 
+void FrameChannel::onDrained() { write({}); }
+
 void FrameChannel::onConnected()
 {
     if (m_callbacks.onConnected)
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -70,7 +70,8 @@
             ConnectOptions { .connectTimeout = m_options.connectTimeout },
             FrameChannel::Callbacks { .onConnected = [this] { m_channel->send(m_self); },
                 .onMessage = [this](Message message) { handle(std::move(message)); },
-                .onEnd = [this](StreamEnd end) { handleEnd(end); } });
+                .onEnd = [this](StreamEnd end) { handleEnd(end); } },
+            m_options.channel);
     } catch (const Error& error) {
         logEvent(
             LogLevel::Warning, "peer-connect-failed", { { "peer", m_peer.toString() }, { "reason", error.message() } });
@@ -130,7 +131,7 @@
                                 .serverIncarnation = call.serverIncarnation,
                                 .knowsServerRate = call.knownServerRate.has_value(),
                                 .serverRateThousandths = toThousandths(call.knownServerRate.value_or(0)) },
-        call.key.stream, request.body);
+        call.key.stream, static_cast<uint32_t>(std::max(0, call.rank)), SharedBody(call.request, &request.body));
 }
 
 void PeerClient::cancel(StreamId stream)
@@ -140,9 +141,10 @@
         return;
     if (found->second.sentTo != Incarnation()) {
         recordCancel(stream);
-        if (m_hasReceivedHello)
+        if (m_hasReceivedHello) {
+            m_channel->cancelBody(stream);
             m_channel->send(Cancel { .stream = stream });
-        else
+        } else
             logEvent(LogLevel::Info, "cancel-deferred",
                 { { "peer", m_peer.toString() }, { "id", found->second.call.requestId.value() } });
     }
@@ -276,6 +278,9 @@
     const auto found = m_calls.find(stream);
     if (found == m_calls.end())
         return;
+    // The rest of the request is not needed if the peer has refused the call already.
+    if (m_channel)
+        m_channel->cancelBody(stream);
     const ReplyCallback onReply = std::move(found->second.onReply);
     m_calls.erase(found);
     onReply(reply);
--- a/src/proxy/PeerClient.h
+++ b/src/proxy/PeerClient.h
@@ -44,6 +44,7 @@
     // A cancellation is sent again for this long; most calls end sooner.
     Duration cancelRetention { std::chrono::seconds(5) };
     size_t maxCancels { 4096 };
+    FrameChannelOptions channel {};
 };
 
 class PeerClient {
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -22,7 +22,8 @@
         , m_assembler(server.m_options.maxBodyBytes)
         , m_channel(std::make_unique<FrameChannel>(server.m_loop, std::move(stream),
               FrameChannel::Callbacks { .onMessage = [this](Message message) { handle(std::move(message)); },
-                  .onEnd = [this](StreamEnd) { end(); } }))
+                  .onEnd = [this](StreamEnd) { end(); } },
+              server.m_options.channel))
     {
     }
 
@@ -89,6 +90,7 @@
     void on(const Cancel& cancel)
     {
         m_partialCalls.erase(cancel.stream);
+        m_channel->cancelBody(cancel.stream);
         m_server.m_gate.cancel({ .sender = m_peer.incarnation, .stream = cancel.stream });
     }
 
@@ -107,9 +109,9 @@
         auto node = m_partialCalls.extract(stream);
         PartialCall& partialCall = node.mapped();
         CallStart& start = partialCall.start;
-        const auto onReply = [weak = weak_from_this(), stream](const GateReplyPtr& reply) {
+        const auto onReply = [weak = weak_from_this(), stream, rank = start.rank](const GateReplyPtr& reply) {
             if (const auto session = weak.lock(); session && session->m_channel)
-                session->send(stream, *reply);
+                session->send(stream, rank, reply);
         };
         if (start.gateIncarnation != m_server.m_options.self.incarnation) {
             onReply(makeRefusal(CallOutcome::NotRun, "peer-call", "meant for an earlier process of this node"));
@@ -135,19 +137,19 @@
             onReply);
     }
 
-    void send(StreamId stream, const GateReply& reply)
+    void send(StreamId stream, uint32_t rank, const GateReplyPtr& reply)
     {
-        if (const auto* gateResponse = std::get_if<GateResponse>(&reply)) {
+        if (const auto* gateResponse = std::get_if<GateResponse>(reply.get())) {
             m_channel->sendWithBody(AnswerStart { .stream = stream,
                                         .status = static_cast<uint32_t>(gateResponse->response.status),
                                         .headers = toHeaderList(gateResponse->response.headers),
                                         .hasBody = !gateResponse->response.body.empty(),
                                         .load = gateResponse->load,
                                         .endsWithClose = gateResponse->response.endsWithClose },
-                stream, gateResponse->response.body);
+                stream, rank, SharedBody(reply, &gateResponse->response.body));
             return;
         }
-        const auto& refusal = std::get<GateRefusal>(reply);
+        const auto& refusal = std::get<GateRefusal>(*reply);
         m_channel->send(Refusal { .stream = stream,
             .outcome = refusal.outcome,
             .step = refusal.step,
--- a/src/proxy/PeerServer.h
+++ b/src/proxy/PeerServer.h
@@ -23,6 +23,7 @@
     Endpoint listenAddress;
     size_t maxBodyBytes { 16 * 1024 * 1024 };
     Duration idleTimeout { std::chrono::seconds(60) };
+    FrameChannelOptions channel {};
 };
 
 class PeerServer {
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -58,6 +58,7 @@
     , m_router(routerOptions(m_settings))
     , m_directory({ .peerPort = m_settings.peerAddress.port, .regions = m_settings.regions })
     , m_view(m_directory.view())
+    , m_link(m_settings.linkBitsPerSecond)
     , m_gate(m_loop, { .server = m_settings.serverAddress }, m_adapter.httpConventions)
     , m_forwarder(
           m_loop,
@@ -87,7 +88,8 @@
               .setMaxRetryDelay = [this](Duration delay) { m_watcher->setMaxRetryDelay(delay); },
               .retrySource = [this] { m_watcher->retryNow(); },
               .isComplete = [this] { return !m_isSourceLost && !m_directory.mayDeferDeletions(m_loop.now()); } })
-    , m_peerServer(m_loop, { .self = m_self, .listenAddress = m_settings.peerAddress }, m_gate,
+    , m_peerServer(m_loop, { .self = m_self, .listenAddress = m_settings.peerAddress, .channel = channelOptions() },
+          m_gate,
           { .onHello = [this](const Hello& hello) { ensurePeer(hello.listenAddress); },
               .onSourceUpdateRequest
               = [this](const SourceUpdateRequest& request,
@@ -143,8 +145,9 @@
 {
     auto& client = m_peers[endpoint];
     if (!client) {
-        client = std::make_unique<PeerClient>(m_loop, endpoint, m_self, PeerClientOptions {},
-            [this, endpoint](const SourceUpdate& update) { applySourceUpdate(endpoint, update); });
+        client
+            = std::make_unique<PeerClient>(m_loop, endpoint, m_self, PeerClientOptions { .channel = channelOptions() },
+                [this, endpoint](const SourceUpdate& update) { applySourceUpdate(endpoint, update); });
     }
     return *client;
 }
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -59,6 +59,10 @@
     void handleSourceRecovered();
     bool isReady() const;
 
+    FrameChannelOptions channelOptions()
+    {
+        return { .linkBitsPerSecond = m_settings.linkBitsPerSecond, .link = &m_link };
+    }
     PeerClient& ensurePeer(const Endpoint& endpoint);
     void removeUnlistedPeers();
     void tick();
@@ -90,6 +94,8 @@
     ServerDirectory m_directory;
     // The most recently published view of the directory.
     std::shared_ptr<const MembershipView> m_view;
+    // Outlives the connections and the gate, which report to it.
+    LinkBudget m_link;
     BackendGate m_gate;
     std::map<Endpoint, std::unique_ptr<PeerClient>> m_peers;
     CallForwarder m_forwarder;
--- a/src/proxy/tests/PeerClientTest.cpp
+++ b/src/proxy/tests/PeerClientTest.cpp
@@ -32,6 +32,10 @@
         std::vector<StreamId> cancelledStreams;
         std::vector<SourceUpdateRequest> updateRequests;
         size_t pingCount { 0 };
+        // Complete request bodies.
+        std::map<StreamId, std::string> bodies;
+        // The next chunk of a body ends the connection.
+        bool dropsAtNextChunk { false };
 
     private:
         void accept(std::unique_ptr<TcpStream> stream)
@@ -57,6 +61,16 @@
                 calls.push_back(*call);
             if (const auto* request = std::get_if<SourceUpdateRequest>(&message))
                 updateRequests.push_back(*request);
+            if (const auto* chunk = std::get_if<BodyChunk>(&message)) {
+                if (std::exchange(dropsAtNextChunk, false)) {
+                    m_partialBodies.clear();
+                    dropConnection();
+                    return;
+                }
+                std::string& body = m_partialBodies[chunk->stream];
+                if (BodyAssembler(maxBodyBytes).add(body, *chunk))
+                    bodies[chunk->stream] = std::move(body);
+            }
             if (std::holds_alternative<Ping>(message))
                 ++pingCount;
             if (isSilent)
@@ -67,7 +81,9 @@
                 m_channel->send(Pong { .nonce = ping->nonce });
         }
 
+        static constexpr size_t maxBodyBytes = 16 * 1024 * 1024;
         EventLoop& m_loop;
+        std::map<StreamId, std::string> m_partialBodies;
         size_t m_acceptedCount { 0 };
         std::unique_ptr<FrameChannel> m_channel;
         std::vector<std::unique_ptr<FrameChannel>> m_silentChannels;
@@ -93,10 +109,12 @@
             runFor(50ms);
             ASSERT_TRUE(client.isConnected());
         }
-        void submit(uint64_t number, bool isIdempotent)
+        void submit(uint64_t number, bool isIdempotent, const std::string& body = "")
         {
+            auto request = std::make_shared<HttpRequest>();
+            request->body = body;
             client.submit({ .key = { .sender = Incarnation(9), .stream = StreamId(number) },
-                              .request = std::make_shared<HttpRequest>(),
+                              .request = std::move(request),
                               .deadline = loop.now() + 5s,
                               .isIdempotent = isIdempotent },
                 [this, number](const GateReplyPtr& reply) { replies.emplace(number, reply); });
@@ -135,6 +153,36 @@
         EXPECT_TRUE(std::holds_alternative<GateResponse>(*replies.at(1)));
     }
 
+    // Guards against a body that reaches the peer with a gap when its connection is lost halfway.
+    TEST_F(PeerClientTest, BodyIsResentWholeAfterAConnectionLossHalfway)
+    {
+        connect();
+        std::string body(3 * 1024 * 1024, 'x');
+        body.back() = 'y';
+        peer.dropsAtNextChunk = true;
+        submit(1, false, body);
+        submit(2, false, "small");
+        runFor(300ms);
+        EXPECT_FALSE(peer.dropsAtNextChunk);
+        EXPECT_TRUE(peer.bodies[StreamId(1)] == body);
+        EXPECT_EQ(peer.bodies[StreamId(2)], "small");
+        EXPECT_TRUE(peer.calls.back().isResend);
+    }
+
+    // Guards against an upload that goes on after its caller has left, and against calls that wait behind it.
+    TEST_F(PeerClientTest, CancelledBodyIsNotSentToTheEnd)
+    {
+        connect();
+        submit(1, false, std::string(8 * 1024 * 1024, 'x'));
+        submit(2, false, "small");
+        client.cancel(StreamId(1));
+        runFor(200ms);
+        EXPECT_FALSE(peer.bodies.contains(StreamId(1)));
+        EXPECT_EQ(peer.bodies[StreamId(2)], "small");
+        EXPECT_EQ(peer.cancelledStreams, std::vector<StreamId> { StreamId(1) });
+        EXPECT_TRUE(client.isConnected());
+    }
+
     // Guards against work for callers that have left: the gate runs a call until its deadline if it never learns that
     // the caller left while the connection between the nodes was being opened again.
     TEST_F(PeerClientTest, CallCancelledDuringAReconnectIsCancelledAtThePeer)
