--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -137,6 +137,10 @@
         const auto self = shared_from_this();
         const std::string text
             = serialize(HttpResponse { .status = 200, .headers = m_server.responseHeaders(m_id), .body = m_body });
+        if (m_server.m_responseFilter) {
+            sendRaw(m_server.m_responseFilter(m_id, text));
+            return;
+        }
         switch (m_server.m_fault) {
         case ServerFault::DropResponse:
             close();
@@ -155,6 +159,20 @@
         m_id.clear();
         readNext();
     }
+    void sendRaw(const RawResponse& response)
+    {
+        m_stream->write(response.bytes);
+        if (response.ending == RawResponse::Ending::Open) {
+            m_id.clear();
+            readNext();
+            return;
+        }
+        if (response.ending == RawResponse::Ending::Close)
+            TcpStream::closeAfterFlush(std::move(m_stream));
+        else
+            TcpStream::reset(std::move(m_stream));
+        close();
+    }
     void close()
     {
         const auto self = shared_from_this();
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -29,8 +29,22 @@
     RefusalBeforeResponse,
 };
 
+// The bytes of a response as the server sends them, and whether it then ends the connection.
+struct RawResponse {
+    enum class Ending : uint8_t {
+        Open,
+        Close,
+        Reset,
+    };
+    std::string bytes;
+    Ending ending { Ending::Open };
+};
+
 class TestServer {
 public:
+    // Returns what the server sends for the request with this id in place of this whole response.
+    using ResponseFilter = std::function<RawResponse(const std::string& id, const std::string& response)>;
+
     TestServer(const Endpoint& address, std::string id, std::string service);
     ~TestServer();
 
@@ -42,6 +56,8 @@
         const std::lock_guard lock(m_mutex);
         m_extraHeaders = std::move(headers);
     }
+    // Must be set before the first request.
+    void setResponseFilter(ResponseFilter filter) { m_responseFilter = std::move(filter); }
     void setWork(Duration work)
     {
         m_workMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(work).count();
@@ -65,6 +81,7 @@
     mutable std::mutex m_mutex;
     std::multiset<std::string> m_executions;
     HttpHeaders m_extraHeaders;
+    ResponseFilter m_responseFilter;
     std::set<std::shared_ptr<Connection>> m_connections;
     std::unique_ptr<TcpListener> m_listener;
     std::thread m_thread;
