Guard skylarkd's backend client against invalid heads

BackendClientTest.InvalidResponseIsNotAnswered: statuses outside 100 to 599, 101, invalid names and values, and folded lines end the exchange as unknown without a head. The test was not run on the former parser.

--- a/src/node/tests/BackendClientTest.cpp
+++ b/src/node/tests/BackendClientTest.cpp
@@ -119,6 +119,22 @@
         }
     }
 
+    // Guards against a message that is no response and reaches the caller as one.
+    TEST(BackendClientTest, InvalidResponseIsNotAnswered)
+    {
+        for (const char* head : { "HTTP/1.1 000 OK\r\nX: y\r\n", "HTTP/1.1 099 OK\r\nX: y\r\n",
+                 "HTTP/1.1 101 OK\r\nX: y\r\n", "HTTP/1.1 600 OK\r\nX: y\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n",
+                 "HTTP/1.1 200 OK\r\nX\x01: y\r\n", "HTTP/1.1 200 OK\r\nX: \x01\r\n",
+                 "HTTP/1.1 200 OK\r\nX: y\r\n Z: 1\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n\tZ: 1\r\n" }) {
+            RawServer server({ std::string(head) + "Content-Length: 2\r\n\r\nok" }, false);
+            BackendClient client({ .backend = server.address() });
+            const Exchange exchange = get(client);
+            EXPECT_EQ(exchange.result.outcome, CallOutcome::Unknown) << head;
+            EXPECT_FALSE(exchange.result.hasHead) << head;
+            EXPECT_EQ(exchange.body, "") << head;
+        }
+    }
+
     // Guards against a second copy of an answer that is taken for the answer to the next request.
     TEST(BackendClientTest, BytesBehindAnAnswerReachNoLaterRequest)
     {
