Refuse calls whose responses the link cannot carry in time

Cause: no part of the node took into account that the instance's link can be saturated. Admission counted slots only, so with more downloads than the link carries all responses became late, those of nested calls of a few bytes too.

Change: BackendGate asks LinkBudget before its admission control whether the response of a peer's call can leave before the call is late, counting what was queued so far and the expected responses of the accepted calls (mean size per route, with CallStart::route, which PeerClient now sets). If not, the call is refused at once as not run, with a load hint that states the link's capacity in calls; the forwarder tries another instance. Calls of this node's own callers are not counted. Request bodies count on the sender's side. Events link-saturated and link-free, metrics link_use, link_backlog_seconds, link_waiting_bytes and link_refused. Without linkMbps every call is accepted, as before.

--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace skylark {
 
@@ -10,11 +11,22 @@
 
     constexpr const char* step = "gate";
     constexpr int statusMisdirected = 421;
+    constexpr const char* linkReason = "the link of the instance cannot carry the response in time";
     constexpr const char* rateReason = "the server takes no more requests per second";
     // Calls that the kernel buffered during a pause are read within this time.
     constexpr Duration pauseRefusalPeriod = std::chrono::milliseconds(100);
     // Share of the idle timeout announced by the server for which an idle connection may be reused.
     constexpr double keepAliveFraction = 0.8;
+    constexpr int firstSuccess = 200;
+    constexpr int firstRedirect = 300;
+
+    size_t sizeOf(const HttpResponse& response)
+    {
+        size_t bytes = response.body.size();
+        for (const HttpHeader& header : response.headers)
+            bytes += header.name.size() + header.value.size();
+        return bytes;
+    }
 
 } // namespace
 
@@ -96,6 +108,61 @@
         .requestDelay = m_rateLimit.delayForSender(m_loop.now()) };
 }
 
+// While the link is the bottleneck, the limit is the number of calls in flight that keep it busy, and what waits for
+// the link counts as queued, so that senders compare instances by the time that a call would take.
+LoadHint BackendGate::loadFor(const GateCall& call) const
+{
+    LoadHint hint = load();
+    const LinkBudget* link = m_options.link;
+    const TimePoint now = m_loop.now();
+    if (!call.isFromPeer || !link || !link->isSaturated(now) || link->callsPerSecond() <= 0)
+        return hint;
+    const double seconds = std::chrono::duration<double>(hint.meanServiceTime).count();
+    const auto limit = static_cast<uint32_t>(std::ceil(std::min<double>(hint.limit, link->callsPerSecond() * seconds)));
+    hint.limit = std::max(1U, limit);
+    hint.queued += static_cast<uint32_t>(std::min<double>(m_options.maxQueued, link->backlogCalls(now)));
+    return hint;
+}
+
+bool BackendGate::takeLink(const CallPtr& call)
+{
+    LinkBudget* link = m_options.link;
+    const GateCall& gateCall = call->gateCall;
+    if (!link || !link->isEnabled() || !gateCall.isFromPeer)
+        return true;
+    const TimePoint now = m_loop.now();
+    const Duration wait = m_admission.estimatedWait(gateCall.rank, now);
+    const auto service = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceTime.mean()));
+    const bool mayStart = link->tryAccept({ .route = gateCall.route,
+                                              .rank = gateCall.rank,
+                                              .readyAt = now + wait + service,
+                                              .onTimeBy = gateCall.onTimeBy,
+                                              .deadline = gateCall.deadline },
+        now);
+    if (!mayStart) {
+        ++m_counters.refusedByLink;
+        if (!std::exchange(m_isLinkSaturated, true))
+            logEvent(LogLevel::Warning, "link-saturated",
+                { { "route", gateCall.route },
+                    { "expected_bytes", std::to_string(link->expectedBytes(gateCall.route)) },
+                    { "backlog_ms", millisecondsText(link->backlog(now)) },
+                    { "waiting_bytes", std::to_string(link->waitingBytes()) },
+                    { "reserved_bytes", std::to_string(link->reservedBytes()) } });
+        return false;
+    }
+    call->reservedBytes = link->expectedBytes(gateCall.route);
+    link->reserve(call->reservedBytes);
+    return true;
+}
+
+void BackendGate::checkLink()
+{
+    if (!m_isLinkSaturated || m_options.link->isSaturated(m_loop.now()))
+        return;
+    m_isLinkSaturated = false;
+    logEvent(LogLevel::Info, "link-free", { { "refused", std::to_string(m_counters.refusedByLink) } });
+}
+
 const char* BackendGate::refusalCause(const GateCall& call) const
 {
     if (m_isDraining)
@@ -125,7 +192,7 @@
         onReply(m_deduplicator.reply(call.key));
         return;
     case CallArrival::CapacityExceeded:
-        onReply(makeRefusal(CallOutcome::NotRun, step, "the ledger of calls is full", load()));
+        onReply(makeRefusal(CallOutcome::NotRun, step, "the ledger of calls is full", loadFor(call)));
         return;
     case CallArrival::New:
         break;
@@ -145,6 +212,8 @@
         refuse(entry, cause);
     else if (!m_rateLimit.hasRoom(now))
         refuse(entry, rateReason);
+    else if (!takeLink(entry))
+        refuse(entry, linkReason);
     else
         admit(entry);
 }
@@ -241,11 +310,16 @@
         if (isNotRun) {
             end(call,
                 makeRefusal(CallOutcome::NotRun, "backend-server",
-                    "the server refused the call with " + std::to_string(response.status), load()));
+                    "the server refused the call with " + std::to_string(response.status), loadFor(call->gateCall)));
             return;
         }
         removeConnectionHeaders(response.headers);
-        end(call, std::make_shared<const GateReply>(GateResponse { .response = std::move(response), .load = load() }));
+        if (m_options.link && call->gateCall.isFromPeer && response.status >= firstSuccess
+            && response.status < firstRedirect)
+            m_options.link->recordResponse(call->gateCall.route, sizeOf(response), m_loop.now());
+        end(call,
+            std::make_shared<const GateReply>(
+                GateResponse { .response = std::move(response), .load = loadFor(call->gateCall) }));
         return;
     }
     release(call, ServiceResult::Failed);
@@ -253,7 +327,9 @@
         refuse(call, "the backend server cannot be reached");
         return;
     }
-    end(call, makeRefusal(CallOutcome::Unknown, "backend-server", std::get<BackendFailure>(result).reason, load()));
+    end(call,
+        makeRefusal(
+            CallOutcome::Unknown, "backend-server", std::get<BackendFailure>(result).reason, loadFor(call->gateCall)));
 }
 
 bool BackendGate::isFresh(const BackendConnection& connection, const GateCall& call) const
@@ -328,7 +404,7 @@
 void BackendGate::refuse(const CallPtr& call, const std::string& reason)
 {
     m_callsByTicket.erase(call->ticket);
-    end(call, makeRefusal(CallOutcome::NotRun, step, reason, load()));
+    end(call, makeRefusal(CallOutcome::NotRun, step, reason, loadFor(call->gateCall)));
 }
 
 void BackendGate::refuseInadmissible()
@@ -361,6 +437,8 @@
         ++(refusal->outcome == CallOutcome::NotRun ? m_counters.refused : m_counters.unknown);
     else
         ++m_counters.answered;
+    if (m_options.link)
+        m_options.link->release(std::exchange(call->reservedBytes, 0));
     m_deduplicator.end(call->gateCall.key, reply, m_loop.now());
     m_calls.erase(call->gateCall.key);
     const std::vector<ReplyCallback> callbacks = std::move(call->callbacks);
@@ -390,7 +468,7 @@
         call->connection->close();
     call->connection.reset();
     release(call, ServiceResult::Failed);
-    end(call, makeRefusal(CallOutcome::Unknown, step, "the caller left", load()));
+    end(call, makeRefusal(CallOutcome::Unknown, step, "the caller left", loadFor(call->gateCall)));
 }
 
 void BackendGate::detectPause(TimePoint now)
@@ -420,7 +498,7 @@
         call->connection.reset();
         release(call, ServiceResult::Failed);
         const char* reason = now >= call->gateCall.deadline ? "the deadline passed" : "the node stops";
-        end(call, makeRefusal(CallOutcome::Unknown, "backend-server", reason, load()));
+        end(call, makeRefusal(CallOutcome::Unknown, "backend-server", reason, loadFor(call->gateCall)));
     }
     apply(m_admission.advance(now));
     if (m_calls.empty())
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -9,6 +9,8 @@
 // A server that names a limit gets that many requests a second; other calls are refused at once, with the time after
 // which their node may send the next one. Requests count when they are sent, not when they are queued.
 //
+// A call of a peer whose response the instance's link cannot carry in time is refused at once (LinkBudget).
+//
 // A server that drains, by its entry or by its own answers, gets no new calls: queued calls are refused and running
 // calls finish. After the process was paused (more than `pauseThreshold` between two clock checks), calls that arrived
 // meanwhile are refused, since their age is unknown.
@@ -18,6 +20,7 @@
 #pragma once
 
 #include "admission/AdmissionController.h"
+#include "admission/LinkBudget.h"
 #include "admission/ServerRateLimit.h"
 #include "base/Log.h"
 #include "membership/ServerDirectory.h"
@@ -44,6 +47,8 @@
     Duration sweepInterval { std::chrono::milliseconds(25) };
     Duration pauseThreshold { std::chrono::milliseconds(1500) };
     CallDeduplicatorOptions deduplicator {};
+    // Null if the link is not taken into account. Must outlive the gate.
+    LinkBudget* link { nullptr };
 };
 
 struct GateCounters {
@@ -53,6 +58,7 @@
     uint64_t joined { 0 };
     uint64_t cancelled { 0 };
     uint64_t connectionsOpened { 0 };
+    uint64_t refusedByLink { 0 };
 };
 
 class BackendGate {
@@ -77,6 +83,8 @@
     bool isIdle() const { return m_calls.empty(); }
 
     LoadHint load() const;
+    // Logs when the link has become free again. Call it a few times a second.
+    void checkLink();
     const GateCounters& counters() const { return m_counters; }
     const std::optional<ServerRecord>& server() const { return m_server; }
     size_t idleConnections() const { return m_idleConnections.size(); }
@@ -89,11 +97,15 @@
         TimePoint receivedAt;
         TimePoint startedAt;
         std::shared_ptr<BackendConnection> connection;
+        // Bytes of the response that are reserved on the link.
+        uint64_t reservedBytes { 0 };
         // Written to a connection, or to be written once the connection opens.
         bool isRunning { false };
     };
     using CallPtr = std::shared_ptr<Call>;
 
+    // The load for the call's sender, which includes that of the link if the sender is a peer.
+    LoadHint loadFor(const GateCall& call) const;
     static bool isUnsent(const Call& call)
     {
         return !call.isRunning || (call.connection && !call.connection->hasSentRequest());
@@ -103,6 +115,8 @@
     void learnRate(const GateCall& call);
     bool isServerLeaving() const { return m_isServerLeaving || (m_server && m_server->isDraining); }
     const char* refusalCause(const GateCall& call) const;
+    // Reserves the response's part of the link; returns false if the link cannot carry it in time.
+    bool takeLink(const CallPtr& call);
     void admit(const CallPtr& call);
     void run(const CallPtr& call);
     void handleResult(const CallPtr& call, const std::shared_ptr<BackendConnection>& connection, BackendResult result);
@@ -136,6 +150,7 @@
     // The server's present process has answered that it leaves.
     bool m_isServerLeaving { false };
     bool m_hasLoggedInvalidRate { false };
+    bool m_isLinkSaturated { false };
     ServiceTimeEstimate m_serviceTime;
     absl::flat_hash_map<CallKey, CallPtr> m_calls;
     absl::flat_hash_map<TicketId, CallPtr> m_callsByTicket;
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -281,7 +281,8 @@
         .isIdempotent = call->route->isIdempotent,
         .attempt = call->attempts + 1,
         .knownServerRate = m_notices.rate(choice.instance, choice.incarnation),
-        .serverIncarnation = choice.incarnation };
+        .serverIncarnation = choice.incarnation,
+        .route = call->route->name };
     const auto onReply = [this, call, stream = call->stream](const GateReplyPtr& reply) {
         if (call->choice && call->stream == stream)
             handleReply(call, reply);
--- a/src/proxy/GateCall.h
+++ b/src/proxy/GateCall.h
@@ -41,6 +41,10 @@
     // The rate that the server's start `serverIncarnation` named in an answer to the sender, in requests per second.
     std::optional<double> knownServerRate;
     Incarnation serverIncarnation;
+    // The name of the route in the sender's configuration; empty if unknown.
+    std::string route;
+    // The response leaves the instance through its link.
+    bool isFromPeer { false };
 };
 
 // The backend server's complete response.
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -130,7 +130,8 @@
                                 .remainingLatencyTarget = std::max(Duration(0), call.onTimeBy - m_loop.now()),
                                 .serverIncarnation = call.serverIncarnation,
                                 .knowsServerRate = call.knownServerRate.has_value(),
-                                .serverRateThousandths = toThousandths(call.knownServerRate.value_or(0)) },
+                                .serverRateThousandths = toThousandths(call.knownServerRate.value_or(0)),
+                                .route = call.route },
         call.key.stream, static_cast<uint32_t>(std::max(0, call.rank)), SharedBody(call.request, &request.body));
 }
 
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -133,7 +133,9 @@
                                    .isResend = start.isResend,
                                    .attempt = start.attempt,
                                    .knownServerRate = serverRate(start),
-                                   .serverIncarnation = start.serverIncarnation },
+                                   .serverIncarnation = start.serverIncarnation,
+                                   .route = std::move(start.route),
+                                   .isFromPeer = true },
             onReply);
     }
 
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -59,7 +59,7 @@
     , m_directory({ .peerPort = m_settings.peerAddress.port, .regions = m_settings.regions })
     , m_view(m_directory.view())
     , m_link(m_settings.linkBitsPerSecond)
-    , m_gate(m_loop, { .server = m_settings.serverAddress }, m_adapter.httpConventions)
+    , m_gate(m_loop, { .server = m_settings.serverAddress, .link = &m_link }, m_adapter.httpConventions)
     , m_forwarder(
           m_loop,
           { .self = m_self.incarnation,
@@ -172,6 +172,7 @@
     const LoadHint load = m_gate.load();
     m_metrics.setConcurrency(
         static_cast<int>(load.limit), static_cast<int>(load.inFlight), static_cast<int>(load.queued));
+    m_gate.checkLink();
     m_exchange.tick();
     checkOwnServer();
     if (!m_isSourceLost)
--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -42,6 +42,10 @@
     m_metrics.setValue("log_lines_suppressed", static_cast<double>(m_log.suppressedCount()));
     m_metrics.setValue("unexpected_errors", static_cast<double>(m_loop.unexpectedErrors()));
     m_metrics.setValue("source_lost", m_isSourceLost ? 1 : 0);
+    m_metrics.setValue("link_use", m_link.use(m_loop.now()));
+    m_metrics.setValue("link_backlog_seconds", std::chrono::duration<double>(m_link.backlog(m_loop.now())).count());
+    m_metrics.setValue("link_waiting_bytes", static_cast<double>(m_link.waitingBytes()));
+    m_metrics.setValue("link_refused", static_cast<double>(counters.refusedByLink));
     m_metrics.setReader(m_exchange.isReading());
     m_metrics.setValue("source_age_seconds", std::chrono::duration<double>(m_exchange.age()).count());
     return m_metrics.exposition();
--- a/src/proxy/tests/FrameChannelTest.cpp
+++ b/src/proxy/tests/FrameChannelTest.cpp
@@ -89,7 +89,7 @@
                             ended = end;
                             channel.reset();
                         } },
-                FrameChannelOptions { .linkBitsPerSecond = linkBitsPerSecond });
+                FrameChannelOptions { .linkBitsPerSecond = linkBitsPerSecond, .link = &link });
             runFor(20ms);
             peer.accept();
         }
@@ -137,6 +137,7 @@
         SystemClock clock;
         EventLoop loop { clock };
         SlowPeer peer;
+        LinkBudget link { 16e6 };
         std::unique_ptr<FrameChannel> channel;
         std::optional<StreamEnd> ended;
     };
@@ -248,6 +249,27 @@
         EXPECT_EQ(body.use_count(), 1);
     }
 
+    // Guards against an upload that the link's budget does not see, and against bytes that it counts for ever.
+    TEST_F(FrameChannelTest, LinkBudgetKnowsWhatWaits)
+    {
+        connect();
+        channel->sendWithBody(CallStart { .stream = StreamId(1), .hasBody = true }, StreamId(1), 0, bodyOf(megabyte));
+        EXPECT_EQ(link.waitingBytes(), channel->pendingBytes());
+        EXPECT_GT(link.backlog(loop.now()), 500ms);
+        readUntilComplete(StreamId(1));
+        EXPECT_EQ(link.waitingBytes(), 0u);
+        send(2, 0, bodyOf(8 * megabyte));
+        EXPECT_GT(link.backlog(loop.now()), 4s);
+        channel->cancelBody(StreamId(2));
+        EXPECT_LT(link.backlog(loop.now()), 1s);
+        send(3, 0, bodyOf(8 * megabyte));
+        peer.close();
+        runFor(50ms);
+        EXPECT_FALSE(channel);
+        EXPECT_EQ(link.waitingBytes(), 0u);
+        EXPECT_LT(link.backlog(loop.now()), 2s);
+    }
+
     TEST_F(FrameChannelTest, ConnectionLostHalfway)
     {
         connect();
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -321,7 +321,8 @@
         .metricsAddress = adminAddress(index),
         .serverAddress = serverAddress(index),
         .sourceAddress = { hostOf(index), 1 },
-        .sourceInterval = 20ms };
+        .sourceInterval = 20ms,
+        .linkBitsPerSecond = m_linkBitsPerSecond };
     if (m_peerPath == PeerPath::Relayed) {
         settings.advertisedHost = hostOf(index);
         settings.peerAddress.host = relayedHostOf(index);
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -105,6 +105,8 @@
     void removeServerEntry(size_t index) { m_store.remove(serverKey(index)); }
     // Waits until all nodes are ready; returns false if a node is not ready after about 5 s.
     bool waitUntilReady();
+    // The setting of the nodes that are started from now on.
+    void setLink(double bitsPerSecond) { m_linkBitsPerSecond = bitsPerSecond; }
     // Stops the node gracefully, like SIGTERM, and waits for it.
     void stopNode(size_t index);
     // The node's listings of the source take this long.
@@ -129,6 +131,7 @@
     const std::set<size_t> m_stalledNodes;
     const PeerPath m_peerPath;
     const uint16_t m_firstPort;
+    double m_linkBitsPerSecond { 0 };
     std::vector<Node> m_nodes;
 };
 
