--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -45,6 +45,10 @@
     m_metrics.setValue("source_lost", m_isSourceLost ? 1 : 0);
     m_metrics.setValue("routes_with_unknown_kind", static_cast<double>(countRoutes(&Route::hasUnknownKind)));
     m_metrics.setValue("routes_with_unknown_action", static_cast<double>(countRoutes(&Route::hasUnknownAction)));
+    m_metrics.setValue("link_use", m_link.use(m_loop.now()));
+    m_metrics.setValue("link_backlog_seconds", std::chrono::duration<double>(m_link.backlog(m_loop.now())).count());
+    m_metrics.setValue("link_waiting_bytes", static_cast<double>(m_link.waitingBytes()));
+    m_metrics.setValue("link_refused", static_cast<double>(counters.refusedByLink));
     m_metrics.setReader(m_exchange.isReading());
     m_metrics.setValue("source_age_seconds", std::chrono::duration<double>(m_exchange.age()).count());
     return m_metrics.exposition();
