Keep a cold server within the rate that it bears

The gate limits a cold server with RequestPacer. Calls beyond the rate wait for their turn while it comes before a response would be late, most urgent rank first; the others are refused at once with the time until the sender's turn. A sender's pause holds for the rank of the refused call and less urgent ones, since a more urgent call displaces those that wait; after one refusal by a limit it prefers servers that are not cold; each caller that it refuses gets a Retry-After of its own. The gate gets no server before the node has a configuration, because a peer's update brings the servers first and the rate would not be known. Metrics, /state fields and log events are added.

--- a/src/proxy/BackendConnection.cpp
+++ b/src/proxy/BackendConnection.cpp
@@ -66,7 +66,7 @@
                 acceptResponse(std::move(*response));
         }
     } catch (const HttpError& error) {
-        finish(BackendFailure { error.message() });
+        finish(BackendFailure { .reason = error.message() });
     }
 }
 
@@ -90,7 +90,8 @@
         return;
     }
     finish(BackendFailure {
-        end == StreamEnd::Closed ? "the server closed the connection" : "the server reset the connection" });
+        .reason = end == StreamEnd::Closed ? "the server closed the connection" : "the server reset the connection",
+        .isConnectionLost = true });
 }
 
 bool BackendConnection::isOwnResponse(const HttpResponse& response) const
--- a/src/proxy/BackendConnection.h
+++ b/src/proxy/BackendConnection.h
@@ -25,6 +25,8 @@
 // The request was sent, but no complete response arrived.
 struct BackendFailure {
     std::string reason;
+    // The server closed or reset the connection.
+    bool isConnectionLost { false };
 };
 using BackendResult = std::variant<BackendResponse, BackendUnreachable, BackendFailure>;
 
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -11,6 +11,7 @@
     constexpr const char* step = "gate";
     constexpr int statusMisdirected = 421;
     constexpr const char* rateReason = "the server takes no more requests per second";
+    constexpr const char* coldReason = "the cold server takes no more requests per second";
     // Calls that the kernel buffered during a pause are read within this time.
     constexpr Duration pauseRefusalPeriod = std::chrono::milliseconds(100);
     // Share of the idle timeout announced by the server for which an idle connection may be reused.
@@ -24,6 +25,8 @@
     , m_httpConventions(httpConventions)
     , m_deduplicator(m_options.deduplicator)
     , m_admission(admissionOptions(), loop.now())
+    , m_pacer(loop.now())
+    , m_rateQueue(static_cast<size_t>(std::max(1, m_options.maxQueued)))
     , m_lastClockCheck(loop.now())
     , m_sweepTimer(loop, [this] { sweep(); })
 {
@@ -62,13 +65,18 @@
         for (const auto& connection : m_idleConnections)
             connection->close();
         m_idleConnections.clear();
-        m_rateLimit.set(std::nullopt, m_loop.now());
+        m_pacer.setNamedRate(std::nullopt, m_loop.now());
         m_hasAnswer = false;
         m_isServerLeaving = false;
         m_hasLoggedInvalidRate = false;
     }
-    if (server)
+    if (server) {
         m_admission.reconfigure(admissionOptions(), m_loop.now());
+        m_pacer.state().recordEntry({ .incarnation = server->incarnation,
+                                        .heartbeat = server->heartbeat,
+                                        .remaining = server->remainingSlowStart },
+            m_loop.now());
+    }
     if (isNewProcess || hasLeft)
         logEvent(LogLevel::Info, "server-state",
             { { "server", server ? server->id.value() : "" },
@@ -76,6 +84,113 @@
                 { "slots", std::to_string(server ? server->slots : 0) },
                 { "waiting", std::to_string(m_admission.queued()) } });
     refuseInadmissible();
+    updateColdState();
+}
+
+void BackendGate::confirmServer(TimePoint confirmedAt)
+{
+    m_pacer.state().confirmEntry(confirmedAt);
+    updateColdState();
+}
+
+void BackendGate::setColdPolicy(const ColdPolicy& policy)
+{
+    m_pacer.setColdPolicy(policy);
+    updateColdState();
+}
+
+void BackendGate::recordEvacuationEnded()
+{
+    m_pacer.state().recordEvacuationEnded(m_loop.now());
+    updateColdState();
+}
+
+size_t BackendGate::unsentCount() const
+{
+    const auto isConnecting = [](const auto& entry) { return entry.second->isRunning && isUnsent(*entry.second); };
+    return static_cast<size_t>(std::count_if(m_callsByTicket.begin(), m_callsByTicket.end(), isConnecting));
+}
+
+void BackendGate::updateColdState()
+{
+    const TimePoint now = m_loop.now();
+    if (m_pacer.update(unsentCount(), now)) {
+        const bool isCold = m_pacer.isCold();
+        logEvent(LogLevel::Info, isCold ? "server-cold" : "server-warm",
+            { { "server", m_server ? m_server->id.value() : "" }, { "cause", coldCauseName(m_pacer.cause(now)) },
+                { "remaining_ms", millisecondsText(m_pacer.remainingCold(now)) },
+                { "waiting", std::to_string(m_rateQueue.size()) } });
+    }
+    startWaiting();
+}
+
+bool BackendGate::hasOpenConnection() const
+{
+    return !m_idleConnections.empty()
+        || std::any_of(m_callsByTicket.begin(), m_callsByTicket.end(),
+            [](const auto& entry) { return entry.second->connection && entry.second->connection->hasSentRequest(); });
+}
+
+void BackendGate::recordEvidence(const BackendResult& result)
+{
+    const TimePoint now = m_loop.now();
+    if (std::holds_alternative<BackendResponse>(result))
+        m_pacer.state().recordContact(now);
+    else if (const auto* failure = std::get_if<BackendFailure>(&result)) {
+        // A server that is in trouble may end single connections. A restart ends them all.
+        if (failure->isConnectionLost && !hasOpenConnection())
+            m_pacer.state().recordConnectionsLost(now);
+    } else {
+        m_pacer.state().recordConnectionsLost(now);
+    }
+    updateColdState();
+}
+
+TimePoint BackendGate::latestStart(const GateCall& call) const
+{
+    const auto service = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceTime.mean()));
+    const TimePoint now = m_loop.now();
+    const bool canBeOnTime = call.onTimeBy - service > now;
+    return (canBeOnTime ? call.onTimeBy : call.deadline) - service;
+}
+
+void BackendGate::waitForTurn(const CallPtr& call)
+{
+    const TimePoint now = m_loop.now();
+    m_callsByTicket.emplace(call->ticket, call);
+    refuseTickets(
+        m_rateQueue.offer({ .id = call->ticket, .rank = call->gateCall.rank, .startBy = latestStart(call->gateCall) },
+            m_pacer.turns(now), now));
+}
+
+void BackendGate::refuseTickets(const std::vector<TicketId>& tickets)
+{
+    for (const TicketId& ticket : tickets) {
+        // A callback of an earlier refusal may have ended it.
+        const auto found = m_callsByTicket.find(ticket);
+        if (found == m_callsByTicket.end())
+            continue;
+        ++m_counters.refusedCold;
+        refuse(CallPtr(found->second), coldReason);
+    }
+}
+
+void BackendGate::startWaiting()
+{
+    // Starting a call may end it at once and lead back here.
+    if (m_rateQueue.isEmpty() || std::exchange(m_isStartingWaiting, true))
+        return;
+    while (!m_rateQueue.isEmpty() && hasRoomToStart()) {
+        const CallPtr call = m_callsByTicket.at(m_rateQueue.takeFirst());
+        m_callsByTicket.erase(call->ticket);
+        admit(call);
+        // A call that waits for a slot takes its room when it starts.
+        if (m_pacer.isCold() && m_callsByTicket.contains(call->ticket) && !call->isRunning)
+            break;
+    }
+    if (!m_rateQueue.isEmpty())
+        refuseTickets(m_rateQueue.expire(m_pacer.turns(m_loop.now()), m_loop.now()));
+    m_isStartingWaiting = false;
 }
 
 void BackendGate::beginStop(TimePoint answerBy) { m_answerBy = answerBy; }
@@ -93,7 +208,7 @@
         .limit = static_cast<uint32_t>(m_admission.limit()),
         .isLeaving = m_isDraining || isServerLeaving(),
         .meanServiceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceTime.mean())),
-        .requestDelay = m_rateLimit.delayForSender(m_loop.now()) };
+        .requestDelay = m_pacer.delayForSender(m_loop.now()) };
 }
 
 const char* BackendGate::refusalCause(const GateCall& call) const
@@ -140,13 +255,23 @@
     if (!m_sweepTimer.isActive())
         m_sweepTimer.startRepeating(m_options.sweepInterval);
     learnRate(entry->gateCall);
-    m_rateLimit.recordSender(entry->gateCall.key.sender, now);
+    updateColdState();
+    m_pacer.recordSender(entry->gateCall.key.sender, now);
     if (const char* cause = refusalCause(entry->gateCall))
         refuse(entry, cause);
-    else if (!m_rateLimit.hasRoom(now))
-        refuse(entry, rateReason);
-    else
+    else if (hasRoomToStart() && m_rateQueue.isEmpty())
         admit(entry);
+    else if (m_pacer.isCold())
+        waitForTurn(entry);
+    else
+        refuse(entry, rateReason);
+}
+
+// A call to a cold server waits for a slot before it takes its room, so that no room is lost.
+bool BackendGate::hasRoomToStart() const
+{
+    const bool hasSlot = !m_pacer.isCold() || m_admission.inFlight() < m_admission.limit();
+    return hasSlot && m_pacer.hasRoom(m_loop.now());
 }
 
 void BackendGate::admit(const CallPtr& call)
@@ -168,8 +293,8 @@
 void BackendGate::learnRate(const GateCall& call)
 {
     const bool isThisStart = m_server && m_server->incarnation == call.serverIncarnation;
-    if (call.knownServerRate && isThisStart && !m_hasAnswer && !m_rateLimit.rate())
-        m_rateLimit.set(call.knownServerRate, m_loop.now());
+    if (call.knownServerRate && isThisStart && !m_hasAnswer && !m_pacer.namedRate())
+        m_pacer.setNamedRate(call.knownServerRate, m_loop.now());
 }
 
 void BackendGate::recordNotice(const HttpResponse& response)
@@ -193,18 +318,19 @@
     }
     const std::optional<double> rate
         = notice.rateNotice == RateNotice::Named ? std::optional(notice.rate) : std::nullopt;
-    if (rate.has_value() != m_rateLimit.rate().has_value())
+    if (rate.has_value() != m_pacer.namedRate().has_value())
         logEvent(LogLevel::Info, "server-limit",
             { { "server", server }, { "requests_per_second", rate ? std::to_string(*rate) : "none" } });
-    m_rateLimit.set(rate, m_loop.now());
+    m_pacer.setNamedRate(rate, m_loop.now());
 }
 
 void BackendGate::run(const CallPtr& call)
 {
-    if (!m_rateLimit.startRequest(m_loop.now())) {
+    if (!m_pacer.startRequest(m_loop.now())) {
         call->startedAt = m_loop.now();
+        m_counters.refusedCold += m_pacer.isCold() ? 1 : 0;
         release(call, ServiceResult::Failed);
-        refuse(call, rateReason);
+        refuse(call, m_pacer.isCold() ? coldReason : rateReason);
         return;
     }
     call->isRunning = true;
@@ -232,6 +358,7 @@
     call->connection.reset();
     if (connection->isReusable())
         keepIdle(connection);
+    recordEvidence(result);
     if (auto* backendResponse = std::get_if<BackendResponse>(&result)) {
         HttpResponse& response = backendResponse->response;
         recordNotice(response);
@@ -341,7 +468,7 @@
     }
     // The queued calls go first, so that no slot that a connecting call leaves is given to them.
     for (const CallPtr& call : queuedCalls) {
-        if (m_admission.cancel(call->ticket))
+        if (m_admission.cancel(call->ticket) || m_rateQueue.cancel(call->ticket))
             refuse(call, refusalCause(call->gateCall));
     }
     for (const CallPtr& call : connectingCalls) {
@@ -377,7 +504,7 @@
     // Nobody waits for the reply, but the deduplicator keeps it so that a late copy of the call does not run.
     call->callbacks.clear();
     if (!call->isRunning) {
-        if (m_admission.cancel(call->ticket)) {
+        if (m_admission.cancel(call->ticket) || m_rateQueue.cancel(call->ticket)) {
             ++m_counters.cancelled;
             refuse(call, "the caller left");
         }
@@ -423,6 +550,7 @@
         end(call, makeRefusal(CallOutcome::Unknown, "backend-server", reason, load()));
     }
     apply(m_admission.advance(now));
+    updateColdState();
     if (m_calls.empty())
         m_sweepTimer.stop();
 }
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -9,6 +9,9 @@
 // A server that names a limit gets that many requests a second; other calls are refused at once, with the time after
 // which their node may send the next one. Requests count when they are sent, not when they are queued.
 //
+// A cold server gets the requests per second that its service states (RequestPacer). Calls beyond that wait in a
+// RateQueue while their turn comes in time; the others are refused at once, least urgent first.
+//
 // A server that drains, by its entry or by its own answers, gets no new calls: queued calls are refused and running
 // calls finish. After the process was paused (more than `pauseThreshold` between two clock checks), calls that arrived
 // meanwhile are refused, since their age is unknown.
@@ -18,7 +21,8 @@
 #pragma once
 
 #include "admission/AdmissionController.h"
-#include "admission/ServerRateLimit.h"
+#include "admission/RateQueue.h"
+#include "admission/RequestPacer.h"
 #include "base/Log.h"
 #include "membership/ServerDirectory.h"
 #include "proxy/BackendConnection.h"
@@ -49,6 +53,8 @@
 struct GateCounters {
     uint64_t answered { 0 };
     uint64_t refused { 0 };
+    // Part of `refused`: beyond the rate of a cold server.
+    uint64_t refusedCold { 0 };
     uint64_t unknown { 0 };
     uint64_t joined { 0 };
     uint64_t cancelled { 0 };
@@ -66,6 +72,12 @@
 
     // The server's current entry; absent if it has none.
     void setServer(const std::optional<ServerRecord>& server);
+    // The server's entry is known to have been current at this time.
+    void confirmServer(TimePoint confirmedAt);
+    // The server's service and the settings limit what a cold server gets.
+    void setColdPolicy(const ColdPolicy& policy);
+    // The server's zone is used again after an evacuation; the server may be cold.
+    void recordEvacuationEnded();
     void setRanks(std::vector<RankPolicy> ranks);
     // True while the backend server runs the request with this id.
     bool isRunning(const std::string& requestId) const { return m_runningIds.contains(requestId); }
@@ -80,6 +92,11 @@
     const GateCounters& counters() const { return m_counters; }
     const std::optional<ServerRecord>& server() const { return m_server; }
     size_t idleConnections() const { return m_idleConnections.size(); }
+    bool isServerCold() const { return m_pacer.isCold(); }
+    ColdCause coldCause() const { return m_pacer.cause(m_loop.now()); }
+    Duration remainingCold() const { return m_pacer.remainingCold(m_loop.now()); }
+    // Calls that wait for their turn at a cold server.
+    size_t waitingForTurn() const { return m_rateQueue.size(); }
 
 private:
     struct Call {
@@ -104,6 +121,19 @@
     bool isServerLeaving() const { return m_isServerLeaving || (m_server && m_server->isDraining); }
     const char* refusalCause(const GateCall& call) const;
     void admit(const CallPtr& call);
+    // Applies what is known of the cold state, and starts or refuses the calls that wait for their turn.
+    void updateColdState();
+    // A server that refuses connections or ends all open ones has restarted or will.
+    void recordEvidence(const BackendResult& result);
+    bool hasOpenConnection() const;
+    // Queues the call until its turn at the cold server and refuses the calls whose turn comes too late.
+    void waitForTurn(const CallPtr& call);
+    // The time after which a start of the call is useless: a response would be late.
+    TimePoint latestStart(const GateCall& call) const;
+    void startWaiting();
+    bool hasRoomToStart() const;
+    void refuseTickets(const std::vector<TicketId>& tickets);
+    size_t unsentCount() const;
     void run(const CallPtr& call);
     void handleResult(const CallPtr& call, const std::shared_ptr<BackendConnection>& connection, BackendResult result);
     std::shared_ptr<BackendConnection> takeConnection(const GateCall& call);
@@ -130,7 +160,10 @@
     std::vector<RankPolicy> m_ranks;
     std::optional<ServerRecord> m_server;
     AdmissionController m_admission;
-    ServerRateLimit m_rateLimit;
+    RequestPacer m_pacer;
+    // Empty unless the server is cold. Its calls are in m_callsByTicket.
+    RateQueue m_rateQueue;
+    bool m_isStartingWaiting { false };
     // The server's present process has answered, so this process knows its limit better than the senders.
     bool m_hasAnswer { false };
     // The server's present process has answered that it leaves.
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -221,11 +221,25 @@
 }
 
 std::optional<Choice> CallForwarder::chooseInstance(Call& call)
+{
+    std::vector<InstanceId> excluded = m_notices.unusable(call.service, m_loop.now(), call.rank);
+    excluded.insert(excluded.end(), call.triedInstances.begin(), call.triedInstances.end());
+    if (call.rateRefusals == 0 || m_coldUntil.empty())
+        return chooseAmongUsable(call, std::move(excluded));
+    // A cold server is idle and therefore attracts calls. Without this, a call tries one after the other in vain.
+    std::vector<InstanceId> excludedWithCold = excluded;
+    for (const auto& [id, until] : m_coldUntil) {
+        if (until > m_loop.now())
+            excludedWithCold.push_back(id);
+    }
+    auto choice = chooseAmongUsable(call, std::move(excludedWithCold));
+    return choice ? choice : chooseAmongUsable(call, std::move(excluded));
+}
+
+std::optional<Choice> CallForwarder::chooseAmongUsable(const Call& call, std::vector<InstanceId> excluded)
 {
     constexpr int maxChoices = 8;
     const ByteCount bytes = expectedBytes(call);
-    std::vector<InstanceId> excluded = m_notices.unusable(call.service, m_loop.now());
-    excluded.insert(excluded.end(), call.triedInstances.begin(), call.triedInstances.end());
     std::optional<Choice> fallback;
     for (int round = 0; round < maxChoices; ++round) {
         auto choice = m_router.choose({ .service = call.service,
@@ -253,7 +267,7 @@
 {
     const auto choice = chooseInstance(*call);
     if (!choice) {
-        if (const auto pause = m_notices.shortestPause(call->service, m_loop.now()))
+        if (const auto pause = m_notices.shortestPause(call->service, m_loop.now(), call->rank))
             call->lastLoad.requestDelay = *pause;
         if (call->lastReason.empty())
             call->lastReason = "no instance of the service can be used";
@@ -299,8 +313,20 @@
 
 void CallForwarder::pauseTarget(const Call& call, TimePoint since, const LoadHint& load)
 {
-    if (load.requestDelay > Duration::zero())
-        m_notices.pause(targetOf(call), since + load.requestDelay, m_loop.now());
+    if (load.requestDelay <= Duration::zero())
+        return;
+    // A server that names no rate is limited because it is cold.
+    const bool isByCold = limitsColdServers(call) && !m_notices.rate(call.choice->instance, call.choice->incarnation);
+    const int rank = isByCold ? call.rank : 0;
+    m_notices.pause(targetOf(call), since + load.requestDelay, m_loop.now(), rank);
+}
+
+bool CallForwarder::limitsColdServers(const Call& call)
+{
+    if (!call.configuration)
+        return false;
+    const auto service = call.configuration->services().find(call.service);
+    return service != call.configuration->services().end() && service->second.coldRequestsPerSecond > 0;
 }
 
 void CallForwarder::setServers(const MembershipView& view)
@@ -308,6 +334,11 @@
     m_fleetSize = view.instances().size();
     m_hasServers |= m_fleetSize > 0;
     m_notices.update(view);
+    m_coldUntil.clear();
+    for (const InstanceState& state : view.instances()) {
+        if (state.coldUntil > m_loop.now())
+            m_coldUntil.emplace(state.record.id, state.coldUntil);
+    }
     releaseQueue();
 }
 
@@ -411,7 +442,9 @@
     Duration wait = defaultRetryAfter;
     // A refusal by the server itself carries no information about load: the next attempt may succeed immediately.
     if (call.lastLoad.requestDelay > Duration::zero())
-        wait = call.lastLoad.requestDelay;
+        wait = limitsColdServers(call)
+            ? m_notices.nextTurn(call.service, call.lastLoad.requestDelay, maxRetryAfter, m_loop.now())
+            : call.lastLoad.requestDelay;
     else if (call.wasRefusedByServer)
         wait = minRetryAfter;
     else if (call.lastLoad.limit > 0 && call.lastLoad.queued > 0) {
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -6,6 +6,7 @@
 //   * a response is delivered, except for a success without the server's proof, which is treated like Unknown;
 //   * NotRun from the gate: another instance is tried, up to maxRefusals refusals, or maxRateRefusals by servers that
 //     limit their requests;
+//     A server that refused because it is cold is followed by servers that are not, if there are any.
 //   * NotRun from the server: the request is retried if the route's retries, the fleet's retry budget and the remaining
 //     time allow it;
 //   * Unknown: the same for an idempotent request.
@@ -132,7 +133,10 @@
     // not leaving, if any.
     std::optional<Choice> chooseInstance(Call& call);
     void send(const CallPtr& call, const Choice& choice);
+    std::optional<Choice> chooseAmongUsable(const Call& call, std::vector<InstanceId> excluded);
     static ServerNotices::Server targetOf(const Call& call);
+    // The service states what a cold server takes.
+    static bool limitsColdServers(const Call& call);
     // Delays this node's next request to the call's target if its server limits requests.
     void pauseTarget(const Call& call, TimePoint since, const LoadHint& load);
     void handleReply(const CallPtr& call, const GateReplyPtr& reply);
@@ -168,6 +172,8 @@
     FleetRetryBudget m_retryBudget;
     Random m_random;
     ServerNotices m_notices;
+    // By their entries; at most one per listed server.
+    absl::flat_hash_map<InstanceId, TimePoint> m_coldUntil;
     size_t m_fleetSize { 1 };
     bool m_hasServers { false };
     bool m_isDraining { false };
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -166,6 +166,7 @@
     if (m_directory.advance(now))
         publishServers("grace-ended");
     m_router.advance(now);
+    m_gate.confirmServer(m_exchange.serversConfirmedAt());
     const LoadHint load = m_gate.load();
     m_metrics.setConcurrency(
         static_cast<int>(load.limit), static_cast<int>(load.inFlight), static_cast<int>(load.queued));
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -50,6 +50,9 @@
     void applyServers(const ServerChanges& changes, const char* origin);
     // `origin` names in the log what brought the change.
     void publishServers(const char* origin);
+    // Gives the gate the entry of its server, unless the service's limit for cold servers is still unknown.
+    void updateGate();
+    void setColdPolicy(const Configuration& configuration);
     void logDelayedHeartbeats(const char* origin);
     // Reads the local server's entry if the node's knowledge is old.
     void checkOwnServer();
@@ -103,6 +106,7 @@
     std::string m_configurationText;
     std::string m_compressedConfiguration;
     bool m_hasServers { false };
+    bool m_hasColdPolicy { false };
     bool m_isSourceLost { false };
     TimePoint m_sourceLostAt;
     std::optional<StopSchedule> m_stop;
--- a/src/proxy/ProxyNodeSource.cpp
+++ b/src/proxy/ProxyNodeSource.cpp
@@ -50,6 +50,8 @@
     logDelayedHeartbeats("own-entry");
     if (isChanged)
         publishServers("own-entry");
+    else
+        updateGate();
 }
 
 void ProxyNode::recordSourceCall(const SourceCallResult& result)
@@ -70,9 +72,12 @@
     const auto& current = m_forwarder.configuration();
     if (current && configuration.manifest().version <= current->manifest().version)
         return;
+    setColdPolicy(configuration);
     // The servers go first: the forwarder may release requests that wait for the configuration.
     if (m_directory.setNamedServices(namesOf(configuration.services())))
         publishServers("configuration");
+    else
+        updateGate();
     m_forwarder.setConfiguration(update.configuration);
     m_gate.setRanks(configuration.ranks());
     const CallerLimits& limits = configuration.limits();
@@ -95,8 +100,32 @@
     m_hasServers |= changes.isListing || !changes.entries.empty();
     const bool isChanged = m_directory.apply(changes, m_loop.now());
     logDelayedHeartbeats(origin);
-    if (isChanged || isFirstListing)
+    if (isChanged || isFirstListing) {
         publishServers(origin);
+        return;
+    }
+    // A heartbeat of the own server changes the remaining cold time.
+    const auto isOwn = [this](const ServerEntry& entry) { return m_gate.server() && entry.id == m_gate.server()->id; };
+    if (std::any_of(changes.entries.begin(), changes.entries.end(), isOwn))
+        updateGate();
+}
+
+void ProxyNode::updateGate()
+{
+    const ServerRecord* ownServer = m_directory.atAddress(m_settings.serverAddress);
+    m_gate.setServer(ownServer && m_hasColdPolicy ? std::optional(*ownServer) : std::nullopt);
+}
+
+void ProxyNode::setColdPolicy(const Configuration& configuration)
+{
+    ColdPolicy policy { .overage = m_settings.coldOverage, .slack = m_settings.coldSlack };
+    const auto service = configuration.services().find(m_settings.service);
+    if (service != configuration.services().end()) {
+        policy.requestsPerSecond = service->second.coldRequestsPerSecond;
+        policy.coldStart = service->second.coldStart;
+    }
+    m_gate.setColdPolicy(policy);
+    m_hasColdPolicy = true;
 }
 
 void ProxyNode::logDelayedHeartbeats(const char* origin)
@@ -118,7 +147,7 @@
     m_view = m_directory.view();
     m_router.update(m_view, m_loop.now());
     const ServerRecord* ownServer = m_directory.atAddress(m_settings.serverAddress);
-    m_gate.setServer(ownServer ? std::optional(*ownServer) : std::nullopt);
+    updateGate();
     m_forwarder.setServers(*m_view);
     m_exchange.setMembers(zoneMembers(), m_view->instances().size());
     m_exchange.handleChange();
--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -32,6 +32,9 @@
     const GateCounters& counters = m_gate.counters();
     m_metrics.setValue("gate_answered", static_cast<double>(counters.answered));
     m_metrics.setValue("gate_refused", static_cast<double>(counters.refused));
+    m_metrics.setValue("gate_refused_cold", static_cast<double>(counters.refusedCold));
+    m_metrics.setValue("server_cold", m_gate.isServerCold() ? 1 : 0);
+    m_metrics.setValue("gate_waiting_cold", static_cast<double>(m_gate.waitingForTurn()));
     m_metrics.setValue("gate_unknown", static_cast<double>(counters.unknown));
     m_metrics.setValue("gate_joined", static_cast<double>(counters.joined));
     m_metrics.setValue("gate_cancelled", static_cast<double>(counters.cancelled));
@@ -59,12 +62,16 @@
     for (const InstanceState& state : m_view->instances())
         servers.push_back({ { "id", state.record.id.value() }, { "service", state.record.service.value() },
             { "zone", state.record.zone.value() }, { "peer", state.record.peer.toString() },
-            { "condition", conditionName(state.condition) } });
+            { "condition", conditionName(state.condition) }, { "cold", state.coldUntil > m_loop.now() } });
     return nlohmann::json {
         { "instance", m_settings.instance }, { "ready", isReady() },
         { "version", current ? current->manifest().version.value() : 0 }, { "sourceLost", m_isSourceLost },
         { "sourceRevision", m_directory.revision().value() }, { "peers", peers }, { "servers", servers },
-        { "gate", { { "running", load.inFlight }, { "queued", load.queued }, { "limit", load.limit } } },
+        { "gate",
+            { { "running", load.inFlight }, { "queued", load.queued }, { "limit", load.limit },
+                { "cold", m_gate.isServerCold() }, { "coldCause", coldCauseName(m_gate.coldCause()) },
+                { "coldRemainingMs", millisecondsText(m_gate.remainingCold()) },
+                { "waitingForColdServer", m_gate.waitingForTurn() } } },
         { "callsInProgress", m_forwarder.callsInProgress() }
     }.dump(2)
         + "\n";
--- a/src/proxy/ServerNotices.cpp
+++ b/src/proxy/ServerNotices.cpp
@@ -60,11 +60,21 @@
         m_entries.erase(server.id);
 }
 
-void ServerNotices::pause(const Server& server, TimePoint until, TimePoint now)
+size_t ServerNotices::indexOf(int rank) { return std::min(static_cast<size_t>(std::max(0, rank)), rankCount - 1); }
+
+TimePoint ServerNotices::Entry::pauseEnd(int rank) const
+{
+    const auto end = pausedUntil.begin() + static_cast<std::ptrdiff_t>(indexOf(rank)) + 1;
+    return *std::max_element(pausedUntil.begin(), end);
+}
+
+void ServerNotices::pause(const Server& server, TimePoint until, TimePoint now, int rank)
 {
     Entry& entry = entryOf(server, now);
-    if (entry.server.incarnation == server.incarnation)
-        entry.pausedUntil = std::max(entry.pausedUntil, until);
+    if (entry.server.incarnation != server.incarnation)
+        return;
+    TimePoint& pausedUntil = entry.pausedUntil[indexOf(rank)];
+    pausedUntil = std::max(pausedUntil, until);
 }
 
 void ServerNotices::update(const MembershipView& view)
@@ -83,22 +93,34 @@
     return found->second.rate;
 }
 
-std::vector<InstanceId> ServerNotices::unusable(const ServiceName& service, TimePoint now) const
+std::vector<InstanceId> ServerNotices::unusable(const ServiceName& service, TimePoint now, int rank) const
 {
     std::vector<InstanceId> ids;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.server.service == service && (entry.isLeaving || entry.pausedUntil > now))
+        if (entry.server.service == service && (entry.isLeaving || entry.pauseEnd(rank) > now))
             ids.push_back(id);
     }
     return ids;
 }
 
-std::optional<Duration> ServerNotices::shortestPause(const ServiceName& service, TimePoint now) const
+Duration ServerNotices::nextTurn(const ServiceName& service, Duration turn, Duration maxDelay, TimePoint now)
+{
+    if (m_lastTurn.size() >= maxEntries && !m_lastTurn.contains(service))
+        m_lastTurn.clear();
+    TimePoint& last = m_lastTurn[service];
+    if (last < now || last + turn > now + maxDelay)
+        last = now;
+    last += turn;
+    return last - now;
+}
+
+std::optional<Duration> ServerNotices::shortestPause(const ServiceName& service, TimePoint now, int rank) const
 {
     std::optional<Duration> shortest;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.server.service == service && !entry.isLeaving && entry.pausedUntil > now)
-            shortest = std::min(shortest.value_or(Duration::max()), Duration(entry.pausedUntil - now));
+        const TimePoint pauseEnd = entry.pauseEnd(rank);
+        if (entry.server.service == service && !entry.isLeaving && pauseEnd > now)
+            shortest = std::min(shortest.value_or(Duration::max()), Duration(pauseEnd - now));
     }
     return shortest;
 }
--- a/src/proxy/tests/ServerNoticesTest.cpp
+++ b/src/proxy/tests/ServerNoticesTest.cpp
@@ -37,6 +37,20 @@
         EXPECT_EQ(readServerNotice({}, HttpConventions()).rateNotice, RateNotice::None);
     }
 
+    // Guards against an urgent call that is kept from a cold server because the server refused a less urgent one.
+    TEST(ServerNoticesTest, PauseHoldsForItsRankAndLessUrgentOnes)
+    {
+        ServerNotices notices;
+        notices.pause(server("a"), start + 1s, start, 1);
+        EXPECT_TRUE(notices.unusable(service, start, 0).empty());
+        EXPECT_EQ(notices.unusable(service, start, 1).size(), 1u);
+        EXPECT_EQ(notices.unusable(service, start, 2).size(), 1u);
+        EXPECT_EQ(notices.shortestPause(service, start, 0), std::nullopt);
+        EXPECT_EQ(notices.shortestPause(service, start, 20), Duration(1s));
+        notices.pause(server("a"), start + 500ms, start);
+        EXPECT_EQ(notices.unusable(service, start, 0).size(), 1u);
+    }
+
     TEST(ServerNoticesTest, LimitHoldsUntilAnAnswerWithoutIt)
     {
         ServerNotices notices;
