--- a/src/proxy/tests/ColdFleetTest.cpp
+++ b/src/proxy/tests/ColdFleetTest.cpp
@@ -54,9 +54,10 @@
         bool hasEntries { false };
         // The gates of the cold servers restart at this time.
         std::optional<Duration> gateRestart;
+        double load { 1 };
     };
 
-    std::vector<Request> requestsOf(uint64_t seed)
+    std::vector<Request> requestsOf(double load, uint64_t seed)
     {
         Random random(seed);
         std::vector<Request> requests;
@@ -64,7 +65,7 @@
             TimePoint now = start;
             while (now < end) {
                 now += std::chrono::duration_cast<Duration>(
-                    std::chrono::duration<double>(-std::log(1 - random.unit()) / requestsPerSecond[rank]));
+                    std::chrono::duration<double>(-std::log(1 - random.unit()) / (load * requestsPerSecond[rank])));
                 requests.push_back({ .rank = static_cast<int>(rank),
                     .receivedAt = now,
                     .work = 150ms + std::chrono::milliseconds(random.below(140)) });
@@ -237,7 +238,8 @@
             server.waiting.erase(number);
             ASSERT_TRUE(server.pacer.startRequest(m_now));
             ++server.running;
-            if (server.pacer.isCold())
+            const auto index = static_cast<size_t>(&server - m_servers.data());
+            if (index >= m_scenario.firstCold && m_now < start + coldStart)
                 server.arrivals.push_back(m_now);
             while (!server.arrivals.empty() && server.arrivals.front() <= m_now - 1s)
                 server.arrivals.pop_front();
@@ -376,7 +378,7 @@
     void compare(const char* name, const Scenario& scenario, double minShare, double minUrgentShare)
     {
         runWithSeeds(4711, [&](uint64_t seed) {
-            const auto requests = requestsOf(seed);
+            const auto requests = requestsOf(scenario.load, seed);
             const Result ideal = runIdeal(scenario, requests);
             const Result result = Fleet(scenario, seed).run(requests);
             const double share = static_cast<double>(result.total()) / ideal.total();
@@ -410,6 +412,12 @@
         compare("zone", { .firstCold = 2 * serverCount / 3, .hasEntries = true }, 0.9, 0.9);
     }
 
+    // The load that the warm servers alone just bear.
+    TEST(ColdFleetTest, ZoneThatComesBackColdUnderHeavyLoad)
+    {
+        compare("loaded zone", { .firstCold = 2 * serverCount / 3, .hasEntries = true, .load = 1.9 }, 0.8, 0.9);
+    }
+
     TEST(ColdFleetTest, GatesThatRestartWhileTheirServersAreCold)
     {
         for (const Duration restart : { 300ms, 1200ms, 2500ms })
