Refuse a call that waits for a cold server before its sender's timer ends

Cause: the gate held a call until its start would be useless, and its refusal came after the timer of the sending node.

Adds ColdNodeTest: two complete nodes, reader and follower, with cold servers, and then with warm ones.

--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -14,6 +14,9 @@
     constexpr const char* coldReason = "the cold server takes no more requests per second";
     // Calls that the kernel buffered during a pause are read within this time.
     constexpr Duration pauseRefusalPeriod = std::chrono::milliseconds(100);
+    // A call that waits for its turn is refused this long before its start would be useless: two sweeps, so that the
+    // refusal reaches the sender before its timer. Without it the caller got 504 instead of 503.
+    constexpr Duration waitMargin = std::chrono::milliseconds(50);
     // Share of the idle timeout announced by the server for which an idle connection may be reused.
     constexpr double keepAliveFraction = 0.8;
 
@@ -150,8 +153,8 @@
 {
     const auto service = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceTime.mean()));
     const TimePoint now = m_loop.now();
-    const bool canBeOnTime = call.onTimeBy - service > now;
-    return (canBeOnTime ? call.onTimeBy : call.deadline) - service;
+    const bool canBeOnTime = call.onTimeBy - service - waitMargin > now;
+    return (canBeOnTime ? call.onTimeBy : call.deadline) - service - waitMargin;
 }
 
 void BackendGate::waitForTurn(const CallPtr& call)
--- a/src/proxy/tests/ColdGateTest.cpp
+++ b/src/proxy/tests/ColdGateTest.cpp
@@ -2,7 +2,9 @@
 #include "proxy/BackendGate.h"
 #include "proxy/tests/ProxyFleet.h"
 
+#include <future>
 #include <gtest/gtest.h>
+#include <httplib.h>
 
 namespace skylark {
 namespace {
@@ -174,5 +176,67 @@
         EXPECT_TRUE(gate.isIdle());
     }
 
+    std::vector<TestResponse> sendAtOnce(const ProxyFleet& fleet, const std::string& prefix, int count)
+    {
+        std::vector<std::future<TestResponse>> futures;
+        for (int i = 0; i < count; ++i) {
+            const std::string id = prefix + std::to_string(i);
+            futures.push_back(std::async(std::launch::async, [&fleet, id, i] {
+                return sendRequest(fleet.callerAddress(static_cast<size_t>(i % 2)), id, "/read/" + id, "", 400);
+            }));
+        }
+        std::vector<TestResponse> responses;
+        for (auto& future : futures)
+            responses.push_back(future.get());
+        return responses;
+    }
+
+    bool isShownCold(const ProxyFleet& fleet, size_t index)
+    {
+        const Endpoint address = fleet.adminAddress(index);
+        httplib::Client client(address.host, address.port);
+        const auto response = client.Get("/state");
+        return response && response->body.find("\"coldCause\": \"none\"") == std::string::npos;
+    }
+
+    bool waitUntilShown(const ProxyFleet& fleet, bool isCold)
+    {
+        for (int i = 0; i < 100; ++i) {
+            if (isShownCold(fleet, 0) == isCold && isShownCold(fleet, 1) == isCold)
+                return true;
+            std::this_thread::sleep_for(50ms);
+        }
+        return false;
+    }
+
+    // Guards against nodes that do not pass the rate, the entry and its heartbeats on to the gate, be it as the reader
+    // of the source or as its follower.
+    TEST(ColdNodeTest, NodesLimitColdServersUntilTheirEntriesSayThatTheyAreWarm)
+    {
+        constexpr int count = 60;
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.configure(2, 2000, rate);
+        for (size_t index = 0; index < 2; ++index)
+            fleet.putHeartbeat(index, 1, 10s);
+        ASSERT_TRUE(waitUntilShown(fleet, true));
+        for (const TestResponse& response : sendAtOnce(fleet, "cold", count)) {
+            if (response.status != 200) {
+                EXPECT_EQ(response.status, 503);
+                EXPECT_NE(response.retryAfter, "");
+            }
+        }
+        for (size_t index = 0; index < 2; ++index)
+            EXPECT_LE(fleet.server(index).executions().size(), 1.5 * rate + 8);
+        for (size_t index = 0; index < 2; ++index)
+            fleet.putHeartbeat(index, 2, 0s);
+        ASSERT_TRUE(waitUntilShown(fleet, false));
+        std::this_thread::sleep_for(1s);
+        int answered = 0;
+        for (const TestResponse& response : sendAtOnce(fleet, "warm", count))
+            answered += response.status == 200 ? 1 : 0;
+        EXPECT_EQ(answered, count);
+    }
+
 } // namespace
 } // namespace skylark
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -30,9 +30,12 @@
         const std::vector<std::string> parts = absl::StrSplit(text, ' ');
         uint64_t version = 0;
         int64_t timeout = 0;
-        if (parts.size() != 2 || !absl::SimpleAtoi(parts[0], &version) || !absl::SimpleAtoi(parts[1], &timeout))
+        ServicePolicy policy { .name = ServiceName("work"), .coldStart = 10s };
+        const bool hasColdRate = parts.size() == 3 && absl::SimpleAtod(parts[2], &policy.coldRequestsPerSecond);
+        if ((parts.size() != 2 && !hasColdRate) || !absl::SimpleAtoi(parts[0], &version)
+            || !absl::SimpleAtoi(parts[1], &timeout))
             throw Error({ .step = "decode-test-configuration",
-                .message = "the test configuration is not of the form \"VERSION timeout-ms\"" });
+                .message = "the test configuration is not of the form \"VERSION timeout-ms [cold-per-s]\"" });
         const auto route = [timeout](const char* name, const char* prefix, bool isIdempotent, int rank) {
             return Route { .name = name,
                 .pathPrefix = prefix,
@@ -47,7 +50,7 @@
             Manifest { .version = VersionNumber(version), .revision = revision },
             std::vector<RankPolicy> {
                 { .name = RankName("0"), .target = 100ms }, { .name = RankName("1"), .target = 200ms } },
-            std::map<ServiceName, ServicePolicy> { { ServiceName("work"), { .name = ServiceName("work") } } },
+            std::map<ServiceName, ServicePolicy> { { ServiceName("work"), policy } },
             std::vector<Route> { route("read", "/read", true, 0), route("pay", "/pay", false, 1) });
     }
 
@@ -58,10 +61,11 @@
         if (item.isDeleted)
             return entry;
         // "ADDRESS INCARNATION draining|ready", then the heartbeat's number if it is known, then the service if it is
-        // not "work".
+        // not "work" or the remaining cold time follows, in milliseconds.
         const std::vector<std::string> parts = absl::StrSplit(item.value, ' ');
         constexpr size_t heartbeatPart = 3;
         constexpr size_t servicePart = 4;
+        constexpr size_t coldPart = 5;
         entry.record = ServerRecord { .id = entry.id,
             .incarnation = Incarnation(std::stoull(parts.at(1))),
             .service = ServiceName("work"),
@@ -73,6 +77,8 @@
             entry.record->heartbeat = HeartbeatNumber(std::stoull(parts[heartbeatPart]));
         if (parts.size() > servicePart)
             entry.record->service = ServiceName(parts[servicePart]);
+        if (parts.size() > coldPart)
+            entry.record->remainingSlowStart = std::chrono::milliseconds(std::stoll(parts[coldPart]));
         return entry;
     }
 
@@ -284,9 +290,18 @@
     m_store.put("servers/" + id, address.toString() + " 99 ready 1 " + service);
 }
 
-void ProxyFleet::configure(uint64_t version, int timeoutMilliseconds)
+void ProxyFleet::configure(uint64_t version, int timeoutMilliseconds, std::optional<double> coldRequestsPerSecond)
 {
-    m_store.put("op/config", std::to_string(version) + " " + std::to_string(timeoutMilliseconds));
+    m_store.put("op/config",
+        std::to_string(version) + " " + std::to_string(timeoutMilliseconds)
+            + (coldRequestsPerSecond ? " " + std::to_string(*coldRequestsPerSecond) : ""));
+}
+
+void ProxyFleet::putHeartbeat(size_t index, uint64_t heartbeat, Duration remainingCold)
+{
+    m_store.put(serverKey(index),
+        serverAddress(index).toString() + " 1 ready " + std::to_string(heartbeat) + " work "
+            + std::to_string(remainingCold / 1ms));
 }
 
 void ProxyFleet::putServerEntry(size_t index, bool isDraining, uint64_t incarnation, std::optional<uint64_t> heartbeat)
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -1,7 +1,7 @@
 // A small fleet of proxy nodes and backend servers on loopback, each on its own thread.
 //
 // Node i listens on 127.0.0.(i+1), so that all nodes use the same ports, as on the platform. The configuration in the
-// fake source is a text of the form "VERSION timeout-ms", which decodeTestConfiguration() reads.
+// fake source is a text of the form "VERSION timeout-ms [cold-per-s]", which decodeTestConfiguration() reads.
 #pragma once
 
 #include "proxy/ProxyNode.h"
@@ -96,7 +96,10 @@
     Endpoint readyAddress(size_t index) const;
     Endpoint peerAddress(size_t index) const;
     Endpoint adminAddress(size_t index) const;
-    void configure(uint64_t version, int timeoutMilliseconds);
+    void configure(
+        uint64_t version, int timeoutMilliseconds, std::optional<double> coldRequestsPerSecond = std::nullopt);
+    // An entry of the server's first start.
+    void putHeartbeat(size_t index, uint64_t heartbeat, Duration remainingCold);
     void putServerEntry(
         size_t index, bool isDraining, uint64_t incarnation, std::optional<uint64_t> heartbeat = std::nullopt);
     // Writes an entry under a key of its own that names this service, a later start and the address.
