--- a/src/proxy/tests/ColdFleetTest.cpp
+++ b/src/proxy/tests/ColdFleetTest.cpp
@@ -215,8 +215,8 @@
             server.pacer.update(0, m_now);
             server.pacer.recordSender(Incarnation(call.node + 1), m_now);
             server.waiting.emplace(call.request.number, call);
-            const TimePoint onTimeBy = call.request.receivedAt + onTime - 220ms;
-            const TimePoint startBy = onTimeBy > m_now ? onTimeBy : call.request.receivedAt + deadline - 220ms;
+            const TimePoint onTimeBy = call.request.receivedAt + onTime - 270ms;
+            const TimePoint startBy = onTimeBy > m_now ? onTimeBy : call.request.receivedAt + deadline - 270ms;
             if (hasRoom(server) && server.queue.isEmpty())
                 begin(server, call.request.number);
             else
