--- a/src/proxy/BackendConnection.cpp
+++ b/src/proxy/BackendConnection.cpp
@@ -66,7 +66,7 @@
                 acceptResponse(std::move(*response));
         }
     } catch (const HttpError& error) {
-        finish(BackendFailure { error.message() });
+        finish(BackendFailure { .reason = error.message() });
     }
 }
 
@@ -91,12 +91,12 @@
         acceptResponse(std::move(*response));
         return;
     }
+    const char* reason = "the server closed the connection";
     if (end != StreamEnd::Closed)
-        finish(BackendFailure { "the server reset the connection" });
+        reason = "the server reset the connection";
     else if (!hasAcceptedRequest)
-        finish(BackendFailure { "the server closed the connection before it had accepted the whole request" });
-    else
-        finish(BackendFailure { "the server closed the connection" });
+        reason = "the server closed the connection before it had accepted the whole request";
+    finish(BackendFailure { .reason = reason, .isConnectionLost = true });
 }
 
 bool BackendConnection::isOwnResponse(const HttpResponse& response) const
