Let the owner of a request parser grant memory for a body

Cause: the parser stored a body without asking, grew its string to twice the size while copying, and kept a 64 KiB buffer on each connection.

The parser asks before it allocates: the declared length once the head is read, or the next step of a chunked body, a step being the body limit divided by a power of two. A refusal is HttpError 503. TcpStream::writeShared() sends bytes without a copy, and a write can own what is to be released once it has been sent.

--- a/src/eventloop/TcpStream.cpp
+++ b/src/eventloop/TcpStream.cpp
@@ -161,33 +161,47 @@
             setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
     }
 
-    void write(std::string bytes)
+    // Returns the number of bytes that the kernel took, or nullopt if the connection cannot be written to.
+    std::optional<size_t> tryWrite(std::string_view bytes)
     {
         if (isClosing || hasEnded || !isConnected)
-            return;
+            return std::nullopt;
         size_t sent = 0;
         if (uv_stream_get_write_queue_size(stream()) == 0) {
-            uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+            uv_buf_t buffer = uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
             const int result = uv_try_write(stream(), &buffer, 1);
             if (result < 0 && result != UV_EAGAIN)
-                return;
+                return std::nullopt;
             sent = result < 0 ? 0 : static_cast<size_t>(result);
         }
-        if (sent < bytes.size())
-            queueWrite(std::move(bytes), sent);
+        return sent;
     }
 
-    void queueWrite(std::string bytes, size_t offset)
+    void write(std::string bytes, std::shared_ptr<const void> owner)
+    {
+        if (const auto sent = tryWrite(bytes); sent && *sent < bytes.size()) {
+            auto kept = std::make_shared<const std::pair<std::string, std::shared_ptr<const void>>>(
+                std::move(bytes), std::move(owner));
+            queueWrite(std::string_view(kept->first).substr(*sent), kept);
+        }
+    }
+
+    void writeShared(std::string_view bytes, std::shared_ptr<const void> owner)
+    {
+        if (const auto sent = tryWrite(bytes); sent && *sent < bytes.size())
+            queueWrite(bytes.substr(*sent), std::move(owner));
+    }
+
+    void queueWrite(std::string_view bytes, std::shared_ptr<const void> owner)
     {
         struct PendingWrite {
             uv_write_t request {};
-            std::string bytes;
+            std::shared_ptr<const void> owner;
         };
         auto pending = std::make_unique<PendingWrite>();
-        pending->bytes = std::move(bytes);
+        pending->owner = std::move(owner);
         pending->request.data = pending.get();
-        uv_buf_t buffer
-            = uv_buf_init(pending->bytes.data() + offset, static_cast<unsigned>(pending->bytes.size() - offset));
+        uv_buf_t buffer = uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
         const int result = uv_write(&pending->request, stream(), &buffer, 1,
             [](uv_write_t* request, int) { delete static_cast<PendingWrite*>(request->data); });
         if (result == 0)
@@ -238,7 +252,15 @@
         uv_read_stop(m_handle->stream());
 }
 
-void TcpStream::write(std::string bytes) { m_handle->write(std::move(bytes)); }
+void TcpStream::write(std::string bytes, std::shared_ptr<const void> owner)
+{
+    m_handle->write(std::move(bytes), std::move(owner));
+}
+
+void TcpStream::writeShared(std::string_view bytes, std::shared_ptr<const void> owner)
+{
+    m_handle->writeShared(bytes, std::move(owner));
+}
 
 size_t TcpStream::pendingBytes() const { return uv_stream_get_write_queue_size(m_handle->stream()); }
 
--- a/src/eventloop/TcpStream.h
+++ b/src/eventloop/TcpStream.h
@@ -57,7 +57,10 @@
     void setHandler(StreamHandler& handler);
     void startReading();
     void stopReading();
-    void write(std::string bytes);
+    // `owner` is released once the bytes have been passed to the kernel or the connection has closed.
+    void write(std::string bytes, std::shared_ptr<const void> owner = nullptr);
+    // Without a copy of the bytes, which `owner` keeps in memory.
+    void writeShared(std::string_view bytes, std::shared_ptr<const void> owner);
     size_t pendingBytes() const;
     bool isConnected() const;
     // The peer's address without the port. Empty if it is unknown.
--- a/src/http/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -33,8 +33,6 @@
 
     bool hasNoBodyByDefault(std::string_view method) { return method == "GET" || method == "HEAD"; }
 
-    bool forbidsBody(int status) { return status < 200 || status == 204 || status == 304; }
-
 } // namespace
 
 const std::string* findHeader(const HttpHeaders& headers, std::string_view name)
@@ -71,29 +69,36 @@
     });
 }
 
-std::string serialize(const HttpRequest& request)
+std::string serializeHead(const HttpRequest& request, size_t bodyBytes)
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
-    text.reserve(text.size() + 512 + request.body.size());
     appendHeaders(text, request.headers);
-    if (!request.body.empty() || !hasNoBodyByDefault(request.method))
-        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    if (bodyBytes > 0 || !hasNoBodyByDefault(request.method))
+        text += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
     text += "\r\n";
-    text += request.body;
     return text;
 }
 
-std::string serialize(const HttpResponse& response)
+std::string serialize(const HttpRequest& request) { return serializeHead(request, request.body.size()) + request.body; }
+
+bool forbidsBody(int status) { return status < 200 || status == 204 || status == 304; }
+
+std::string serializeHead(const HttpResponse& response)
 {
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + " "
         + (response.reason.empty() ? reasonPhrase(response.status) : response.reason) + "\r\n";
-    text.reserve(text.size() + 512 + response.body.size());
     appendHeaders(text, response.headers);
     if (!forbidsBody(response.status) && !response.endsWithClose)
         text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
     if (!response.keepsAlive || response.endsWithClose)
         text += "Connection: close\r\n";
     text += "\r\n";
+    return text;
+}
+
+std::string serialize(const HttpResponse& response)
+{
+    std::string text = serializeHead(response);
     if (!forbidsBody(response.status))
         text += response.body;
     return text;
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,8 @@
     std::string body;
     // The sender keeps the connection open for another request.
     bool keepsAlive { true };
+    // Released with the last copy of the request; holds the charge of its bytes (base/MemoryBudget.h), if any.
+    std::shared_ptr<const void> allocation;
 };
 
 struct HttpResponse {
@@ -57,9 +60,15 @@
 
 // Adds Content-Length, except to a GET or HEAD request without a body.
 std::string serialize(const HttpRequest& request);
+// The same without the body, for a request whose body has bodyBytes bytes.
+std::string serializeHead(const HttpRequest& request, size_t bodyBytes);
 // Adds Content-Length, except to a response that has no body by its status or that ends with the close of the
 // connection. Adds "Connection: close" unless the connection stays open.
 std::string serialize(const HttpResponse& response);
+// The same without the body.
+std::string serializeHead(const HttpResponse& response);
+// A response with this status has no body.
+bool forbidsBody(int status);
 
 const char* reasonPhrase(int status);
 
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -1,6 +1,7 @@
 #include "http/MessageParser.h"
 
 #include <absl/strings/match.h>
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <optional>
@@ -16,7 +17,12 @@
     constexpr int statusBadRequest = 400;
     constexpr int statusTooLarge = 413;
     constexpr int statusHeadersTooLarge = 431;
+    constexpr int statusUnavailable = 503;
     constexpr int firstFinalStatus = 200;
+    // First allocation for a body without a declared length.
+    constexpr size_t minBodyCapacity = size_t { 16 } * 1024;
+    // A larger buffer is released once it is empty, so that many open connections do not each keep a whole read.
+    constexpr size_t maxRetainedBytes = size_t { 4 } * 1024;
 
     std::string toString(BeastView text) { return { text.data(), text.size() }; }
 
@@ -39,11 +45,16 @@
             this->eager(true);
             this->header_limit(limits.headerBytes);
             this->body_limit(boost::optional<uint64_t>(limits.bodyBytes));
+            maxBodyBytes = limits.bodyBytes;
         }
 
         Message message;
         // Only for responses; may be null.
         const ResponseSink* sink { nullptr };
+        // May be null.
+        const std::function<bool(size_t)>* reserve { nullptr };
+        bool isReservationRefused { false };
+        uint64_t maxBodyBytes { 0 };
         uint64_t bodyBytes { 0 };
         int contentLengthHeaders { 0 };
         int hostHeaders { 0 };
@@ -80,7 +91,10 @@
         void on_header_impl(ErrorCode& error) override
         {
             message.keepsAlive = this->keep_alive();
-            if constexpr (!isRequest) {
+            if constexpr (isRequest) {
+                if (const auto length = this->content_length(); length && *length <= maxBodyBytes)
+                    reserveBody(*length, 0, error);
+            } else {
                 if (!sink || message.status < firstFinalStatus)
                     return;
                 const auto length = this->content_length();
@@ -93,12 +107,38 @@
         {
             bodyBytes += body.size();
             if (!sink)
-                message.body.append(body.data(), body.size());
+                append(body, error);
             else if (!sink->onBody({ body.data(), body.size() }))
                 error = http::error::end_of_stream;
             return body.size();
         }
         void on_chunk_header_impl(uint64_t, BeastView, ErrorCode&) override { }
+        void append(BeastView body, ErrorCode& error)
+        {
+            const size_t needed = message.body.size() + body.size();
+            const size_t capacity = message.body.capacity();
+            if (needed > capacity) {
+                // Halves of the limit, so that the last step copies no more than half of the largest body.
+                size_t next = std::max<size_t>(needed, maxBodyBytes);
+                while (next / 2 >= std::max(needed, minBodyCapacity))
+                    next /= 2;
+                // Both buffers exist while the bytes are copied.
+                if (!reserveBody(next, capacity, error) || !reserveBody(next, 0, error))
+                    return;
+            }
+            message.body.append(body.data(), body.size());
+        }
+
+        bool reserveBody(size_t bytes, size_t copiedBytes, ErrorCode& error)
+        {
+            if (reserve && *reserve && !(*reserve)(bytes + copiedBytes)) {
+                isReservationRefused = true;
+                error = http::error::end_of_stream;
+                return false;
+            }
+            message.body.reserve(bytes);
+            return true;
+        }
         size_t on_chunk_body_impl(uint64_t, BeastView body, ErrorCode& error) override
         {
             return on_body_impl(body, error);
@@ -112,6 +152,7 @@
 
         HttpLimits limits;
         std::optional<ResponseSink> sink;
+        std::function<bool(size_t)> reserve;
         std::string buffer;
         std::optional<MessageCollector<isRequest>> collector;
         // Bytes since the last message that next() returned.
@@ -122,6 +163,7 @@
             if (!collector) {
                 collector.emplace(limits);
                 collector->sink = sink ? &*sink : nullptr;
+                collector->reserve = &reserve;
             }
             return *collector;
         }
@@ -138,12 +180,16 @@
                 offset += count;
                 if (error == http::error::need_more)
                     break;
+                if (parser.isReservationRefused)
+                    throw HttpError(statusUnavailable, "the memory for the body is in use");
                 if (error)
                     throw HttpError(statusOf(error), error.message());
                 if (count == 0)
                     break;
             }
             buffer.erase(0, offset);
+            if (buffer.empty() && buffer.capacity() > maxRetainedBytes)
+                buffer.shrink_to_fit();
             parsedBytes += offset;
             checkOverhead(parser);
             if (parser.is_header_done())
@@ -211,6 +257,15 @@
 
 bool RequestParser::isWithinMessage() const { return m_state->isWithinMessage(); }
 
+size_t RequestParser::bufferedBytes() const { return m_state->buffer.size(); }
+
+bool RequestParser::isReadingBody() const { return m_state->collector && m_state->collector->is_header_done(); }
+
+void RequestParser::setBodyReservation(std::function<bool(size_t bytes)> reserve)
+{
+    m_state->reserve = std::move(reserve);
+}
+
 bool RequestParser::takeExpectContinue()
 {
     return m_state->collector && m_state->collector->is_header_done()
--- a/src/http/MessageParser.h
+++ b/src/http/MessageParser.h
@@ -39,6 +39,14 @@
     std::optional<HttpRequest> next();
     // Returns true while the parser holds bytes of a message that next() has not returned.
     bool isWithinMessage() const;
+    // Bytes that were received and not parsed.
+    size_t bufferedBytes() const;
+    // The body of a message is being received.
+    bool isReadingBody() const;
+    // Called with the bytes that the body in progress is about to occupy, before the parser allocates them: the
+    // declared length when the head has been read, or the next step of a chunked body. If it returns false, next()
+    // throws HttpError with 503.
+    void setBodyReservation(std::function<bool(size_t bytes)> reserve);
     // Returns true once for a message whose sender waits for "100 Continue" before it sends the body.
     bool takeExpectContinue();
 
--- a/src/http/tests/MessageParserTest.cpp
+++ b/src/http/tests/MessageParserTest.cpp
@@ -4,7 +4,9 @@
 
 #include "base/Random.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
+#include <vector>
 
 namespace skylark {
 namespace {
@@ -206,5 +208,54 @@
         EXPECT_LT(bytesUntilError("", "HTTP/1.1 100 Continue\r\n\r\n"), bound) << "interim responses";
     }
 
+    // Guards against a body that is stored before its bytes are charged, against growth that holds more than one and a
+    // half times the limit, and against a refused body that is taken for a malformed one.
+    TEST(RequestParserTest, AsksBeforeItAllocatesABody)
+    {
+        constexpr size_t limit = size_t { 1 } << 20;
+        std::vector<size_t> asked;
+        bool isGranted = true;
+        const auto makeParser = [&] {
+            asked.clear();
+            auto parser = std::make_unique<RequestParser>(HttpLimits { .bodyBytes = limit });
+            parser->setBodyReservation([&](size_t bytes) {
+                asked.push_back(bytes);
+                return isGranted;
+            });
+            return parser;
+        };
+        const std::string start = "POST / HTTP/1.1\r\nHost: x\r\n";
+        const auto declared = makeParser();
+        declared->append(start + "Content-Length: 1000000\r\n\r\n");
+        EXPECT_FALSE(declared->next());
+        EXPECT_EQ(asked, std::vector<size_t> { 1000000 });
+        EXPECT_TRUE(declared->isReadingBody());
+        declared->append(std::string(1000000, 'x'));
+        EXPECT_EQ(declared->next()->body.size(), 1000000u);
+        EXPECT_EQ(asked.size(), 1u);
+
+        const auto chunked = makeParser();
+        chunked->append(start + "Transfer-Encoding: chunked\r\n\r\n");
+        const std::string chunk = "3e8\r\n" + std::string(1000, 'x') + "\r\n";
+        for (int i = 0; i < 1000; ++i) {
+            chunked->append(chunk);
+            EXPECT_FALSE(chunked->next());
+            EXPECT_GE(asked.back(), size_t { 1000 } * (i + 1));
+        }
+        EXPECT_LE(*std::max_element(asked.begin(), asked.end()), limit + limit / 2);
+        chunked->append("0\r\n\r\n");
+        EXPECT_EQ(chunked->next()->body.size(), 1000000u);
+
+        isGranted = false;
+        const auto refused = makeParser();
+        refused->append(start + "Content-Length: 10\r\n\r\n");
+        try {
+            refused->next();
+            FAIL() << "the body was accepted";
+        } catch (const HttpError& error) {
+            EXPECT_EQ(error.status(), 503);
+        }
+    }
+
 } // namespace
 } // namespace skylark
