Bound the memory and descriptors that callers and peers can take

Cause: 48 connections with bodies of 4 MiB, or with unread responses of that size, took 217 to 417 MB on a node told to stay in 96 MB.

HttpConnection charges unparsed bytes, the body in progress and the unwritten response; a complete request takes its charge along until its last copy ends. At the bound the connection that has made no progress for longest, and for a second at least, is closed (408, or a reset for an unread response); otherwise the request is refused with 503, Retry-After and Connection: close before it is passed on. PeerServer refuses a call whose body does not fit as NotRun. The gate writes the body from the request without a copy, and CallDeduplicator keeps replies in a sixteenth of the account. Bodies have idle_timeout between two parts in place of header_timeout for the whole. The cap of 16 MiB on max_body_bytes is gone. Callers share three quarters of descriptorLimit - 200; a new one replaces the longest idle one.

Ruled out: pausing reads instead of refusing (two bodies wait for each other), and the allocator's moving mmap threshold, which keeps freed bodies resident.

--- a/src/proxy/BackendConnection.cpp
+++ b/src/proxy/BackendConnection.cpp
@@ -32,7 +32,7 @@
     if (m_request.isHeadRequest)
         m_parser.expectNoBody();
     if (m_stream->isConnected())
-        m_stream->write(std::move(m_request.bytes));
+        writeRequest();
 }
 
 void BackendConnection::close()
@@ -45,7 +45,14 @@
 void BackendConnection::onConnected()
 {
     if (m_onResult)
-        m_stream->write(std::move(m_request.bytes));
+        writeRequest();
+}
+
+void BackendConnection::writeRequest()
+{
+    m_stream->write(std::move(m_request.bytes));
+    if (const auto message = std::exchange(m_request.message, nullptr); message && !message->body.empty())
+        m_stream->writeShared(message->body, message);
 }
 
 void BackendConnection::onData(std::string_view bytes)
--- a/src/proxy/BackendConnection.h
+++ b/src/proxy/BackendConnection.h
@@ -29,7 +29,10 @@
 using BackendResult = std::variant<BackendResponse, BackendUnreachable, BackendFailure>;
 
 struct BackendRequest {
+    // The head, and the whole request if `message` is null.
     std::string bytes;
+    // Its body follows the head; it is not copied.
+    std::shared_ptr<const HttpRequest> message;
     std::string requestId;
     bool isHeadRequest { false };
 };
@@ -60,6 +63,7 @@
     void onEnd(StreamEnd end) override;
 
 private:
+    void writeRequest();
     bool isOwnResponse(const HttpResponse& response) const;
     void acceptResponse(HttpResponse response);
     void recordKeepAlive(const HttpResponse& response);
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -212,7 +212,8 @@
     call->startedAt = m_loop.now();
     try {
         call->connection = takeConnection(call->gateCall);
-        call->connection->send({ .bytes = requestBytes(call->gateCall),
+        call->connection->send({ .bytes = requestHead(call->gateCall),
+                                   .message = call->gateCall.request,
                                    .requestId = call->gateCall.requestId.value(),
                                    .isHeadRequest = call->gateCall.request->method == "HEAD" },
             [this, call](const std::shared_ptr<BackendConnection>& connection, BackendResult result) {
@@ -292,13 +293,14 @@
         connection->close();
 }
 
-std::string BackendGate::requestBytes(const GateCall& call) const
+std::string BackendGate::requestHead(const GateCall& call) const
 {
-    HttpRequest request = *call.request;
+    const HttpRequest& received = *call.request;
+    HttpRequest request { .method = received.method, .target = received.target, .headers = received.headers };
     removeConnectionHeaders(request.headers);
     setHeader(request.headers, m_httpConventions.deadline, millisecondsText(call.deadline - m_loop.now()));
     setHeader(request.headers, m_httpConventions.expectedInstance, m_server ? m_server->id.value() : "");
-    return serialize(request);
+    return serializeHead(request, received.body.size());
 }
 
 void BackendGate::release(const CallPtr& call, ServiceResult result)
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -110,7 +110,7 @@
     std::shared_ptr<BackendConnection> openConnection();
     void keepIdle(const std::shared_ptr<BackendConnection>& connection);
     bool isFresh(const BackendConnection& connection, const GateCall& call) const;
-    std::string requestBytes(const GateCall& call) const;
+    std::string requestHead(const GateCall& call) const;
     void release(const CallPtr& call, ServiceResult result);
     CallPtr callOf(const Ticket& ticket) const;
     void apply(const Dispatch& dispatch);
--- a/src/proxy/CallDeduplicator.cpp
+++ b/src/proxy/CallDeduplicator.cpp
@@ -26,10 +26,23 @@
 {
     const auto entry = m_entries.find(key);
     invariant(entry != m_entries.end() && !entry->second.reply, { .rule = "a call ends once", .step = "call-ledger" });
+    size_t bytes = bodyBytes(*reply);
+    if (bytes > m_options.maxReplyBytes - m_replyBytes) {
+        reply = makeRefusal(CallOutcome::Unknown, "call-ledger", "the reply was too large to be kept");
+        bytes = 0;
+    }
+    m_replyBytes += bytes;
+    entry->second.replyBytes = bytes;
     entry->second.reply = std::move(reply);
     m_endedCalls.push_back({ .expiresAt = std::max(now, entry->second.deadline) + m_options.margin, .key = key });
 }
 
+size_t CallDeduplicator::bodyBytes(const GateReply& reply)
+{
+    const auto* answer = std::get_if<GateResponse>(&reply);
+    return answer ? answer->response.body.size() : 0;
+}
+
 GateReplyPtr CallDeduplicator::reply(const CallKey& key) const
 {
     const auto entry = m_entries.find(key);
@@ -39,7 +52,9 @@
 void CallDeduplicator::advance(TimePoint now)
 {
     while (!m_endedCalls.empty() && m_endedCalls.front().expiresAt <= now) {
-        m_entries.erase(m_endedCalls.front().key);
+        const auto entry = m_entries.find(m_endedCalls.front().key);
+        m_replyBytes -= entry->second.replyBytes;
+        m_entries.erase(entry);
         m_endedCalls.pop_front();
     }
 }
--- a/src/proxy/HttpListener.h
+++ b/src/proxy/HttpListener.h
@@ -3,10 +3,15 @@
 // The handler receives each complete request and the connection, and must call respond() on it, now or later. If the
 // peer disconnects first, the connection's disconnect callback runs and respond() has no effect.
 //
-// Bounds: maxConnections connections (further ones are closed immediately); each connection buffers one message within
-// the limits and 64 KiB more.
+// Bounds: maxConnections connections; a further one closes the one that has been idle longest, or is closed itself if
+// none is idle. Each connection holds one message within the limits and 64 KiB more, all charged to options.memory. If
+// that has no room, connections that have made no progress for minStall are closed, the longest-waiting first; if none
+// is left, a request is refused with 503 before it is passed on, and a response that cannot be held resets its
+// connection.
 #pragma once
 
+#include "base/Log.h"
+#include "base/MemoryBudget.h"
 #include "base/Random.h"
 #include "eventloop/TcpStream.h"
 #include "http/MessageParser.h"
@@ -23,6 +28,10 @@
     Duration headerTimeout { std::chrono::seconds(5) };
     Duration idleTimeout { std::chrono::seconds(60) };
     size_t maxConnections { 3000 };
+    // May be null.
+    MemoryBudget* memory { nullptr };
+    // A connection without progress for this long may be closed to make room for others.
+    Duration minStall { std::chrono::seconds(1) };
 };
 
 class HttpListener;
@@ -46,6 +55,16 @@
     void onEnd(StreamEnd end) override;
 
 private:
+    friend class HttpListener;
+    bool isIdle() const { return !m_isBusy && !isReadingRequest() && !hasUnsentResponse(); }
+    bool hasUnsentResponse() const { return m_stream && m_stream->pendingBytes() > 0; }
+    // Holds memory that closing the connection frees: an unfinished request or an unread response.
+    bool isReclaimable() const { return !m_isBusy && (isReadingRequest() || hasUnsentResponse()); }
+    void checkProgress(TimePoint now);
+    // Changes the charge; closes stalled connections if necessary.
+    bool resize(MemoryCharge& charge, size_t bytes);
+    void closeStalled();
+    void write(std::string head, std::string body, const std::shared_ptr<MemoryCharge>& charge);
     void readNext();
     void startTimeout();
     void handleTimeout();
@@ -60,6 +79,15 @@
     bool m_isBusy { false };
     bool m_keepsAlive { true };
     bool m_isHeadRequest { false };
+    // Received bytes that are not parsed yet.
+    MemoryCharge m_bufferCharge;
+    // The body in progress; passed on with the request.
+    MemoryCharge m_bodyCharge;
+    // The last response, until it has been written.
+    std::shared_ptr<MemoryCharge> m_responseCharge;
+    // When the connection opened, or last received a part of a request or had a part of a response accepted.
+    TimePoint m_progressAt;
+    size_t m_unsentBytes { 0 };
 };
 
 class HttpListener {
@@ -81,6 +109,9 @@
 
 private:
     friend class HttpConnection;
+    // Closes the connection other than `requester` that has made no progress for longest, if there is one.
+    bool closeStalled(const HttpConnection& requester);
+    bool closeLongestIdle();
     void accept(std::unique_ptr<TcpStream> stream);
 
     EventLoop& m_loop;
@@ -89,6 +120,8 @@
     bool m_isDraining { false };
     absl::flat_hash_set<std::shared_ptr<HttpConnection>> m_connections;
     TcpListener m_listener;
+    Timer m_progressTimer;
+    RateLimitedLog m_memoryLog;
 };
 
 } // namespace skylark
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -3,6 +3,8 @@
 #include "base/Error.h"
 #include "base/Log.h"
 
+#include <algorithm>
+
 namespace skylark {
 
 namespace {
@@ -45,6 +47,7 @@
         CallStart start;
         TimePoint receivedAt;
         std::string body;
+        MemoryCharge charge;
     };
 
     void handle(Message message)
@@ -73,7 +76,9 @@
         const StreamId stream = start.stream;
         const bool hasBody = start.hasBody;
         PartialCall& partialCall = m_partialCalls[stream];
-        partialCall = { .start = std::move(start), .receivedAt = m_server.m_loop.now() };
+        partialCall = { .start = std::move(start),
+            .receivedAt = m_server.m_loop.now(),
+            .charge = MemoryCharge(m_server.m_options.memory) };
         if (!hasBody)
             submit(stream);
     }
@@ -82,7 +87,20 @@
     {
         const StreamId stream = chunk.stream;
         const auto found = m_partialCalls.find(stream);
-        if (found != m_partialCalls.end() && m_assembler.add(found->second.body, chunk))
+        if (found == m_partialCalls.end())
+            return;
+        PartialCall& call = found->second;
+        // The string doubles its capacity when it grows, and both buffers exist while it is copied.
+        const size_t needed = call.body.size() + chunk.data.size();
+        const size_t capacity = call.body.capacity();
+        const size_t grown = std::max(needed, 2 * capacity);
+        if (needed > capacity && !(call.charge.resize(grown + capacity) && call.charge.resize(grown))) {
+            m_partialCalls.erase(found);
+            m_server.m_options.memory->countRefused();
+            send(stream, *makeRefusal(CallOutcome::NotRun, "peer-call", "the memory for the body is in use"));
+            return;
+        }
+        if (m_assembler.add(call.body, chunk))
             submit(stream);
     }
 
@@ -120,6 +138,7 @@
         request->target = std::move(start.target);
         request->headers = toHttpHeaders(start.headers);
         request->body = std::move(partialCall.body);
+        request->allocation = std::make_shared<MemoryCharge>(std::move(partialCall.charge));
         m_server.m_gate.submit({ .key = { .sender = m_peer.incarnation, .stream = stream },
                                    .requestId = std::move(start.requestId),
                                    .service = std::move(start.service),
--- a/src/proxy/PeerServer.h
+++ b/src/proxy/PeerServer.h
@@ -7,9 +7,11 @@
 // A peer that waits for something sends pings meanwhile, and one that waits for nothing opens a connection when it
 // needs it.
 //
-// Bounds: maxBodyBytes per call, and the gate's own bounds.
+// Bounds: maxBodyBytes per call, the byte account (a call whose body it cannot hold is refused as NotRun), and the
+// gate's own bounds.
 #pragma once
 
+#include "base/MemoryBudget.h"
 #include "proxy/BackendGate.h"
 #include "proxy/FrameChannel.h"
 
@@ -23,6 +25,8 @@
     Endpoint listenAddress;
     size_t maxBodyBytes { 16 * 1024 * 1024 };
     Duration idleTimeout { std::chrono::seconds(60) };
+    // Bodies of calls that are being received are charged to it. May be null.
+    MemoryBudget* memory { nullptr };
 };
 
 class PeerServer {
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -34,6 +34,25 @@
             .slowStart = slowStartTime };
     }
 
+    // Descriptors of the program itself: the loop, listeners, the log, the source and metrics.
+    constexpr int programDescriptors = 200;
+    // Share of the other descriptors that is kept for peers, the backend server and the source.
+    constexpr int reservedDescriptorShare = 4;
+    // Share of the byte account that the replies kept for resent calls may take.
+    constexpr size_t keptReplyShare = 16;
+
+    size_t maxCallerConnections(const ProxySettings& settings)
+    {
+        const int available = std::max(settings.descriptorLimit / 2, settings.descriptorLimit - programDescriptors);
+        return static_cast<size_t>(available - available / reservedDescriptorShare);
+    }
+
+    GateOptions gateOptions(const ProxySettings& settings, const MemoryBudget& memory)
+    {
+        return { .server = settings.serverAddress,
+            .deduplicator = { .maxReplyBytes = memory.totalBytes() / keptReplyShare } };
+    }
+
     Incarnation newIncarnation()
     {
         std::random_device device;
@@ -47,6 +66,7 @@
     : m_settings(std::move(settings))
     , m_adapter(std::move(adapter))
     , m_clock(clock)
+    , m_memory(memoryBudgetFor(static_cast<size_t>(m_settings.memoryLimit.value())))
     , m_loop(clock)
     , m_self { .instance = InstanceId(m_settings.instance),
         .incarnation = newIncarnation(),
@@ -58,7 +78,7 @@
     , m_router(routerOptions(m_settings))
     , m_directory({ .peerPort = m_settings.peerAddress.port, .regions = m_settings.regions })
     , m_view(m_directory.view())
-    , m_gate(m_loop, { .server = m_settings.serverAddress }, m_adapter.httpConventions)
+    , m_gate(m_loop, gateOptions(m_settings, m_memory), m_adapter.httpConventions)
     , m_forwarder(
           m_loop,
           { .self = m_self.incarnation,
@@ -87,12 +107,20 @@
               .setMaxRetryDelay = [this](Duration delay) { m_watcher->setMaxRetryDelay(delay); },
               .retrySource = [this] { m_watcher->retryNow(); },
               .isComplete = [this] { return !m_isSourceLost && !m_directory.mayDeferDeletions(m_loop.now()); } })
-    , m_peerServer(m_loop, { .self = m_self, .listenAddress = m_settings.peerAddress }, m_gate,
+    , m_peerServer(m_loop,
+          { .self = m_self,
+              .listenAddress = m_settings.peerAddress,
+              .maxBodyBytes = m_memory.totalBytes(),
+              .memory = &m_memory },
+          m_gate,
           { .onHello = [this](const Hello& hello) { ensurePeer(hello.listenAddress); },
               .onSourceUpdateRequest
               = [this](const SourceUpdateRequest& request,
                     const SourceExchange::Reply& reply) { m_exchange.handleRequest(request, reply); } })
-    , m_callerListener(m_loop, { .address = m_settings.callerAddress },
+    , m_callerListener(m_loop,
+          { .address = m_settings.callerAddress,
+              .maxConnections = maxCallerConnections(m_settings),
+              .memory = &m_memory },
           [this](HttpRequest request, const std::shared_ptr<HttpConnection>& connection) {
               m_forwarder.handle(std::move(request), connection);
           })
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -81,6 +81,8 @@
     const ProxySettings m_settings;
     PlatformAdapter m_adapter;
     const Clock& m_clock;
+    // Outlives all holders of charges, of which some belong to writes that end with the loop.
+    MemoryBudget m_memory;
     EventLoop m_loop;
     const Hello m_self;
     Metrics m_metrics;
--- a/src/proxy/ProxyNodeSource.cpp
+++ b/src/proxy/ProxyNodeSource.cpp
@@ -77,8 +77,7 @@
     m_gate.setRanks(configuration.ranks());
     const CallerLimits& limits = configuration.limits();
     m_callerListener.setLimits(
-        { .headerBytes = limits.headerBytes, .bodyBytes = std::min(HttpLimits().bodyBytes, limits.bodyBytes) },
-        limits.headerTimeout, limits.idleTimeout);
+        { .headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes }, limits.headerTimeout, limits.idleTimeout);
     m_configurationText = update.text;
     m_compressedConfiguration = update.compressed;
     m_metrics.setVersion(configuration.manifest().version);
--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -38,6 +38,10 @@
     m_metrics.setValue("delayed_heartbeats", static_cast<double>(m_directory.delayedHeartbeatCount()));
     m_metrics.setValue("server_connections_opened", static_cast<double>(counters.connectionsOpened));
     m_metrics.setValue("caller_connections", static_cast<double>(m_callerListener.connectionCount()));
+    m_metrics.setValue("memory_charged_bytes", static_cast<double>(m_memory.chargedBytes()));
+    m_metrics.setValue("memory_budget_bytes", static_cast<double>(m_memory.totalBytes()));
+    m_metrics.setValue("memory_refused", static_cast<double>(m_memory.refusedCount()));
+    m_metrics.setValue("memory_closed", static_cast<double>(m_memory.closedCount()));
     m_metrics.setValue("calls_in_progress", static_cast<double>(m_forwarder.callsInProgress()));
     m_metrics.setValue("log_lines_suppressed", static_cast<double>(m_log.suppressedCount()));
     m_metrics.setValue("unexpected_errors", static_cast<double>(m_loop.unexpectedErrors()));
--- a/src/proxy/tests/CallDeduplicatorTest.cpp
+++ b/src/proxy/tests/CallDeduplicatorTest.cpp
@@ -46,5 +46,27 @@
         EXPECT_EQ(deduplicator.begin(key(1), start + 1s, start), CallArrival::Running);
     }
 
+    // Guards against kept replies that fill the memory, and against a second run of a call whose reply was not kept.
+    TEST(CallDeduplicatorTest, LargeReplyBeyondTheBoundIsStoredAsUnknown)
+    {
+        CallDeduplicator deduplicator({ .maxReplyBytes = 150, .margin = 4s });
+        const auto makeReply = [] {
+            return std::make_shared<const GateReply>(
+                GateResponse { .response = { .status = 200, .body = std::string(100, 'x') } });
+        };
+        for (const uint64_t stream : { 1, 2 }) {
+            deduplicator.begin(key(stream), start + 1s, start);
+            deduplicator.end(key(stream), makeReply(), start);
+        }
+        EXPECT_TRUE(std::holds_alternative<GateResponse>(*deduplicator.reply(key(1))));
+        EXPECT_EQ(deduplicator.begin(key(2), start + 1s, start), CallArrival::Ended);
+        ASSERT_TRUE(std::holds_alternative<GateRefusal>(*deduplicator.reply(key(2))));
+        EXPECT_EQ(std::get<GateRefusal>(*deduplicator.reply(key(2))).outcome, CallOutcome::Unknown);
+        // The bytes of expired entries are free again.
+        deduplicator.begin(key(3), start + 7s, start + 6s);
+        deduplicator.end(key(3), makeReply(), start + 6s);
+        EXPECT_TRUE(std::holds_alternative<GateResponse>(*deduplicator.reply(key(3))));
+    }
+
 } // namespace
 } // namespace skylark
