Start pipelined requests at once and answer them in order

Cause: a connection handled one request at a time, so the requests that a caller had sent ahead waited for each earlier response.

The handler gets an HttpExchange for each request, up to 16 at once. Only requests on idempotent routes start behind others: behind a response that closes the connection the caller takes them for not read and sends them again. Others wait until the earlier ones are answered. Ruled out: keeping one respond() on HttpConnection, since a response must name its request, and judging by the method, since the route says what may run twice.

Also mended: a connection that was reset because its response or its unread bytes did not fit stayed in the listener's set for good; its test now checks the number of connections.

--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -48,7 +48,7 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_queue(loop, m_options.configurationQueue,
-          [this](HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt) {
+          [this](HttpRequest request, const std::shared_ptr<HttpExchange>& caller, TimePoint receivedAt) {
               refuse(std::move(request), caller, receivedAt, "no configuration is held yet");
           })
     , m_retryBudget(m_options.retryBudget)
@@ -71,7 +71,7 @@
 {
     if (!canForward() || m_queue.size() == 0)
         return;
-    m_queue.release([this](HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt) {
+    m_queue.release([this](HttpRequest request, const std::shared_ptr<HttpExchange>& caller, TimePoint receivedAt) {
         start(std::move(request), caller, receivedAt);
     });
 }
@@ -83,14 +83,14 @@
 }
 
 void CallForwarder::refuse(
-    HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt, const char* reason)
+    HttpRequest request, const std::shared_ptr<HttpExchange>& caller, TimePoint receivedAt, const char* reason)
 {
     const CallPtr call = makeCall(std::move(request), caller, receivedAt);
     call->lastReason = reason;
     finish(call, refusal(*call), "not-run");
 }
 
-void CallForwarder::handle(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
+void CallForwarder::handle(HttpRequest request, const std::shared_ptr<HttpExchange>& caller)
 {
     const TimePoint now = m_loop.now();
     if (m_isDraining && !isNestedCall(requestIdOf(request)))
@@ -103,13 +103,13 @@
         queue(std::move(request), caller);
 }
 
-void CallForwarder::queue(HttpRequest request, const std::shared_ptr<HttpConnection>& caller)
+void CallForwarder::queue(HttpRequest request, const std::shared_ptr<HttpExchange>& caller)
 {
     const Duration timeout = callerTimeout(request);
     m_queue.add(std::move(request), caller, timeout);
 }
 
-void CallForwarder::start(HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt)
+void CallForwarder::start(HttpRequest request, const std::shared_ptr<HttpExchange>& caller, TimePoint receivedAt)
 {
     const CallPtr call = makeCall(std::move(request), caller, receivedAt);
     call->isNestedCall = isNestedCall(call->requestId);
@@ -133,6 +133,14 @@
     attempt(call);
 }
 
+bool CallForwarder::isIdempotent(const HttpRequest& request) const
+{
+    const std::string* host = findHeader(request.headers, "Host");
+    const Route* route
+        = m_configuration ? m_configuration->match(host ? *host : "", request.method, request.target) : nullptr;
+    return route && route->isIdempotent;
+}
+
 void CallForwarder::beginStop(TimePoint answerBy)
 {
     m_answerBy = answerBy;
@@ -151,7 +159,7 @@
 }
 
 CallForwarder::CallPtr CallForwarder::makeCall(
-    HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt)
+    HttpRequest request, const std::shared_ptr<HttpExchange>& caller, TimePoint receivedAt)
 {
     const uint64_t number = ++m_lastNumber;
     auto call = std::make_shared<Call>(m_loop, [this, number] {
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -57,7 +57,9 @@
     CallForwarder(EventLoop& loop, CallForwarderOptions options, const HttpConventions& httpConventions, Router& router,
         BackendGate& gate, PeerLookup peers, RequestLog& log, Metrics& metrics);
 
-    void handle(HttpRequest request, const std::shared_ptr<HttpConnection>& caller);
+    void handle(HttpRequest request, const std::shared_ptr<HttpExchange>& caller);
+    // The request has an idempotent route, so it may run again if its response is lost.
+    bool isIdempotent(const HttpRequest& request) const;
     // The process ends soon: every request is answered by this time at the latest.
     void beginStop(TimePoint answerBy);
     // Refuses new requests with 503 from now on, except calls on behalf of requests that the local server runs: those
@@ -84,7 +86,7 @@
         }
 
         uint64_t number { 0 };
-        std::shared_ptr<HttpConnection> caller;
+        std::shared_ptr<HttpExchange> caller;
         std::shared_ptr<const HttpRequest> request;
         RequestId requestId;
         std::shared_ptr<const Configuration> configuration;
@@ -113,13 +115,13 @@
     using CallPtr = std::shared_ptr<Call>;
 
     void refuse(
-        HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt, const char* reason);
+        HttpRequest request, const std::shared_ptr<HttpExchange>& caller, TimePoint receivedAt, const char* reason);
     // A process that has just started knows no servers for a moment after its first configuration.
     bool canForward() const { return m_configuration && m_hasServers; }
     void releaseQueue();
-    void queue(HttpRequest request, const std::shared_ptr<HttpConnection>& caller);
-    void start(HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt);
-    CallPtr makeCall(HttpRequest request, const std::shared_ptr<HttpConnection>& caller, TimePoint receivedAt);
+    void queue(HttpRequest request, const std::shared_ptr<HttpExchange>& caller);
+    void start(HttpRequest request, const std::shared_ptr<HttpExchange>& caller, TimePoint receivedAt);
+    CallPtr makeCall(HttpRequest request, const std::shared_ptr<HttpExchange>& caller, TimePoint receivedAt);
     RequestId requestIdOf(const HttpRequest& request) const;
     // The remaining time that the caller announces.
     Duration callerTimeout(const HttpRequest& request) const;
--- a/src/proxy/ConfigurationQueue.cpp
+++ b/src/proxy/ConfigurationQueue.cpp
@@ -19,7 +19,7 @@
 {
 }
 
-void ConfigurationQueue::add(HttpRequest request, const std::shared_ptr<HttpConnection>& caller, Duration callerTimeout)
+void ConfigurationQueue::add(HttpRequest request, const std::shared_ptr<HttpExchange>& caller, Duration callerTimeout)
 {
     const TimePoint now = m_loop.now();
     caller->setDisconnectCallback([this, disconnected = caller.get()] {
--- a/src/proxy/ConfigurationQueue.h
+++ b/src/proxy/ConfigurationQueue.h
@@ -20,14 +20,14 @@
 
 class ConfigurationQueue {
 public:
-    using Callback = std::function<void(HttpRequest, const std::shared_ptr<HttpConnection>&, TimePoint receivedAt)>;
+    using Callback = std::function<void(HttpRequest, const std::shared_ptr<HttpExchange>&, TimePoint receivedAt)>;
 
     // onExpired gets the requests that have waited long enough.
     ConfigurationQueue(EventLoop& loop, ConfigurationQueueOptions options, Callback onExpired);
 
     bool isFull() const { return m_requests.size() >= m_options.maxRequests; }
     // The caller waits for callerTimeout in all. A request whose caller disconnects is dropped.
-    void add(HttpRequest request, const std::shared_ptr<HttpConnection>& caller, Duration callerTimeout);
+    void add(HttpRequest request, const std::shared_ptr<HttpExchange>& caller, Duration callerTimeout);
     // Passes all requests on, in order of arrival, and is empty afterwards.
     void release(const Callback& onReady);
     // The node stops: no request waits any longer.
@@ -37,7 +37,7 @@
 private:
     struct Waiting {
         HttpRequest request;
-        std::shared_ptr<HttpConnection> caller;
+        std::shared_ptr<HttpExchange> caller;
         TimePoint receivedAt;
         TimePoint waitUntil;
     };
--- a/src/proxy/HttpListener.cpp
+++ b/src/proxy/HttpListener.cpp
@@ -17,6 +17,20 @@
 
 } // namespace
 
+HttpExchange::HttpExchange(std::weak_ptr<HttpConnection> connection, const HttpRequest& request, bool mayStartEarly)
+    : m_connection(std::move(connection))
+    , m_keepsAlive(request.keepsAlive)
+    , m_isHeadRequest(request.method == "HEAD")
+    , m_mayStartEarly(mayStartEarly)
+{
+}
+
+void HttpExchange::respond(HttpResponse response)
+{
+    if (const auto connection = m_connection.lock())
+        connection->respond(*this, std::move(response));
+}
+
 HttpConnection::HttpConnection(HttpListener& listener, std::unique_ptr<TcpStream> stream)
     : m_listener(listener)
     , m_stream(std::move(stream))
@@ -39,90 +53,159 @@
 void HttpConnection::onData(std::string_view bytes)
 {
     const auto self = shared_from_this();
-    const bool isNewMessage = !m_isBusy && !m_parser.isWithinMessage();
+    if (m_refusal)
+        return;
+    const bool isNewMessage = !isBusy() && !m_parser.isWithinMessage();
     if (!resize(m_bufferCharge, m_parser.bufferedBytes() + bytes.size())) {
-        // While a request runs, its response is more important than those that were sent ahead.
-        if (m_isBusy)
-            m_keepsAlive = false;
-        else
-            refuse(statusUnavailable);
+        refuseInTurn(statusUnavailable);
         return;
     }
     m_parser.append(bytes);
     m_progressAt = m_listener.m_loop.now();
-    if (m_isBusy) {
-        if (m_parser.bufferedBytes() >= maxPipelinedBytes)
-            m_stream->stopReading();
-        return;
-    }
     readNext();
-    if (!m_isBusy && m_stream && (isNewMessage || m_parser.isReadingBody()))
+    if (!m_stream)
+        return;
+    if (isBusy() && m_parser.bufferedBytes() >= maxPipelinedBytes)
+        m_stream->stopReading();
+    if (!isBusy() && (isNewMessage || m_parser.isReadingBody()))
         startTimeout();
 }
 
+bool HttpConnection::canReadNext() const
+{
+    if (!m_stream || m_refusal || m_heldRequest)
+        return false;
+    if (m_exchanges.empty())
+        return true;
+    return m_exchanges.size() < m_listener.m_options.maxStarted && m_exchanges.back()->m_keepsAlive
+        && !m_listener.m_isDraining;
+}
+
 void HttpConnection::readNext()
+{
+    // A handler may respond at once, within startRequest().
+    if (std::exchange(m_isReading, true))
+        return;
+    while (canReadNext() && readOne()) { }
+    m_isReading = false;
+}
+
+bool HttpConnection::readOne()
 {
     try {
         auto request = m_parser.next();
         m_bufferCharge.resize(m_parser.bufferedBytes());
         if (!request) {
-            if (m_parser.takeExpectContinue())
+            if (m_exchanges.empty() && m_parser.takeExpectContinue())
                 m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
-            return;
+            return false;
         }
-        m_timer.stop();
-        m_isBusy = true;
-        m_keepsAlive = request->keepsAlive;
-        m_isHeadRequest = request->method == "HEAD";
         if (m_bodyCharge.bytes() > 0) {
             auto charge = std::make_shared<MemoryCharge>(m_listener.m_options.memory);
             std::swap(*charge, m_bodyCharge);
             request->allocation = std::move(charge);
         }
-        m_listener.m_handler(std::move(*request), shared_from_this());
+        const auto& mayStartEarly = m_listener.m_options.mayStartEarly;
+        const bool mustWait = !m_exchanges.empty()
+            && !(mayStartEarly && mayStartEarly(*request)
+                && std::all_of(m_exchanges.begin(), m_exchanges.end(),
+                    [](const auto& exchange) { return exchange->m_mayStartEarly; }));
+        if (mustWait) {
+            m_heldRequest = std::move(*request);
+            return false;
+        }
+        startRequest(std::move(*request));
+        return true;
     } catch (const HttpError& error) {
-        refuse(error.status());
+        refuseInTurn(error.status());
+        return false;
     }
 }
 
-void HttpConnection::respond(HttpResponse response)
+void HttpConnection::startRequest(HttpRequest request)
+{
+    m_timer.stop();
+    const auto& mayStartEarly = m_listener.m_options.mayStartEarly;
+    const auto exchange
+        = std::make_shared<HttpExchange>(weak_from_this(), request, mayStartEarly && mayStartEarly(request));
+    m_exchanges.push_back(exchange);
+    m_listener.m_handler(std::move(request), exchange);
+}
+
+void HttpConnection::refuseInTurn(int status)
+{
+    if (isBusy())
+        m_refusal = status;
+    else
+        refuse(status);
+}
+
+void HttpConnection::respond(HttpExchange& exchange, HttpResponse response)
 {
-    if (!m_stream || !m_isBusy)
+    if (!m_stream || exchange.m_response)
         return;
     const auto self = shared_from_this();
-    m_isBusy = false;
-    m_onDisconnect = nullptr;
-    response.keepsAlive = m_keepsAlive && !m_listener.m_isDraining && !response.endsWithClose;
-    std::string text = serializeHead(response);
-    if (m_isHeadRequest || forbidsBody(response.status))
-        response.body.clear();
-    auto charge = std::make_shared<MemoryCharge>(m_listener.m_options.memory);
-    if (!resize(*charge, text.size() + response.body.size())) {
+    exchange.m_onDisconnect = nullptr;
+    exchange.m_charge = std::make_shared<MemoryCharge>(m_listener.m_options.memory);
+    if (!resize(*exchange.m_charge, response.body.size())) {
         m_listener.m_options.memory->countClosed();
         TcpStream::reset(std::move(m_stream));
         close(false);
         return;
     }
-    write(std::move(text), std::move(response.body), charge);
-    m_responseCharge = std::move(charge);
-    m_unsentBytes = m_stream->pendingBytes();
-    m_progressAt = m_listener.m_loop.now();
-    if (!response.keepsAlive) {
-        close(true);
+    exchange.m_response = std::move(response);
+    flush();
+}
+
+void HttpConnection::flush()
+{
+    while (m_stream && !m_exchanges.empty() && m_exchanges.front()->m_response) {
+        const auto exchange = m_exchanges.front();
+        m_exchanges.pop_front();
+        writeResponse(*exchange);
+    }
+    if (!m_stream)
+        return;
+    if (m_refusal && !isBusy()) {
+        refuse(*m_refusal);
         return;
     }
-    startTimeout();
+    if (!isBusy())
+        startTimeout();
     m_stream->startReading();
-    if (m_parser.isWithinMessage()) {
+    if (m_heldRequest || m_parser.isWithinMessage()) {
         // Posted, so that it does not run within the handler of the previous request.
         m_listener.m_loop.post([weak = weak_from_this()] {
-            const auto connection = weak.lock();
-            if (connection && connection->m_stream && !connection->m_isBusy)
-                connection->readNext();
+            if (const auto connection = weak.lock())
+                connection->proceed();
         });
     }
 }
 
+void HttpConnection::proceed()
+{
+    if (m_stream && m_heldRequest && m_exchanges.empty())
+        startRequest(*std::exchange(m_heldRequest, std::nullopt));
+    readNext();
+}
+
+void HttpConnection::writeResponse(HttpExchange& exchange)
+{
+    HttpResponse& response = *exchange.m_response;
+    // A stopping node answers what it has started.
+    response.keepsAlive
+        = exchange.m_keepsAlive && !(m_listener.m_isDraining && m_exchanges.empty()) && !response.endsWithClose;
+    std::string text = serializeHead(response);
+    if (exchange.m_isHeadRequest || forbidsBody(response.status))
+        response.body.clear();
+    write(std::move(text), std::move(response.body), exchange.m_charge);
+    m_responseCharge = exchange.m_charge;
+    m_unsentBytes = m_stream->pendingBytes();
+    m_progressAt = m_listener.m_loop.now();
+    if (!response.keepsAlive)
+        close(true);
+}
+
 void HttpConnection::write(std::string head, std::string body, const std::shared_ptr<MemoryCharge>& charge)
 {
     // A small body is cheaper to copy than to pass to the kernel separately.
@@ -143,19 +226,29 @@
 void HttpConnection::finishAndClose()
 {
     const auto self = shared_from_this();
-    m_onDisconnect = nullptr;
     close(true);
 }
 
 void HttpConnection::onEnd(StreamEnd)
 {
     const auto self = shared_from_this();
-    const auto onDisconnect = std::exchange(m_onDisconnect, nullptr);
+    const auto callbacks = endExchanges();
     close(false);
-    if (onDisconnect)
+    for (const auto& onDisconnect : callbacks)
         onDisconnect();
 }
 
+std::vector<std::function<void()>> HttpConnection::endExchanges()
+{
+    std::vector<std::function<void()>> callbacks;
+    for (const auto& exchange : std::exchange(m_exchanges, {})) {
+        if (exchange->m_onDisconnect)
+            callbacks.push_back(std::exchange(exchange->m_onDisconnect, nullptr));
+    }
+    m_heldRequest.reset();
+    return callbacks;
+}
+
 void HttpConnection::startTimeout()
 {
     const HttpListenerOptions& options = m_listener.m_options;
@@ -167,7 +260,7 @@
 void HttpConnection::handleTimeout()
 {
     const auto self = shared_from_this();
-    if (m_isBusy)
+    if (isBusy())
         return;
     if (m_parser.isWithinMessage())
         refuse(statusRequestTimeout);
@@ -230,11 +323,15 @@
 
 void HttpConnection::close(bool mustFlush)
 {
-    if (!m_stream)
-        return;
     m_timer.stop();
-    m_isBusy = false;
-    if (mustFlush)
+    // Posted, since the connection may be closed within the callbacks of another call.
+    if (auto callbacks = endExchanges(); !callbacks.empty()) {
+        m_listener.m_loop.post([callbacks = std::move(callbacks)] {
+            for (const auto& onDisconnect : callbacks)
+                onDisconnect();
+        });
+    }
+    if (mustFlush && m_stream)
         TcpStream::closeAfterFlush(std::move(m_stream));
     m_stream.reset();
     m_listener.m_connections.erase(shared_from_this());
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -120,14 +120,15 @@
     , m_callerListener(m_loop,
           { .address = m_settings.callerAddress,
               .maxConnections = maxCallerConnections(m_settings),
-              .memory = &m_memory },
-          [this](HttpRequest request, const std::shared_ptr<HttpConnection>& connection) {
+              .memory = &m_memory,
+              .mayStartEarly = [this](const HttpRequest& request) { return m_forwarder.isIdempotent(request); } },
+          [this](HttpRequest request, const std::shared_ptr<HttpExchange>& connection) {
               m_forwarder.handle(std::move(request), connection);
           })
     , m_readyListener(m_loop, { .address = m_settings.readyAddress },
-          [this](const HttpRequest&, const std::shared_ptr<HttpConnection>& connection) { handleReady(connection); })
+          [this](const HttpRequest&, const std::shared_ptr<HttpExchange>& connection) { handleReady(connection); })
     , m_adminListener(m_loop, { .address = m_settings.metricsAddress },
-          [this](const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection) {
+          [this](const HttpRequest& request, const std::shared_ptr<HttpExchange>& connection) {
               handleAdmin(request, connection);
           })
     , m_tickTimer(m_loop, [this] { tick(); })
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -70,8 +70,8 @@
     void applySourceUpdate(const Endpoint& peer, const SourceUpdate& update);
     void applyPeerConfiguration(const SourceUpdate& update);
 
-    void handleReady(const std::shared_ptr<HttpConnection>& connection);
-    void handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection);
+    void handleReady(const std::shared_ptr<HttpExchange>& connection);
+    void handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpExchange>& connection);
     std::string metricsText();
     std::string stateText();
     void logReloadRequest();
--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -5,14 +5,14 @@
 
 namespace skylark {
 
-void ProxyNode::handleReady(const std::shared_ptr<HttpConnection>& connection)
+void ProxyNode::handleReady(const std::shared_ptr<HttpExchange>& connection)
 {
     constexpr int statusReady = 200;
     constexpr int statusNotReady = 503;
     connection->respond({ .status = isReady() ? statusReady : statusNotReady });
 }
 
-void ProxyNode::handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection)
+void ProxyNode::handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpExchange>& connection)
 {
     constexpr int statusOk = 200;
     constexpr int statusNotFound = 404;
--- a/src/proxy/tests/HttpListenerTest.cpp
+++ b/src/proxy/tests/HttpListenerTest.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <atomic>
+#include <future>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -55,6 +56,16 @@
             }
             return received;
         }
+        // Returns what has arrived, without waiting.
+        std::string receiveAvailable() const
+        {
+            std::string received;
+            std::array<char, 4096> buffer {};
+            ssize_t count = 0;
+            while ((count = recv(m_descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0)
+                received.append(buffer.data(), static_cast<size_t>(count));
+            return received;
+        }
         std::string receiveAll() const { return receiveUntil(std::string("\0 never", 7)); }
 
     private:
@@ -72,7 +83,7 @@
             options.memory = &m_budget;
             options.limits = { .headerBytes = 16 * kibibyte, .bodyBytes = 512 * kibibyte };
             m_listener = std::make_unique<HttpListener>(
-                m_loop, options, [this](HttpRequest request, const std::shared_ptr<HttpConnection>& connection) {
+                m_loop, options, [this](HttpRequest request, const std::shared_ptr<HttpExchange>& connection) {
                     ++m_requests;
                     connection->respond({ .status = 200,
                         .body = request.target == "/large" ? std::string(largeBytes, 'x') : request.target });
@@ -88,6 +99,12 @@
             m_thread.join();
             EXPECT_EQ(0u, m_loop.unexpectedErrors());
         }
+        size_t connectionCount()
+        {
+            std::promise<size_t> count;
+            m_loop.post([&] { count.set_value(m_listener->connectionCount()); });
+            return count.get_future().get();
+        }
         static std::string unfinished(size_t length, size_t sent)
         {
             return "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n"
@@ -195,10 +212,165 @@
         const Client client(m_listener->port());
         client.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
         EXPECT_EQ("", client.receiveAll());
+        EXPECT_EQ(0u, connectionCount());
         const Client other(m_listener->port());
         other.send("GET /small HTTP/1.1\r\nHost: h\r\n\r\n");
         EXPECT_NE(std::string::npos, other.receiveUntil("/small").find("200"));
     }
 
+    // Holds each request until the test responds to it.
+    class PipeliningTest : public testing::Test {
+    protected:
+        struct Started {
+            std::string target;
+            std::shared_ptr<HttpExchange> exchange;
+        };
+
+        void SetUp() override
+        {
+            m_listener = std::make_unique<HttpListener>(m_loop,
+                HttpListenerOptions { .address = { "127.0.0.1", 0 },
+                    .mayStartEarly = [](const HttpRequest& request) { return request.method == "GET"; } },
+                [this](const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange) {
+                    exchange->setDisconnectCallback([this, target = request.target] { m_cancelled.push_back(target); });
+                    m_started.push_back({ .target = request.target, .exchange = exchange });
+                });
+        }
+        void runFor(Duration time)
+        {
+            Timer timer(m_loop, [this] { m_loop.stop(); });
+            timer.start(time);
+            m_loop.run();
+        }
+        std::vector<std::string> startedTargets() const
+        {
+            std::vector<std::string> targets;
+            for (const Started& started : m_started)
+                targets.push_back(started.target);
+            return targets;
+        }
+        void respond(size_t index)
+        {
+            m_started[index].exchange->respond({ .status = 200, .body = m_started[index].target });
+        }
+        // Returns the bodies of the responses that have arrived, in order.
+        std::vector<std::string> receiveBodies(const Client& client)
+        {
+            m_received += client.receiveAvailable();
+            std::vector<std::string> bodies;
+            ResponseParser parser({});
+            parser.append(m_received);
+            while (const auto response = parser.next())
+                bodies.push_back(response->body);
+            return bodies;
+        }
+        static std::string request(const std::string& method, const std::string& target)
+        {
+            return method + " " + target + " HTTP/1.1\r\nHost: h\r\n"
+                + (method == "POST" ? "Content-Length: 0\r\n" : "") + "\r\n";
+        }
+
+        const SystemClock m_clock;
+        EventLoop m_loop { m_clock };
+        std::vector<Started> m_started;
+        std::vector<std::string> m_cancelled;
+        std::string m_received;
+        std::unique_ptr<HttpListener> m_listener;
+    };
+
+    // Guards against responses that are taken for those of other requests, and against an unbounded number of requests
+    // that one connection starts.
+    TEST_F(PipeliningTest, RequestsStartAtOnceAndAreAnsweredInOrder)
+    {
+        const Client client(m_listener->port());
+        std::vector<std::string> targets;
+        std::string bytes;
+        for (int i = 0; i < 20; ++i) {
+            targets.push_back("/" + std::to_string(i));
+            bytes += request("GET", targets.back());
+        }
+        client.send(bytes);
+        runFor(50ms);
+        ASSERT_EQ(m_started.size(), 16u);
+        for (size_t i = 15; i > 0; --i)
+            respond(i);
+        runFor(20ms);
+        EXPECT_TRUE(receiveBodies(client).empty());
+        respond(0);
+        runFor(50ms);
+        ASSERT_EQ(startedTargets(), targets);
+        for (size_t i = 16; i < 20; ++i)
+            respond(i);
+        runFor(20ms);
+        EXPECT_EQ(receiveBodies(client), targets);
+    }
+
+    // Guards against a request that runs twice, because the caller took it for not read and sent it again.
+    TEST_F(PipeliningTest, NonIdempotentRequestStartsWhenTheEarlierOnesAreAnswered)
+    {
+        const Client client(m_listener->port());
+        client.send(request("GET", "/1") + request("POST", "/2") + request("GET", "/3"));
+        runFor(30ms);
+        EXPECT_EQ(startedTargets(), std::vector<std::string> { "/1" });
+        respond(0);
+        runFor(30ms);
+        EXPECT_EQ(startedTargets(), (std::vector<std::string> { "/1", "/2" }));
+        respond(1);
+        runFor(30ms);
+        ASSERT_EQ(startedTargets(), (std::vector<std::string> { "/1", "/2", "/3" }));
+        respond(2);
+        runFor(30ms);
+        EXPECT_EQ(receiveBodies(client), (std::vector<std::string> { "/1", "/2", "/3" }));
+    }
+
+    // Guards against calls that go on for requests that can no longer be answered, and against a held request that
+    // starts after the connection has closed.
+    TEST_F(PipeliningTest, RequestsBehindAResponseThatClosesAreEnded)
+    {
+        const Client client(m_listener->port());
+        client.send(request("GET", "/1") + request("GET", "/2") + request("POST", "/3"));
+        runFor(30ms);
+        ASSERT_EQ(m_started.size(), 2u);
+        m_started[0].exchange->respond({ .status = 200, .body = "first", .endsWithClose = true });
+        runFor(30ms);
+        EXPECT_EQ(m_cancelled, std::vector<std::string> { "/2" });
+        respond(1);
+        runFor(30ms);
+        EXPECT_EQ(m_started.size(), 2u);
+        const std::string received = client.receiveAvailable();
+        EXPECT_EQ(received.substr(received.size() - 5), "first");
+        EXPECT_EQ(m_listener->connectionCount(), 0u);
+    }
+
+    // Guards against a refusal that is taken for the response to an earlier request.
+    TEST_F(PipeliningTest, RefusalFollowsTheEarlierResponses)
+    {
+        const Client client(m_listener->port());
+        client.send(request("GET", "/1") + "not HTTP\r\n\r\n");
+        runFor(30ms);
+        EXPECT_EQ(client.receiveAvailable(), "");
+        respond(0);
+        runFor(30ms);
+        const std::string received = client.receiveAvailable();
+        EXPECT_LT(received.find("HTTP/1.1 200"), received.find("HTTP/1.1 400"));
+        EXPECT_NE(received.find("HTTP/1.1 400"), std::string::npos);
+    }
+
+    // Guards against started requests that a stopping node leaves without a response.
+    TEST_F(PipeliningTest, StoppingNodeAnswersWhatItHasStarted)
+    {
+        const Client client(m_listener->port());
+        client.send(request("GET", "/1") + request("GET", "/2"));
+        runFor(30ms);
+        m_listener->beginDrain();
+        respond(0);
+        runFor(30ms);
+        EXPECT_EQ(m_listener->connectionCount(), 1u);
+        respond(1);
+        runFor(30ms);
+        EXPECT_EQ(receiveBodies(client), (std::vector<std::string> { "/1", "/2" }));
+        EXPECT_EQ(m_listener->connectionCount(), 0u);
+    }
+
 } // namespace
 } // namespace skylark
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -53,7 +53,7 @@
 private:
     class Connection;
     HttpHeaders responseHeaders(const std::string& id) const;
-    void begin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection);
+    void begin(const HttpRequest& request, const std::shared_ptr<HttpExchange>& connection);
 
     SystemClock m_clock;
     EventLoop m_loop;
