--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -77,8 +77,8 @@
     void applySourceUpdate(const Endpoint& peer, const SourceUpdate& update);
     void applyPeerConfiguration(const SourceUpdate& update);
 
-    void handleReady(const std::shared_ptr<HttpConnection>& connection);
-    void handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpConnection>& connection);
+    void handleReady(const std::shared_ptr<HttpExchange>& connection);
+    void handleAdmin(const HttpRequest& request, const std::shared_ptr<HttpExchange>& connection);
     std::string metricsText();
     size_t countRoutes(bool Route::*isCounted) const;
     std::string stateText();
@@ -89,6 +89,8 @@
     const ProxySettings m_settings;
     PlatformAdapter m_adapter;
     const Clock& m_clock;
+    // Outlives all holders of charges, of which some belong to writes that end with the loop.
+    MemoryBudget m_memory;
     EventLoop m_loop;
     const Hello m_self;
     Metrics m_metrics;
