Order knowledge of the store by era, then by revision

Cause: the store may come back from a copy and reissue revisions with other content. Nodes then took old knowledge for newer than the store's, and dropped the servers whose entries the copy lacked.

In ServerDirectory the first revision of a new era starts the grace period of an outage of all nodes, and changes of an earlier era delete nothing.

Ruled out: a separate era beside each revision, which every comparison and every message between peers would have to carry.

--- a/src/membership/MembershipView.h
+++ b/src/membership/MembershipView.h
@@ -62,6 +62,8 @@
     // Times at which the condition last changed and this incarnation was first seen.
     TimePoint since;
     TimePoint firstSeen;
+    // The operator has evacuated the instance's zone: it gets no new calls, whatever its condition.
+    bool isEvacuated { false };
 };
 
 // A peer's report about the condition of a third instance.
--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -1,5 +1,7 @@
 #include "membership/ServerDirectory.h"
 
+#include "base/SourceEra.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -123,6 +125,14 @@
 bool ServerDirectory::apply(const ServerChanges& changes, TimePoint now)
 {
     bool isChanged = false;
+    if (eraOf(changes.revision) < eraOf(m_revision)) {
+        for (const ServerEntry& entry : changes.entries) {
+            if (entry.record)
+                isChanged |= apply(entry, { .knownUpTo = m_revision, .mayHideDeletion = true }, now);
+        }
+        return isChanged;
+    }
+    startGraceIfNewEra(changes.revision, now);
     const bool isNewerListing = changes.isListing && changes.revision >= m_revision;
     const EntryContext context { .knownUpTo = isNewerListing ? Revision() : m_revision,
         .mayHideDeletion = changes.isFromPeer };
@@ -174,6 +184,12 @@
     return !m_isSourceLost && (!m_sourceReturnedAt || now >= *m_sourceReturnedAt + m_options.returnGrace);
 }
 
+void ServerDirectory::startGraceIfNewEra(Revision revision, TimePoint now)
+{
+    if (m_revision != Revision() && eraOf(revision) > eraOf(m_revision))
+        m_sourceReturnedAt = now;
+}
+
 bool ServerDirectory::removeOrDefer(const ServerEntry& removal, TimePoint now)
 {
     const auto found = m_entries.find(removal.id);
@@ -276,7 +292,7 @@
     return record.incarnation > other.incarnation;
 }
 
-std::shared_ptr<const MembershipView> ServerDirectory::view() const
+std::shared_ptr<const MembershipView> ServerDirectory::view(const std::set<ZoneName>& evacuatedZones) const
 {
     std::map<Endpoint, const ServerRecord*> owners;
     for (const auto& [id, entry] : m_entries) {
@@ -300,7 +316,8 @@
                                   .isLeaving = record.isDraining },
             .condition = record.isDraining ? Condition::Leaving : Condition::Live,
             .since = entry.firstSeen,
-            .firstSeen = entry.firstSeen });
+            .firstSeen = entry.firstSeen,
+            .isEvacuated = evacuatedZones.contains(record.zone) });
     }
     return std::make_shared<const MembershipView>(std::move(instances));
 }
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -12,6 +12,10 @@
 //   named service.
 // - Entries expire during an outage of the source although their servers are alive. An entry that is missing within
 //   `returnGrace` after the source's return is therefore kept until that time ends and dropped only if still missing.
+// - A source that was restored from a copy has lost the latest entries; its servers write them again. The first
+// revision
+//   of a new era (base/SourceEra.h) therefore counts as the source's return after an outage for all nodes. Changes of
+//   an earlier era that arrive later delete nothing.
 // - At most maxEntries entries are kept; further ones are refused and counted.
 //
 // Invariant: a directory with revision() r knows every change up to r; deletions that it defers are known too. A peer
@@ -124,6 +128,7 @@
     // affects routing.
     bool apply(const ServerEntry& entry, TimePoint now)
     {
+        startGraceIfNewEra(entry.revision, now);
         return apply(entry, { .knownUpTo = m_revision, .mayHideDeletion = true }, now);
     }
     // Applies all changes, and raises the revision unless changes between it and `since` are missing. Returns true if
@@ -143,7 +148,7 @@
 
     // Returns the server that currently has this address, or null.
     const ServerRecord* atAddress(const Endpoint& address) const;
-    std::shared_ptr<const MembershipView> view() const;
+    std::shared_ptr<const MembershipView> view(const std::set<ZoneName>& evacuatedZones = {}) const;
     // Returns the changes since the revision that affect routing, for a peer; a listing if deletions since then are no
     // longer known.
     ServerChanges changesSince(Revision revision) const;
@@ -203,6 +208,7 @@
     // Limits what the directory tells peers to the time before the first deletion that it defers.
     Revision revisionForPeers() const;
     bool isGraceOver(TimePoint now) const;
+    void startGraceIfNewEra(Revision revision, TimePoint now);
     bool isNamed(const ServiceName& service) const { return !m_namedServices || m_namedServices->contains(service); }
     // True if the address of both records belongs to `record` and not to `other`.
     bool hasPrecedence(const ServerRecord& record, const ServerRecord& other) const;
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -1,5 +1,7 @@
 #include "membership/ServerDirectory.h"
 
+#include "base/SourceEra.h"
+
 #include <gtest/gtest.h>
 
 namespace skylark {
@@ -392,5 +394,95 @@
         EXPECT_EQ(directory.refusedCount(), 1u);
     }
 
+    ServerEntry withHeartbeat(ServerEntry result, Revision revision, uint64_t number)
+    {
+        result.revision = revision;
+        result.record->heartbeat = HeartbeatNumber(number);
+        return result;
+    }
+
+    ServerChanges listingInEra(std::vector<ServerEntry> entries, uint64_t era, uint64_t revision)
+    {
+        ServerChanges changes = listing(std::move(entries), 0);
+        changes.revision = revisionInEra(era, revision);
+        return changes;
+    }
+
+    // Guards against servers that are taken out of use because the copy from which the source was restored lacks them.
+    TEST(ServerDirectoryTest, ServersThatTheCopyLacksAreKeptUntilTheyWriteAgain)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ entry("1", 100), entry("2", 101) }, 101), start);
+        EXPECT_FALSE(directory.apply(listingInEra({ entry("1", 0) }, 1, 20), start + 1s));
+        EXPECT_EQ(directory.size(), 2u);
+        EXPECT_EQ(eraOf(directory.revision()), 1u);
+        EXPECT_TRUE(directory.mayDeferDeletions(start + 2900ms));
+        EXPECT_TRUE(directory.advance(start + 3s)) << "the server did not write its entry again";
+        EXPECT_EQ(directory.size(), 1u);
+    }
+
+    TEST(ServerDirectoryTest, ServerThatWritesAgainInTheNewEraStays)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ withHeartbeat(entry("1", 0), Revision(100), 7) }, 101), start);
+        directory.apply(listingInEra({}, 1, 20), start + 1s);
+        directory.apply({ .entries = { withHeartbeat(entry("1", 0), revisionInEra(1, 21), 8) },
+                            .since = revisionInEra(1, 20),
+                            .revision = revisionInEra(1, 21) },
+            start + 2s);
+        EXPECT_FALSE(directory.advance(start + 1h));
+        EXPECT_EQ(directory.size(), 1u);
+    }
+
+    // Guards against a server that has left and is used again because the copy still has its entry.
+    TEST(ServerDirectoryTest, OldEntryInTheCopyRestoresNoServerThatLeft)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ withHeartbeat(entry("1", 0), Revision(100), 7) }, 101), start);
+        directory.apply(
+            { .entries = { deletion("1", 105) }, .since = Revision(101), .revision = Revision(105) }, start);
+        EXPECT_EQ(directory.size(), 0u);
+        directory.apply(listingInEra({ withHeartbeat(entry("1", 0), revisionInEra(1, 19), 6) }, 1, 20), start + 1s);
+        EXPECT_EQ(directory.size(), 0u);
+        directory.apply({ .entries = { withHeartbeat(entry("1", 0), revisionInEra(1, 21), 8) },
+                            .since = revisionInEra(1, 20),
+                            .revision = revisionInEra(1, 21) },
+            start + 2s);
+        EXPECT_EQ(directory.size(), 1u) << "a later heartbeat restores it";
+    }
+
+    // Guards against a peer that was not reached by the restore yet and takes servers out of use here.
+    TEST(ServerDirectoryTest, ListingOfAnEarlierEraDeletesNothing)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ withHeartbeat(entry("1", 0), Revision(100), 7) }, 101), start);
+        directory.apply(listingInEra({ withHeartbeat(entry("1", 0), revisionInEra(1, 19), 6) }, 1, 20), start + 1s);
+        ServerChanges earlier = listing({}, 150);
+        earlier.isFromPeer = true;
+        EXPECT_FALSE(directory.apply(earlier, start + 1h));
+        EXPECT_EQ(directory.size(), 1u);
+        EXPECT_EQ(directory.revision(), revisionInEra(1, 20));
+        EXPECT_FALSE(directory.advance(start + 1h));
+    }
+
+    // Guards against a read of the local server's key that takes the server out of use before the first listing.
+    TEST(ServerDirectoryTest, MissingKeyInANewEraIsDeferred)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ entry("1", 100) }, 101), start);
+        directory.apply(ServerEntry { .id = InstanceId("1"), .revision = revisionInEra(1, 20) }, start + 1s);
+        EXPECT_EQ(directory.size(), 1u);
+    }
+
+    TEST(ServerDirectoryTest, ViewMarksTheServersOfEvacuatedZones)
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ entry("1", 100) }, 101), start);
+        EXPECT_FALSE(directory.view()->instances().front().isEvacuated);
+        const auto view = directory.view({ ZoneName("z") });
+        EXPECT_TRUE(view->instances().front().isEvacuated);
+        EXPECT_EQ(view->instances().front().condition, Condition::Live);
+    }
+
 } // namespace
 } // namespace skylark
