--- a/src/membership/MembershipView.h
+++ b/src/membership/MembershipView.h
@@ -64,6 +64,8 @@
     TimePoint firstSeen;
     // The server counts as cold until this time, by its entry.
     TimePoint coldUntil {};
+    // The operator has evacuated the instance's zone: it gets no new calls, whatever its condition.
+    bool isEvacuated { false };
 };
 
 // A peer's report about the condition of a third instance.
