--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -50,8 +50,8 @@
     GateOptions gateOptions(const ProxySettings& settings, const MemoryBudget& memory, LinkBudget& link)
     {
         return { .server = settings.serverAddress,
-            .link = &link,
-            .deduplicator = { .maxReplyBytes = memory.totalBytes() / keptReplyShare } };
+            .deduplicator = { .maxReplyBytes = memory.totalBytes() / keptReplyShare },
+            .link = &link };
     }
 
     Incarnation newIncarnation()
