Count the unsent calls of a gate only when its server becomes cold

Cause: the count ran over all calls of the gate for each submitted call.

Measured: ColdGateTest, ColdFleetTest, ColdNodeTest and BackendGateTest pass.

--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -117,7 +117,9 @@
 void BackendGate::updateColdState()
 {
     const TimePoint now = m_loop.now();
-    if (m_pacer.update(unsentCount(), now)) {
+    // Counted only on the change to cold, since this runs for each call.
+    const bool becomesCold = !m_pacer.isCold() && m_pacer.state().isCold(now);
+    if (m_pacer.update(becomesCold ? unsentCount() : 0, now)) {
         const bool isCold = m_pacer.isCold();
         logEvent(LogLevel::Info, isCold ? "server-cold" : "server-warm",
             { { "server", m_server ? m_server->id.value() : "" }, { "cause", coldCauseName(m_pacer.cause(now)) },
