Keep new requests away from the zones that the operator evacuates

Cause: nodes ignored the key op/evacuate/ZONE and went on sending to the zone's servers.

Change: ZoneEvacuations holds the state of each zone; the store's listings and watches and the updates of peers feed it, before the configuration and the servers. The router's tables leave the zone's instances out, and the gate refuses new, queued and unsent calls as not run; running calls finish.

Ruled out: the condition Leaving (the zone would lose its readers of the store) and a refusal by the gate alone.

SourceDecoderTest.ConfigurationIsDeliveredBeforeTheRevisionThatCoversIt now expects the evacuations first; the rest of its order is unchanged.

--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -10,6 +10,7 @@
 
     constexpr const char* step = "gate";
     constexpr int statusMisdirected = 421;
+    constexpr const char* evacuatedReason = "the zone of the backend server is evacuated";
     constexpr const char* rateReason = "the server takes no more requests per second";
     // Calls that the kernel buffered during a pause are read within this time.
     constexpr Duration pauseRefusalPeriod = std::chrono::milliseconds(100);
@@ -78,6 +79,12 @@
     refuseInadmissible();
 }
 
+void BackendGate::setEvacuated(bool isEvacuated)
+{
+    if (std::exchange(m_isEvacuated, isEvacuated) != isEvacuated)
+        refuseInadmissible();
+}
+
 void BackendGate::beginStop(TimePoint answerBy) { m_answerBy = answerBy; }
 
 void BackendGate::drain()
@@ -104,6 +111,8 @@
         return "the backend server has no entry";
     if (isServerLeaving())
         return "the backend server leaves";
+    if (m_isEvacuated)
+        return evacuatedReason;
     if (m_server->service != call.service)
         return "the backend server runs another service";
     if (m_loop.now() < m_refuseUntil)
@@ -328,6 +337,7 @@
 void BackendGate::refuse(const CallPtr& call, const std::string& reason)
 {
     m_callsByTicket.erase(call->ticket);
+    m_counters.refusedByEvacuation += reason == evacuatedReason ? 1 : 0;
     end(call, makeRefusal(CallOutcome::NotRun, step, reason, load()));
 }
 
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -53,6 +53,8 @@
     uint64_t joined { 0 };
     uint64_t cancelled { 0 };
     uint64_t connectionsOpened { 0 };
+    // Refused because the server's zone is evacuated; also counted in `refused`.
+    uint64_t refusedByEvacuation { 0 };
 };
 
 class BackendGate {
@@ -66,6 +68,8 @@
 
     // The server's current entry; absent if it has none.
     void setServer(const std::optional<ServerRecord>& server);
+    // While the server's zone is evacuated, queued and new calls are refused; running calls finish.
+    void setEvacuated(bool isEvacuated);
     void setRanks(std::vector<RankPolicy> ranks);
     // True while the backend server runs the request with this id.
     bool isRunning(const std::string& requestId) const { return m_runningIds.contains(requestId); }
@@ -145,6 +149,7 @@
     // The most recently used connection is at the back.
     std::deque<std::shared_ptr<BackendConnection>> m_idleConnections;
     bool m_isDraining { false };
+    bool m_isEvacuated { false };
     TimePoint m_answerBy { TimePoint::max() };
     TimePoint m_lastClockCheck;
     TimePoint m_refuseUntil;
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -260,6 +260,10 @@
     if (!choice) {
         if (const auto pause = m_notices.shortestPause(call->service, m_loop.now()))
             call->lastLoad.requestDelay = *pause;
+        if (m_evacuatedServices.contains(call->service)) {
+            ++m_refusedByEvacuation;
+            call->lastReason = "all servers of the service are in evacuated zones";
+        }
         if (call->lastReason.empty())
             call->lastReason = "no instance of the service can be used";
         giveUp(call);
@@ -313,6 +317,15 @@
     m_fleetSize = view.instances().size();
     m_hasServers |= m_fleetSize > 0;
     m_notices.update(view);
+    m_evacuatedServices.clear();
+    for (const InstanceState& state : view.instances()) {
+        if (state.isEvacuated)
+            m_evacuatedServices.insert(state.record.service);
+    }
+    for (const InstanceState& state : view.instances()) {
+        if (!state.isEvacuated)
+            m_evacuatedServices.erase(state.record.service);
+    }
     releaseQueue();
 }
 
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -67,6 +67,8 @@
     const std::shared_ptr<const Configuration>& configuration() const { return m_configuration; }
     // The listed servers; the nodes beside them share the retry budget.
     void setServers(const MembershipView& view);
+    // Requests that were refused because all servers of their service are in evacuated zones.
+    uint64_t refusedByEvacuation() const { return m_refusedByEvacuation; }
     size_t callsInProgress() const { return m_calls.size() + m_queue.size(); }
 
 private:
@@ -168,6 +170,9 @@
     FleetRetryBudget m_retryBudget;
     Random m_random;
     ServerNotices m_notices;
+    // Services whose servers are all in evacuated zones.
+    absl::flat_hash_set<ServiceName> m_evacuatedServices;
+    uint64_t m_refusedByEvacuation { 0 };
     size_t m_fleetSize { 1 };
     bool m_hasServers { false };
     bool m_isDraining { false };
--- a/src/proxy/PlatformAdapter.h
+++ b/src/proxy/PlatformAdapter.h
@@ -3,6 +3,7 @@
 
 #include "document/Configuration.h"
 #include "membership/ServerDirectory.h"
+#include "membership/ZoneEvacuations.h"
 #include "proxy/HttpConventions.h"
 #include "source/SourceWatcher.h"
 
@@ -34,6 +35,8 @@
     std::function<bool(const SourceItem&)> isServer;
     // The entry has no record if the item describes no usable server; the adapter logs the reason.
     std::function<ServerEntry(const SourceItem&)> decodeServer;
+    // Empty if the item is not the key of a zone's evacuation; the adapter logs an unreadable entry. May be unset.
+    std::function<std::optional<EvacuationEntry>(const SourceItem&)> decodeEvacuation;
 };
 
 } // namespace skylark
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -34,6 +34,15 @@
             .slowStart = slowStartTime };
     }
 
+    // The operator may evacuate the zones that the settings name.
+    std::set<ZoneName> zonesOf(const ProxySettings& settings)
+    {
+        std::set<ZoneName> zones { settings.zone };
+        for (const auto& [zone, region] : settings.regions)
+            zones.insert(zone);
+        return zones;
+    }
+
     Incarnation newIncarnation()
     {
         std::random_device device;
@@ -57,6 +66,7 @@
     , m_random(m_self.incarnation.value())
     , m_router(routerOptions(m_settings))
     , m_directory({ .peerPort = m_settings.peerAddress.port, .regions = m_settings.regions })
+    , m_evacuations({ .zones = zonesOf(m_settings) })
     , m_view(m_directory.view())
     , m_gate(m_loop, { .server = m_settings.serverAddress }, m_adapter.httpConventions)
     , m_forwarder(
@@ -77,7 +87,8 @@
                   [this] {
                       const auto& current = m_forwarder.configuration();
                       return SourceUpdateRequest { .version = current ? current->manifest().version : VersionNumber(),
-                          .revision = m_directory.revision() };
+                          .revision = m_directory.revision(),
+                          .evacuationRevision = m_evacuations.revision() };
                   },
               .sendRequest
               = [this](const Endpoint& endpoint,
@@ -163,6 +174,7 @@
 void ProxyNode::tick()
 {
     const TimePoint now = m_loop.now();
+    publishEvacuations(m_evacuations.advance(now), "grace-ended");
     if (m_directory.advance(now))
         publishServers("grace-ended");
     m_router.advance(now);
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -47,7 +47,10 @@
 private:
     SourceDecoder::Callbacks sourceCallbacks();
     void applyConfiguration(const ConfigurationUpdate& update, const char* origin);
+    void applyEvacuations(const EvacuationChanges& changes, const char* origin);
+    void publishEvacuations(const std::vector<ZoneName>& changedZones, const char* origin);
     void applyServers(const ServerChanges& changes, const char* origin);
+    void logEraChange(Revision previous, const char* origin);
     // `origin` names in the log what brought the change.
     void publishServers(const char* origin);
     void logDelayedHeartbeats(const char* origin);
@@ -89,6 +92,7 @@
     Random m_random;
     Router m_router;
     ServerDirectory m_directory;
+    ZoneEvacuations m_evacuations;
     // The most recently published view of the directory.
     std::shared_ptr<const MembershipView> m_view;
     BackendGate m_gate;
--- a/src/proxy/ProxyNodeSource.cpp
+++ b/src/proxy/ProxyNodeSource.cpp
@@ -3,6 +3,7 @@
 
 #include "base/Compression.h"
 #include "base/Error.h"
+#include "base/SourceEra.h"
 #include "proxy/ListedServers.h"
 
 namespace skylark {
@@ -24,6 +25,7 @@
 SourceDecoder::Callbacks ProxyNode::sourceCallbacks()
 {
     return { .onConfiguration = [this](const ConfigurationUpdate& update) { applyConfiguration(update, "source"); },
+        .onEvacuations = [this](const EvacuationChanges& changes) { applyEvacuations(changes, "source"); },
         .onServers = [this](const ServerChanges& changes) { applyServers(changes, "source"); },
         .onLost = [this](const std::string& reason) { handleSourceLost(reason); },
         .onRecovered = [this] { handleSourceRecovered(); },
@@ -89,11 +91,45 @@
             { "routes", std::to_string(configuration.routes().size()) }, { "origin", origin } });
 }
 
+void ProxyNode::applyEvacuations(const EvacuationChanges& changes, const char* origin)
+{
+    for (const EvacuationEntry& entry : changes.entries) {
+        if (!m_evacuations.isKnown(entry.zone))
+            logEvent(LogLevel::Warning, "evacuation-ignored",
+                { { "zone", entry.zone.value() }, { "reason", "the settings name no such zone" },
+                    { "origin", origin } });
+    }
+    publishEvacuations(m_evacuations.apply(changes, m_loop.now()), origin);
+}
+
+void ProxyNode::publishEvacuations(const std::vector<ZoneName>& changedZones, const char* origin)
+{
+    if (changedZones.empty())
+        return;
+    for (const ZoneName& zone : changedZones)
+        logEvent(LogLevel::Info, m_evacuations.isEvacuated(zone) ? "zone-evacuated" : "zone-evacuation-ended",
+            { { "zone", zone.value() },
+                { "revision", std::to_string(m_evacuations.states().at(zone).revision.value()) },
+                { "origin", origin } });
+    publishServers(origin);
+}
+
+void ProxyNode::logEraChange(Revision previous, const char* origin)
+{
+    const Revision current = m_directory.revision();
+    if (previous != Revision() && eraOf(current) != eraOf(previous))
+        logEvent(LogLevel::Warning, "source-era-changed",
+            { { "from", std::to_string(eraOf(previous)) }, { "to", std::to_string(eraOf(current)) },
+                { "origin", origin } });
+}
+
 void ProxyNode::applyServers(const ServerChanges& changes, const char* origin)
 {
     const bool isFirstListing = changes.isListing && !m_hasServers;
     m_hasServers |= changes.isListing || !changes.entries.empty();
+    const Revision previous = m_directory.revision();
     const bool isChanged = m_directory.apply(changes, m_loop.now());
+    logEraChange(previous, origin);
     logDelayedHeartbeats(origin);
     if (isChanged || isFirstListing)
         publishServers(origin);
@@ -115,10 +151,13 @@
 
 void ProxyNode::publishServers(const char* origin)
 {
-    m_view = m_directory.view();
+    m_view = m_directory.view(m_evacuations.evacuatedZones());
     m_router.update(m_view, m_loop.now());
     const ServerRecord* ownServer = m_directory.atAddress(m_settings.serverAddress);
     m_gate.setServer(ownServer ? std::optional(*ownServer) : std::nullopt);
+    // The zone of the settings counts too: the server's entry may not be known yet.
+    m_gate.setEvacuated(
+        m_evacuations.isEvacuated(m_settings.zone) || (ownServer && m_evacuations.isEvacuated(ownServer->zone)));
     m_forwarder.setServers(*m_view);
     m_exchange.setMembers(zoneMembers(), m_view->instances().size());
     m_exchange.handleChange();
@@ -187,6 +226,11 @@
     update.isListing = changes.isListing;
     for (const ServerEntry& entry : changes.entries)
         update.servers.push_back(toListed(entry));
+    if (m_evacuations.revision() > request.evacuationRevision) {
+        for (const auto& [zone, state] : m_evacuations.states())
+            update.evacuations.push_back(
+                { .zone = zone, .revision = state.revision, .isEvacuated = state.isEvacuated });
+    }
     return update;
 }
 
@@ -199,7 +243,12 @@
     };
     for (const ListedServer& listed : update.servers)
         changes.entries.push_back(fromListed(listed));
-    // The servers go first: decoding a configuration takes a slow instance tenths of a second.
+    EvacuationChanges evacuations;
+    for (const ListedEvacuation& listed : update.evacuations)
+        evacuations.entries.push_back(
+            { .zone = listed.zone, .revision = listed.revision, .isEvacuated = listed.isEvacuated });
+    applyEvacuations(evacuations, "peer");
+    // The servers go before the configuration: decoding a configuration takes a slow instance tenths of a second.
     applyServers(changes, "peer");
     m_exchange.handlePeerUpdate(peer, update, m_directory.revision() >= update.revision);
     applyPeerConfiguration(update);
--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -1,6 +1,8 @@
 // The node's pages for the platform and for operators: readiness, metrics and state.
 #include "proxy/ProxyNode.h"
 
+#include "base/SourceEra.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -45,6 +47,10 @@
     m_metrics.setValue("source_lost", m_isSourceLost ? 1 : 0);
     m_metrics.setValue("routes_with_unknown_kind", static_cast<double>(countRoutes(&Route::hasUnknownKind)));
     m_metrics.setValue("routes_with_unknown_action", static_cast<double>(countRoutes(&Route::hasUnknownAction)));
+    m_metrics.setValue("evacuated_zones", static_cast<double>(m_evacuations.evacuatedZones().size()));
+    m_metrics.setValue("gate_refused_by_evacuation", static_cast<double>(counters.refusedByEvacuation));
+    m_metrics.setValue("requests_refused_by_evacuation", static_cast<double>(m_forwarder.refusedByEvacuation()));
+    m_metrics.setValue("source_era", static_cast<double>(eraOf(m_directory.revision())));
     m_metrics.setReader(m_exchange.isReading());
     m_metrics.setValue("source_age_seconds", std::chrono::duration<double>(m_exchange.age()).count());
     return m_metrics.exposition();
@@ -73,10 +79,18 @@
         servers.push_back({ { "id", state.record.id.value() }, { "service", state.record.service.value() },
             { "zone", state.record.zone.value() }, { "peer", state.record.peer.toString() },
             { "condition", conditionName(state.condition) } });
+    nlohmann::json evacuations = nlohmann::json::array();
+    for (const auto& [zone, evacuation] : m_evacuations.states()) {
+        if (evacuation.isEvacuated)
+            evacuations.push_back({ { "zone", zone.value() }, { "revision", evacuation.revision.value() },
+                { "forMs", millisecondsText(m_loop.now() - evacuation.since) },
+                { "missingInSource", evacuation.dropAt.has_value() } });
+    }
     return nlohmann::json {
         { "instance", m_settings.instance }, { "ready", isReady() },
         { "version", current ? current->manifest().version.value() : 0 }, { "sourceLost", m_isSourceLost },
-        { "sourceRevision", m_directory.revision().value() }, { "peers", peers }, { "servers", servers },
+        { "sourceRevision", m_directory.revision().value() }, { "sourceEra", eraOf(m_directory.revision()) },
+        { "evacuations", evacuations }, { "peers", peers }, { "servers", servers },
         { "gate", { { "running", load.inFlight }, { "queued", load.queued }, { "limit", load.limit } } },
         { "callsInProgress", m_forwarder.callsInProgress() }
     }.dump(2)
--- a/src/proxy/SourceDecoder.cpp
+++ b/src/proxy/SourceDecoder.cpp
@@ -35,13 +35,20 @@
 void SourceDecoder::deliver(const SourceItems& items, bool isListing)
 {
     ServerChanges servers { .since = items.since, .revision = items.revision, .isListing = isListing };
+    EvacuationChanges evacuations { .isListing = isListing, .revision = items.revision };
     const SourceItem* configuration = nullptr;
     for (const SourceItem& item : items.items) {
         if (m_adapter.isServer(item))
             servers.entries.push_back(m_adapter.decodeServer(item));
         else if (m_adapter.isConfiguration(item) && !item.isDeleted)
             configuration = &item;
+        else if (const auto entry = m_adapter.decodeEvacuation ? m_adapter.decodeEvacuation(item) : std::nullopt)
+            evacuations.entries.push_back(*entry);
     }
+    // The evacuations go first, for the same reason as the configuration below, and so that no request that waits for
+    // the configuration and the servers is sent to an evacuated zone.
+    if (m_callbacks.onEvacuations && (isListing || !evacuations.entries.empty()))
+        m_loop.post([this, evacuations = std::move(evacuations)] { m_callbacks.onEvacuations(evacuations); });
     // The configuration goes first: the servers raise the node's revision, and a node or a follower that continues from
     // a revision without its configuration never gets that version.
     if (configuration && configuration->revision > m_lastDecodedRevision)
--- a/src/proxy/SourceDecoder.h
+++ b/src/proxy/SourceDecoder.h
@@ -17,6 +17,8 @@
     // All callbacks run on the loop.
     struct Callbacks {
         std::function<void(const ConfigurationUpdate&)> onConfiguration;
+        // May be unset.
+        std::function<void(const EvacuationChanges&)> onEvacuations;
         std::function<void(const ServerChanges&)> onServers;
         std::function<void(const std::string& reason)> onLost;
         std::function<void()> onRecovered;
--- a/src/proxy/SourceExchange.cpp
+++ b/src/proxy/SourceExchange.cpp
@@ -77,7 +77,8 @@
 bool SourceExchange::respond(const PendingRequest& pending, bool mayBeEmpty)
 {
     SourceUpdate update = m_callbacks.makeUpdate(pending.request);
-    if (!mayBeEmpty && update.configuration.empty() && update.servers.empty() && !update.isListing)
+    if (!mayBeEmpty && update.configuration.empty() && update.servers.empty() && update.evacuations.empty()
+        && !update.isListing)
         return false;
     const bool isComplete = m_callbacks.isComplete();
     update.age = isComplete ? age() : incompleteAge;
@@ -119,7 +120,7 @@
     m_role.recordPeerAge(m_isSourceLost ? update.age : std::min(update.age, update.ageWithDeferral), now);
     // After an empty update the next request is sent immediately, since the age grows until its answer. Otherwise it
     // waits for the tick, so that the update has been applied by then.
-    if (wasHeld && update.configuration.empty() && update.servers.empty())
+    if (wasHeld && update.configuration.empty() && update.servers.empty() && update.evacuations.empty())
         queryFollowedPeer(now);
 }
 
--- a/src/proxy/tests/BackendGateTest.cpp
+++ b/src/proxy/tests/BackendGateTest.cpp
@@ -197,5 +197,30 @@
         EXPECT_EQ(refusal(2)->outcome, CallOutcome::NotRun);
     }
 
+    // Guards against a queued call that starts at the server of a zone that was evacuated meanwhile, and against a
+    // running call that the evacuation cuts off.
+    TEST_F(BackendGateTest, EvacuationRefusesQueuedAndNewCallsAndLetsRunningOnesFinish)
+    {
+        submit(1);
+        runFor(30ms);
+        submit(2);
+        gate.setEvacuated(true);
+        submit(3);
+        for (const uint64_t number : { 2, 3 }) {
+            ASSERT_NE(refusal(number), nullptr);
+            EXPECT_EQ(refusal(number)->outcome, CallOutcome::NotRun);
+        }
+        EXPECT_EQ(gate.counters().refusedByEvacuation, 2u);
+        runFor(300ms);
+        EXPECT_EQ(replies.count(1), 1u);
+        EXPECT_EQ(refusal(1), nullptr) << "the running call is answered";
+        gate.setEvacuated(false);
+        submit(4);
+        runFor(300ms);
+        EXPECT_EQ(refusal(4), nullptr);
+        EXPECT_EQ(server.executions().count("4"), 1u);
+        EXPECT_EQ(server.executions().count("2") + server.executions().count("3"), 0u);
+    }
+
 } // namespace
 } // namespace skylark
--- a/src/proxy/tests/FakeSource.cpp
+++ b/src/proxy/tests/FakeSource.cpp
@@ -7,21 +7,21 @@
 void FakeStore::put(const std::string& key, const std::string& value)
 {
     const std::lock_guard lock(m_mutex);
-    m_items[key] = { .key = key, .value = value, .revision = Revision(++m_revision) };
+    m_items[key] = { .key = key, .value = value, .revision = revisionInEra(m_era, ++m_revision) };
     m_changed.notify_all();
 }
 
 void FakeStore::remove(const std::string& key)
 {
     const std::lock_guard lock(m_mutex);
-    m_items[key] = { .key = key, .revision = Revision(++m_revision), .isDeleted = true };
+    m_items[key] = { .key = key, .revision = revisionInEra(m_era, ++m_revision), .isDeleted = true };
     m_changed.notify_all();
 }
 
 void FakeStore::freezeStaleListing()
 {
     const std::lock_guard lock(m_mutex);
-    SourceItems listing { .revision = Revision(m_revision) };
+    SourceItems listing { .revision = revision() };
     for (const auto& [key, item] : m_items) {
         if (!item.isDeleted)
             listing.items.push_back(item);
@@ -29,6 +29,24 @@
     m_staleListing = std::move(listing);
 }
 
+void FakeStore::takeCopy()
+{
+    const std::lock_guard lock(m_mutex);
+    m_copiedItems = m_items;
+    m_copiedRevision = m_revision;
+}
+
+void FakeStore::restore()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_era;
+    m_items = m_copiedItems;
+    m_revision = m_copiedRevision;
+    for (auto& [key, item] : m_items)
+        item.revision = revisionInEra(m_era, numberInEra(item.revision));
+    m_changed.notify_all();
+}
+
 void FakeStore::setDown(bool isDown)
 {
     const std::lock_guard lock(m_mutex);
@@ -49,7 +67,7 @@
     throwIfUnavailable();
     if (freshness == ListFreshness::MayBeStale && m_store.m_staleListing)
         return *m_store.m_staleListing;
-    SourceItems result { .revision = Revision(m_store.m_revision) };
+    SourceItems result { .revision = m_store.revision() };
     for (const auto& [key, item] : m_store.m_items) {
         if (key.rfind(prefix, 0) == 0 && !item.isDeleted)
             result.items.push_back(item);
@@ -65,7 +83,9 @@
         throwIfUnavailable();
         if (m_blocksWatches)
             return false;
-        result = { .revision = Revision(m_store.m_revision) };
+        if (eraOf(after) != m_store.m_era)
+            throw HistoryLost({ .step = "fake-source", .message = "the fake source is in another era" });
+        result = { .revision = m_store.revision() };
         for (const auto& [key, item] : m_store.m_items) {
             if (key.rfind(prefix, 0) == 0 && item.revision > after)
                 result.items.push_back(item);
@@ -83,7 +103,7 @@
     const auto found = m_store.m_items.find(key);
     if (found != m_store.m_items.end())
         return found->second;
-    return { .key = key, .revision = Revision(m_store.m_revision), .isDeleted = true };
+    return { .key = key, .revision = m_store.revision(), .isDeleted = true };
 }
 
 void FakeSource::interrupt()
--- a/src/proxy/tests/FakeSource.h
+++ b/src/proxy/tests/FakeSource.h
@@ -1,6 +1,7 @@
 // An in-memory key-value source with revisions, watches and injected failures.
 #pragma once
 
+#include "base/SourceEra.h"
 #include "source/KeyValueSource.h"
 
 #include <condition_variable>
@@ -17,6 +18,9 @@
     void remove(const std::string& key);
     // From now on listings that may be stale show the present state.
     void freezeStaleListing();
+    // restore() brings this state back in a new era. What was written in between is lost, and revisions are reissued.
+    void takeCopy();
+    void restore();
     // All calls fail while the store is down.
     void setDown(bool isDown);
 
@@ -26,7 +30,11 @@
     std::condition_variable m_changed;
     // The latest change of each key, including deletions.
     std::map<std::string, SourceItem> m_items;
+    Revision revision() const { return revisionInEra(m_era, m_revision); }
+    uint64_t m_era { 0 };
     uint64_t m_revision { 1 };
+    std::map<std::string, SourceItem> m_copiedItems;
+    uint64_t m_copiedRevision { 1 };
     bool m_isDown { false };
     std::optional<SourceItems> m_staleListing;
 };
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -43,12 +43,15 @@
                 .retries = 1,
                 .isSubtreeOnly = true };
         };
+        Route unsupported = route("unsupported", "/read/unsupported", true, 0);
+        unsupported.service = ServiceName();
+        unsupported.hasUnknownAction = true;
         return std::make_shared<const Configuration>(
             Manifest { .version = VersionNumber(version), .revision = revision },
             std::vector<RankPolicy> {
                 { .name = RankName("0"), .target = 100ms }, { .name = RankName("1"), .target = 200ms } },
             std::map<ServiceName, ServicePolicy> { { ServiceName("work"), { .name = ServiceName("work") } } },
-            std::vector<Route> { route("read", "/read", true, 0), route("pay", "/pay", false, 1) });
+            std::vector<Route> { route("read", "/read", true, 0), route("pay", "/pay", false, 1), unsupported });
     }
 
     ServerEntry decodeTestServer(const SourceItem& item)
@@ -76,6 +79,16 @@
         return entry;
     }
 
+    std::optional<EvacuationEntry> decodeTestEvacuation(const SourceItem& item)
+    {
+        const std::string prefix = "op/evacuate/";
+        if (item.key.rfind(prefix, 0) != 0)
+            return std::nullopt;
+        return EvacuationEntry {
+            .zone = ZoneName(item.key.substr(prefix.size())), .revision = item.revision, .isEvacuated = !item.isDeleted
+        };
+    }
+
 } // namespace
 
 // One connection to the server; a timer simulates the work.
@@ -218,10 +231,12 @@
     return clock;
 }
 
-ProxyFleet::ProxyFleet(size_t nodes, const Clock& clock, std::set<size_t> stalledNodes, PeerPath peerPath)
+ProxyFleet::ProxyFleet(
+    size_t nodes, const Clock& clock, std::set<size_t> stalledNodes, PeerPath peerPath, std::vector<std::string> zones)
     : m_clock(clock)
     , m_stalledNodes(std::move(stalledNodes))
     , m_peerPath(peerPath)
+    , m_zones(std::move(zones))
     , m_firstPort(nextFirstPort())
     , m_nodes(nodes)
 {
@@ -296,6 +311,16 @@
             + (heartbeat ? " " + std::to_string(*heartbeat) : ""));
 }
 
+ServerEntry ProxyFleet::decodeServer(const SourceItem& item) const
+{
+    ServerEntry entry = decodeTestServer(item);
+    for (size_t index = 0; entry.record && index < m_nodes.size(); ++index) {
+        if (entry.record->address.host == hostOf(index))
+            entry.record->zone = zoneOf(index);
+    }
+    return entry;
+}
+
 void ProxyFleet::startNode(size_t index, Duration listingDelay)
 {
     Node& node = m_nodes[index];
@@ -311,9 +336,10 @@
         .isConfiguration = [](const SourceItem& item) { return item.key == "op/config"; },
         .decodeConfiguration = decodeTestConfiguration,
         .isServer = [](const SourceItem& item) { return item.key.rfind("servers/", 0) == 0; },
-        .decodeServer = decodeTestServer };
+        .decodeServer = [this](const SourceItem& item) { return decodeServer(item); },
+        .decodeEvacuation = decodeTestEvacuation };
     ProxySettings settings { .instance = "node" + std::to_string(index),
-        .zone = ZoneName("zone"),
+        .zone = zoneOf(index),
         .service = ServiceName("work"),
         .callerAddress = callerAddress(index),
         .readyAddress = readyAddress(index),
@@ -322,6 +348,8 @@
         .serverAddress = serverAddress(index),
         .sourceAddress = { hostOf(index), 1 },
         .sourceInterval = 20ms };
+    for (const std::string& zone : m_zones)
+        settings.regions.emplace(ZoneName(zone), RegionName("region"));
     if (m_peerPath == PeerPath::Relayed) {
         settings.advertisedHost = hostOf(index);
         settings.peerAddress.host = relayedHostOf(index);
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -79,10 +79,10 @@
 
 class ProxyFleet {
 public:
-    // All servers run the service "work". The clock of the nodes must outlive the fleet. Watches of the nodes in
-    // stalledNodes return only by failing.
+    // All servers run the service "work". Node i is in zones[i], or in "zone" if there is no such element. The clock of
+    // the nodes must outlive the fleet. Watches of the nodes in stalledNodes return only by failing.
     explicit ProxyFleet(size_t nodes, const Clock& clock = systemClock(), std::set<size_t> stalledNodes = {},
-        PeerPath peerPath = PeerPath::Direct);
+        PeerPath peerPath = PeerPath::Direct, std::vector<std::string> zones = {});
     ~ProxyFleet();
 
     FakeStore& store() { return m_store; }
@@ -101,6 +101,9 @@
         size_t index, bool isDraining, uint64_t incarnation, std::optional<uint64_t> heartbeat = std::nullopt);
     // Writes an entry under a key of its own that names this service, a later start and the address.
     void putForeignEntry(const std::string& id, const std::string& service, const Endpoint& address);
+    // The operator evacuates a zone or ends its evacuation.
+    void evacuate(const std::string& zone) { m_store.put("op/evacuate/" + zone, "{}"); }
+    void endEvacuation(const std::string& zone) { m_store.remove("op/evacuate/" + zone); }
     Endpoint serverAddress(size_t index) const;
     void removeServerEntry(size_t index) { m_store.remove(serverKey(index)); }
     // Waits until all nodes are ready; returns false if a node is not ready after about 5 s.
@@ -121,6 +124,8 @@
     static const Clock& systemClock();
     static std::string serverKey(size_t index) { return "servers/s" + std::to_string(index); }
     static std::string hostOf(size_t index) { return "127.0.0." + std::to_string(index + 1); }
+    ZoneName zoneOf(size_t index) const { return ZoneName(index < m_zones.size() ? m_zones[index] : "zone"); }
+    ServerEntry decodeServer(const SourceItem& item) const;
     // Where a node behind a relay listens for peers.
     static std::string relayedHostOf(size_t index) { return "127.0.1." + std::to_string(index + 1); }
 
@@ -128,6 +133,7 @@
     const Clock& m_clock;
     const std::set<size_t> m_stalledNodes;
     const PeerPath m_peerPath;
+    const std::vector<std::string> m_zones;
     const uint16_t m_firstPort;
     std::vector<Node> m_nodes;
 };
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -499,5 +499,23 @@
         EXPECT_NE(state->body.find("\"ready\": true"), std::string::npos);
     }
 
+    // Guards against a request that reaches the service of a shorter prefix because this release does not know the
+    // action of its route.
+    TEST(ProxyNodeTest, RequestOfARouteWithAnUnknownActionIsRefusedAsNotRun)
+    {
+        ProxyFleet fleet(1);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        const TestResponse response = sendRequest(fleet.callerAddress(0), "odd", "/read/unsupported/x");
+        EXPECT_EQ(response.status, 503);
+        EXPECT_NE(response.body.find("no destination"), std::string::npos) << response.body;
+        EXPECT_FALSE(response.retryAfter.empty());
+        EXPECT_TRUE(fleet.server(0).executions().empty());
+        EXPECT_EQ(sendRequest(fleet.callerAddress(0), "plain", "/read/x").status, 200);
+        httplib::Client client(fleet.adminAddress(0).host, fleet.adminAddress(0).port);
+        const auto metrics = client.Get("/metrics");
+        ASSERT_TRUE(metrics);
+        EXPECT_NE(metrics->body.find("routes_with_unknown_action\"} 1"), std::string::npos);
+    }
+
 } // namespace
 } // namespace skylark
--- a/src/proxy/tests/SourceDecoderTest.cpp
+++ b/src/proxy/tests/SourceDecoderTest.cpp
@@ -42,6 +42,10 @@
                         ++deliveryCount;
                         order += "configuration ";
                     },
+                .onEvacuations =
+                    [this](const EvacuationChanges& changes) {
+                        order += "evacuations-" + std::to_string(changes.entries.size()) + " ";
+                    },
                 .onServers =
                     [this](const ServerChanges& changes) {
                         listingCount += changes.isListing ? 1 : 0;
@@ -66,7 +70,7 @@
     TEST_F(SourceDecoderTest, ConfigurationIsDeliveredBeforeTheRevisionThatCoversIt)
     {
         deliverListing("one", 5);
-        EXPECT_EQ(order, "configuration servers ");
+        EXPECT_EQ(order, "evacuations-0 configuration servers ");
     }
 
     TEST_F(SourceDecoderTest, DamagedConfigurationChangesNothing)
@@ -78,5 +82,31 @@
         EXPECT_EQ(deliveryCount, 1);
     }
 
+    // Guards against requests to an evacuated zone: a node continues from the revision that the servers raise, and
+    // requests that wait for the first configuration start as soon as the servers are known.
+    TEST_F(SourceDecoderTest, EvacuationsAreDeliveredFirst)
+    {
+        adapter.decodeEvacuation = [](const SourceItem& item) -> std::optional<EvacuationEntry> {
+            if (item.key != "evacuation")
+                return std::nullopt;
+            return EvacuationEntry { .zone = ZoneName("z"), .revision = item.revision, .isEvacuated = true };
+        };
+        decoder.onListing({ .items = { { .key = "configuration", .value = "one", .revision = Revision(4) },
+                                { .key = "evacuation", .value = "{}", .revision = Revision(5) } },
+            .revision = Revision(5) });
+        decoder.onChanges({ .items = { { .key = "configuration", .value = "two", .revision = Revision(6) } },
+            .revision = Revision(6) });
+        loop.post([this] { loop.stop(); });
+        loop.run();
+        EXPECT_EQ(order, "evacuations-1 configuration servers configuration servers ");
+    }
+
+    // A listing without evacuations ends those that the node knows.
+    TEST_F(SourceDecoderTest, ListingWithoutEvacuationsIsDelivered)
+    {
+        deliverListing("one", 5);
+        EXPECT_EQ(order, "evacuations-0 configuration servers ");
+    }
+
 } // namespace
 } // namespace skylark
--- a/src/proxy/tests/SourceExchangeTest.cpp
+++ b/src/proxy/tests/SourceExchangeTest.cpp
@@ -287,5 +287,18 @@
         EXPECT_GT(exchange.serversConfirmedAt(), confirmedAt);
     }
 
+    // Guards against an evacuation that reaches the followers only when a server or the configuration changes too.
+    TEST_F(SourceExchangeTest, PendingRequestIsAnsweredWhenOnlyEvacuationsAreNew)
+    {
+        std::vector<SourceUpdate> replies;
+        exchange.handleRequest({}, [&replies](const SourceUpdate& reply) { replies.push_back(reply); });
+        exchange.handleChange();
+        EXPECT_TRUE(replies.empty());
+        update.evacuations = { { .zone = ZoneName("z"), .revision = Revision(5), .isEvacuated = true } };
+        exchange.handleChange();
+        ASSERT_EQ(replies.size(), 1u);
+        EXPECT_EQ(replies[0].evacuations, update.evacuations);
+    }
+
 } // namespace
 } // namespace skylark
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -15,7 +15,7 @@
 //
 // - Health: Ejected, suspect and leaving instances get no calls, except for one probe call at a time after an ejection.
 //   When no instance of a service looks healthy, the router uses all that are not leaving, since the fault is then
-//   likely to be the observer's.
+//   likely to be the observer's. Instances of evacuated zones get no calls at all.
 //
 // - Cost: choose() reads an immutable table through RCU and atomics. It takes a mutex only for the first call to a
 //   service, which builds the table of that service. Tables exist only for services that this node has called and take
--- a/src/routing/ServiceTable.cpp
+++ b/src/routing/ServiceTable.cpp
@@ -51,7 +51,9 @@
 std::shared_ptr<const ServiceTable> ServiceTable::build(const RouterOptions& options, const ServiceName& service,
     const std::shared_ptr<const MembershipView>& view, const ServiceTable* previous, bool isRefresh, TimePoint now)
 {
-    const MembershipView::Members& instances = view->ofService(service);
+    // Instances of evacuated zones are left out, so that no way of choosing can return one.
+    MembershipView::Members instances = view->ofService(service);
+    std::erase_if(instances, [](const InstanceState* state) { return state->isEvacuated; });
     if (instances.empty())
         return nullptr;
     auto table = std::make_shared<ServiceTable>();
--- a/src/routing/ServiceTable.h
+++ b/src/routing/ServiceTable.h
@@ -37,8 +37,9 @@
 
 class ServiceTable {
 public:
-    // Returns null if the service has no instances. `previous` may be null; its statistics are kept for unchanged
-    // incarnations. Zone shares change only if isRefresh is set, which happens once per refresh interval.
+    // Returns null if the service has no instances outside evacuated zones. `previous` may be null; its statistics are
+    // kept for unchanged incarnations. Zone shares change only if isRefresh is set, which happens once per refresh
+    // interval.
     static std::shared_ptr<const ServiceTable> build(const RouterOptions& options, const ServiceName& service,
         const std::shared_ptr<const MembershipView>& view, const ServiceTable* previous, bool isRefresh, TimePoint now);
 
--- a/src/routing/tests/RouterHealthTest.cpp
+++ b/src/routing/tests/RouterHealthTest.cpp
@@ -179,5 +179,38 @@
         EXPECT_TRUE(choose(true, { InstanceId("a0"), InstanceId("a1"), InstanceId("b0") }));
     }
 
+    // Guards against calls to an evacuated zone by a path that does not look at the health of an instance: a probe of
+    // an ejected instance, the last resort, and the owner of an idempotency key.
+    TEST_F(RouterHealthTest, InstancesOfAnEvacuatedZoneAreNeverChosen)
+    {
+        add("a0", "z1");
+        add("a1", "z1");
+        add("a2", "z1");
+        add("b0", "z2");
+        publish();
+        fail("a0");
+        m_clock.advance(1s);
+        for (const char* id : { "a0", "a1", "a2" })
+            m_states[id].isEvacuated = true;
+        publish();
+        EXPECT_EQ(callCounts(100), (std::map<std::string, int> { { "b0", 100 } }));
+        for (int i = 0; i < 50; ++i) {
+            const std::string key = "key" + std::to_string(i);
+            EXPECT_EQ(m_router.ownerOf(ServiceName("pitch"), key, m_clock.now())->instance.value(), "b0");
+            EXPECT_EQ(choose(true, { InstanceId("b0") })->instance.value(), "b0");
+        }
+        m_states["b0"].condition = Condition::Suspect;
+        publish();
+        EXPECT_EQ(choose()->instance.value(), "b0") << "the last resort";
+        m_states["b0"].isEvacuated = true;
+        publish();
+        EXPECT_FALSE(choose());
+        EXPECT_FALSE(m_router.ownerOf(ServiceName("pitch"), "key", m_clock.now()));
+        for (auto& [id, state] : m_states)
+            state.isEvacuated = false;
+        publish();
+        EXPECT_GT(callCounts(100)["a1"], 0);
+    }
+
 } // namespace
 } // namespace skylark
