--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -12,6 +12,7 @@
     constexpr const char* step = "gate";
     constexpr int statusMisdirected = 421;
     constexpr const char* linkReason = "the link of the instance cannot carry the response in time";
+    constexpr const char* evacuatedReason = "the zone of the backend server is evacuated";
     constexpr const char* rateReason = "the server takes no more requests per second";
     constexpr const char* coldReason = "the cold server takes no more requests per second";
     // Calls that the kernel buffered during a pause are read within this time.
@@ -114,12 +115,6 @@
     updateColdState();
 }
 
-void BackendGate::recordEvacuationEnded()
-{
-    m_pacer.state().recordEvacuationEnded(m_loop.now());
-    updateColdState();
-}
-
 size_t BackendGate::unsentCount() const
 {
     const auto isConnecting = [](const auto& entry) { return entry.second->isRunning && isUnsent(*entry.second); };
@@ -210,6 +205,17 @@
     m_isStartingWaiting = false;
 }
 
+void BackendGate::setEvacuated(bool isEvacuated)
+{
+    if (std::exchange(m_isEvacuated, isEvacuated) == isEvacuated)
+        return;
+    // The server may have become cold during the evacuation.
+    if (!isEvacuated)
+        m_pacer.state().recordEvacuationEnded(m_loop.now());
+    refuseInadmissible();
+    updateColdState();
+}
+
 void BackendGate::beginStop(TimePoint answerBy) { m_answerBy = answerBy; }
 
 void BackendGate::drain()
@@ -291,6 +297,8 @@
         return "the backend server has no entry";
     if (isServerLeaving())
         return "the backend server leaves";
+    if (m_isEvacuated)
+        return evacuatedReason;
     if (m_server->service != call.service)
         return "the backend server runs another service";
     if (m_loop.now() < m_refuseUntil)
@@ -540,6 +548,7 @@
 void BackendGate::refuse(const CallPtr& call, const std::string& reason)
 {
     m_callsByTicket.erase(call->ticket);
+    m_counters.refusedByEvacuation += reason == evacuatedReason ? 1 : 0;
     end(call, makeRefusal(CallOutcome::NotRun, step, reason, loadFor(call->gateCall)));
 }
 
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -64,6 +64,8 @@
     uint64_t cancelled { 0 };
     uint64_t connectionsOpened { 0 };
     uint64_t refusedByLink { 0 };
+    // Refused because the server's zone is evacuated; also counted in `refused`.
+    uint64_t refusedByEvacuation { 0 };
 };
 
 class BackendGate {
@@ -81,8 +83,9 @@
     void confirmServer(TimePoint confirmedAt);
     // The server's service and the settings limit what a cold server gets.
     void setColdPolicy(const ColdPolicy& policy);
-    // The server's zone is used again after an evacuation; the server may be cold.
-    void recordEvacuationEnded();
+    // While the server's zone is evacuated, queued and new calls are refused; running calls finish. After it the server
+    // may be cold.
+    void setEvacuated(bool isEvacuated);
     void setRanks(std::vector<RankPolicy> ranks);
     // True while the backend server runs the request with this id.
     bool isRunning(const std::string& requestId) const { return m_runningIds.contains(requestId); }
@@ -192,6 +195,7 @@
     // The most recently used connection is at the back.
     std::deque<std::shared_ptr<BackendConnection>> m_idleConnections;
     bool m_isDraining { false };
+    bool m_isEvacuated { false };
     TimePoint m_answerBy { TimePoint::max() };
     TimePoint m_lastClockCheck;
     TimePoint m_refuseUntil;
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -282,6 +282,10 @@
     if (!choice) {
         if (const auto pause = m_notices.shortestPause(call->service, m_loop.now(), call->rank))
             call->lastLoad.requestDelay = *pause;
+        if (m_evacuatedServices.contains(call->service)) {
+            ++m_refusedByEvacuation;
+            call->lastReason = "all servers of the service are in evacuated zones";
+        }
         if (call->lastReason.empty())
             call->lastReason = "no instance of the service can be used";
         giveUp(call);
@@ -349,9 +353,16 @@
     m_hasServers |= m_fleetSize > 0;
     m_notices.update(view);
     m_coldUntil.clear();
+    m_evacuatedServices.clear();
     for (const InstanceState& state : view.instances()) {
         if (state.coldUntil > m_loop.now())
             m_coldUntil.emplace(state.record.id, state.coldUntil);
+        if (state.isEvacuated)
+            m_evacuatedServices.insert(state.record.service);
+    }
+    for (const InstanceState& state : view.instances()) {
+        if (!state.isEvacuated)
+            m_evacuatedServices.erase(state.record.service);
     }
     releaseQueue();
 }
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -54,6 +54,15 @@
             .link = &link };
     }
 
+    // The operator may evacuate the zones that the settings name.
+    std::set<ZoneName> zonesOf(const ProxySettings& settings)
+    {
+        std::set<ZoneName> zones { settings.zone };
+        for (const auto& [zone, region] : settings.regions)
+            zones.insert(zone);
+        return zones;
+    }
+
     Incarnation newIncarnation()
     {
         std::random_device device;
@@ -78,6 +87,7 @@
     , m_random(m_self.incarnation.value())
     , m_router(routerOptions(m_settings))
     , m_directory({ .peerPort = m_settings.peerAddress.port, .regions = m_settings.regions })
+    , m_evacuations({ .zones = zonesOf(m_settings) })
     , m_view(m_directory.view())
     , m_link(m_settings.linkBitsPerSecond)
     , m_gate(m_loop, gateOptions(m_settings, m_memory, m_link), m_adapter.httpConventions)
@@ -99,7 +109,8 @@
                   [this] {
                       const auto& current = m_forwarder.configuration();
                       return SourceUpdateRequest { .version = current ? current->manifest().version : VersionNumber(),
-                          .revision = m_directory.revision() };
+                          .revision = m_directory.revision(),
+                          .evacuationRevision = m_evacuations.revision() };
                   },
               .sendRequest
               = [this](const Endpoint& endpoint,
@@ -196,6 +207,7 @@
 void ProxyNode::tick()
 {
     const TimePoint now = m_loop.now();
+    publishEvacuations(m_evacuations.advance(now), "grace-ended");
     if (m_directory.advance(now))
         publishServers("grace-ended");
     m_router.advance(now);
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -47,7 +47,10 @@
 private:
     SourceDecoder::Callbacks sourceCallbacks();
     void applyConfiguration(const ConfigurationUpdate& update, const char* origin);
+    void applyEvacuations(const EvacuationChanges& changes, const char* origin);
+    void publishEvacuations(const std::vector<ZoneName>& changedZones, const char* origin);
     void applyServers(const ServerChanges& changes, const char* origin);
+    void logEraChange(Revision previous, const char* origin);
     // `origin` names in the log what brought the change.
     void publishServers(const char* origin);
     // Gives the gate the entry of its server, unless the service's limit for cold servers is still unknown.
@@ -98,6 +101,7 @@
     Random m_random;
     Router m_router;
     ServerDirectory m_directory;
+    ZoneEvacuations m_evacuations;
     // The most recently published view of the directory.
     std::shared_ptr<const MembershipView> m_view;
     // Outlives the connections and the gate, which report to it.
--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -1,6 +1,8 @@
 // The node's pages for the platform and for operators: readiness, metrics and state.
 #include "proxy/ProxyNode.h"
 
+#include "base/SourceEra.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -56,6 +58,10 @@
     m_metrics.setValue("link_backlog_seconds", std::chrono::duration<double>(m_link.backlog(m_loop.now())).count());
     m_metrics.setValue("link_waiting_bytes", static_cast<double>(m_link.waitingBytes()));
     m_metrics.setValue("link_refused", static_cast<double>(counters.refusedByLink));
+    m_metrics.setValue("evacuated_zones", static_cast<double>(m_evacuations.evacuatedZones().size()));
+    m_metrics.setValue("gate_refused_by_evacuation", static_cast<double>(counters.refusedByEvacuation));
+    m_metrics.setValue("requests_refused_by_evacuation", static_cast<double>(m_forwarder.refusedByEvacuation()));
+    m_metrics.setValue("source_era", static_cast<double>(eraOf(m_directory.revision())));
     m_metrics.setReader(m_exchange.isReading());
     m_metrics.setValue("source_age_seconds", std::chrono::duration<double>(m_exchange.age()).count());
     return m_metrics.exposition();
@@ -93,6 +99,20 @@
                 { "cold", m_gate.isServerCold() }, { "coldCause", coldCauseName(m_gate.coldCause()) },
                 { "coldRemainingMs", millisecondsText(m_gate.remainingCold()) },
                 { "waitingForColdServer", m_gate.waitingForTurn() } } },
+            { "condition", conditionName(state.condition) } });
+    nlohmann::json evacuations = nlohmann::json::array();
+    for (const auto& [zone, evacuation] : m_evacuations.states()) {
+        if (evacuation.isEvacuated)
+            evacuations.push_back({ { "zone", zone.value() }, { "revision", evacuation.revision.value() },
+                { "forMs", millisecondsText(m_loop.now() - evacuation.since) },
+                { "missingInSource", evacuation.dropAt.has_value() } });
+    }
+    return nlohmann::json {
+        { "instance", m_settings.instance }, { "ready", isReady() },
+        { "version", current ? current->manifest().version.value() : 0 }, { "sourceLost", m_isSourceLost },
+        { "sourceRevision", m_directory.revision().value() }, { "sourceEra", eraOf(m_directory.revision()) },
+        { "evacuations", evacuations }, { "peers", peers }, { "servers", servers },
+        { "gate", { { "running", load.inFlight }, { "queued", load.queued }, { "limit", load.limit } } },
         { "callsInProgress", m_forwarder.callsInProgress() }
     }.dump(2)
         + "\n";
--- a/src/proxy/tests/ColdGateTest.cpp
+++ b/src/proxy/tests/ColdGateTest.cpp
@@ -130,7 +130,8 @@
     {
         setPolicy();
         makeWarm();
-        gate.recordEvacuationEnded();
+        gate.setEvacuated(true);
+        gate.setEvacuated(false);
         EXPECT_EQ(gate.coldCause(), ColdCause::EvacuationEnded);
     }
 
