--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -90,16 +90,6 @@
         servers.push_back({ { "id", state.record.id.value() }, { "service", state.record.service.value() },
             { "zone", state.record.zone.value() }, { "peer", state.record.peer.toString() },
             { "condition", conditionName(state.condition) }, { "cold", state.coldUntil > m_loop.now() } });
-    return nlohmann::json {
-        { "instance", m_settings.instance }, { "ready", isReady() },
-        { "version", current ? current->manifest().version.value() : 0 }, { "sourceLost", m_isSourceLost },
-        { "sourceRevision", m_directory.revision().value() }, { "peers", peers }, { "servers", servers },
-        { "gate",
-            { { "running", load.inFlight }, { "queued", load.queued }, { "limit", load.limit },
-                { "cold", m_gate.isServerCold() }, { "coldCause", coldCauseName(m_gate.coldCause()) },
-                { "coldRemainingMs", millisecondsText(m_gate.remainingCold()) },
-                { "waitingForColdServer", m_gate.waitingForTurn() } } },
-            { "condition", conditionName(state.condition) } });
     nlohmann::json evacuations = nlohmann::json::array();
     for (const auto& [zone, evacuation] : m_evacuations.states()) {
         if (evacuation.isEvacuated)
@@ -112,7 +102,11 @@
         { "version", current ? current->manifest().version.value() : 0 }, { "sourceLost", m_isSourceLost },
         { "sourceRevision", m_directory.revision().value() }, { "sourceEra", eraOf(m_directory.revision()) },
         { "evacuations", evacuations }, { "peers", peers }, { "servers", servers },
-        { "gate", { { "running", load.inFlight }, { "queued", load.queued }, { "limit", load.limit } } },
+        { "gate",
+            { { "running", load.inFlight }, { "queued", load.queued }, { "limit", load.limit },
+                { "cold", m_gate.isServerCold() }, { "coldCause", coldCauseName(m_gate.coldCause()) },
+                { "coldRemainingMs", millisecondsText(m_gate.remainingCold()) },
+                { "waitingForColdServer", m_gate.waitingForTurn() } } },
         { "callsInProgress", m_forwarder.callsInProgress() }
     }.dump(2)
         + "\n";
