Track the remaining work at the gate and admit by cost

Cause: a gate tells senders how many calls it holds, but not how much work they are, and judges each waiting call by the mean of its rank. Ruled out: the sender's estimates in the gate's sum, which would need the server's speed on the wire; the gate learns the times of its own server instead. Refusing a call that could start at once by its own estimate: a wrong estimate would then never be corrected. Change: with GateOptions::isCostAware (setting costAwareRouting, off by default) the gate estimates each call, sends LoadHint::remainingWork, and admission uses the call's own cost and orders a rank by the latest start. Service times are sent in AnswerStart::serviceTime. A call that times out counts with the time that it took.

--- a/src/admission/AdmissionController.cpp
+++ b/src/admission/AdmissionController.cpp
@@ -156,6 +156,19 @@
     return costHint > Duration::zero() ? inSeconds(costHint) : inSeconds(entry.policy.target) / 4;
 }
 
+double AdmissionController::serviceSecondsOf(const Ticket& ticket) const
+{
+    if (m_options.usesCostHints && ticket.costHint > Duration::zero())
+        return inSeconds(ticket.costHint);
+    return serviceSeconds(rankOf(ticket), ticket.costHint);
+}
+
+TimePoint AdmissionController::queueKey(const Ticket& ticket, bool isLate) const
+{
+    const TimePoint end = ticket.onTimeBy != TimePoint() && !isLate ? ticket.onTimeBy : ticket.deadline;
+    return m_options.usesCostHints ? end - ticket.costHint : end;
+}
+
 double AdmissionController::demand(size_t rank, TimePoint now) const
 {
     return std::min(1.0, m_ranks[rank].arrivals.perSecond(now) * serviceSeconds(rank) / limit());
@@ -208,8 +221,8 @@
         return false;
     const size_t rank = rankOf(ticket);
     const ServiceTimeEstimate& estimate = m_ranks[rank].serviceTime;
-    const double service = serviceSeconds(rank, ticket.costHint) + estimate.deviation();
-    const double wait = waitSeconds(rank, callsAhead(rank, ticket.onTimeBy), now);
+    const double service = serviceSecondsOf(ticket) + estimate.deviation();
+    const double wait = waitSeconds(rank, callsAhead(rank, queueKey(ticket, false)), now);
     return wait + service > inSeconds(ticket.onTimeBy - now);
 }
 
@@ -225,13 +238,13 @@
     // A stale estimate must not refuse the very calls whose responses would correct it.
     if (isStartable)
         return estimate.isFresh(now) && estimate.mean() > remaining;
-    const double service = serviceSeconds(rank, ticket.costHint) + safetyDeviations * estimate.deviation();
+    const double service = serviceSecondsOf(ticket) + safetyDeviations * estimate.deviation();
     if (isLate)
         return lateWaitSeconds(rank, now) + service > remaining;
     // A call that can meet onTimeBy also meets its deadline, which is never earlier.
     if (ticket.onTimeBy != TimePoint())
         return false;
-    return waitSeconds(rank, callsAhead(rank, ticket.deadline), now) + service > remaining;
+    return waitSeconds(rank, callsAhead(rank, queueKey(ticket, false)), now) + service > remaining;
 }
 
 void AdmissionController::updateCredit(size_t rank, TimePoint now)
@@ -342,8 +355,7 @@
 AdmissionController::WaitingCall AdmissionController::entryOf(const Ticket& ticket, bool isLate) const
 {
     const TimePoint arrival { Duration(m_sequence) };
-    const bool usesOnTimeBy = ticket.onTimeBy != TimePoint() && !isLate;
-    const TimePoint key = isRanked() ? (usesOnTimeBy ? ticket.onTimeBy : ticket.deadline) : arrival;
+    const TimePoint key = isRanked() ? queueKey(ticket, isLate) : arrival;
     return { .ticket = ticket, .key = key, .sequence = m_sequence, .isLate = isLate };
 }
 
@@ -395,9 +407,8 @@
 void AdmissionController::demoteLate(size_t rank, TimePoint now, std::vector<RefusedTicket>& refused)
 {
     Queue& queue = m_ranks[rank].queue;
-    const double service = serviceSeconds(rank);
     while (!queue.empty() && !queue.begin()->isLate && queue.begin()->ticket.onTimeBy != TimePoint()
-        && queue.begin()->ticket.onTimeBy < now + fromSeconds(service)) {
+        && queue.begin()->ticket.onTimeBy < now + fromSeconds(serviceSecondsOf(queue.begin()->ticket))) {
         const Ticket ticket = removeFromQueue(rank, queue.begin());
         if (isTooLate(ticket, false, true, now))
             refused.push_back({ ticket, RefusalReason::TooLate });
@@ -413,10 +424,12 @@
         if (isRanked())
             demoteLate(index, now, refused);
         const bool isEstimated = isRanked() && rank.serviceTime.isFresh(now);
-        const double service
-            = isEstimated ? rank.serviceTime.mean() + safetyDeviations * rank.serviceTime.deviation() : 0;
         const auto cannotFinish = [&](const Queue::const_iterator& entry) {
-            return entry != rank.queue.end() && entry->ticket.deadline <= now + fromSeconds(service);
+            if (entry == rank.queue.end())
+                return false;
+            const double service
+                = isEstimated ? serviceSecondsOf(entry->ticket) + safetyDeviations * rank.serviceTime.deviation() : 0;
+            return entry->ticket.deadline <= now + fromSeconds(service);
         };
         while (cannotFinish(rank.queue.begin()))
             refused.push_back({ removeFromQueue(index, rank.queue.begin()), RefusalReason::TooLate });
--- a/src/admission/AdmissionController.h
+++ b/src/admission/AdmissionController.h
@@ -64,7 +64,8 @@
     TimePoint onTimeBy {};
     // Among calls of one rank with equal deadlines, the one with the higher worth starts first.
     double worth { 1 };
-    // Expected service time, used until the service time of the rank has been measured. Zero when unknown.
+    // Expected service time, used until the service time of the rank has been measured, and always if
+    // AdmissionOptions::usesCostHints is set. Zero when unknown.
     Duration costHint {};
 };
 
@@ -124,6 +125,9 @@
     int maxQueue { 256 };
     AdmissionPolicy policy { RankedAdmission {} };
     LimitPolicy limitPolicy { LearnedLimit {} };
+    // Judges each waiting call by its own costHint instead of the mean of its rank, and orders the calls of a rank by
+    // the latest time at which they can start.
+    bool usesCostHints { false };
 };
 
 class AdmissionController {
@@ -158,8 +162,8 @@
 private:
     struct WaitingCall {
         Ticket ticket;
-        // Sort key of the queue: onTimeBy of a call that states it and is not late, otherwise the deadline. Under
-        // FifoAdmission, the order of arrival.
+        // Sort key of the queue: onTimeBy of a call that states it and is not late, otherwise the deadline; with
+        // usesCostHints less the costHint. Under FifoAdmission, the order of arrival.
         TimePoint key;
         uint64_t sequence { 0 };
         bool isLate { false };
@@ -185,6 +189,10 @@
     bool isRanked() const { return std::holds_alternative<RankedAdmission>(m_options.policy); }
     size_t rankOf(const Ticket& ticket) const;
     double serviceSeconds(size_t rank, Duration costHint = {}) const;
+    // Expected service time of the ticket's own call.
+    double serviceSecondsOf(const Ticket& ticket) const;
+    // Sort key of the call among those of its rank that are not late, or that are late.
+    TimePoint queueKey(const Ticket& ticket, bool isLate) const;
     // Offered load of the rank as a share of the limit, at most 1.
     double demand(size_t rank, TimePoint now) const;
     // Expected wait of a call of the rank with `ownCallsAhead` waiting calls of the same rank ahead of it.
--- a/src/admission/tests/LateCallTest.cpp
+++ b/src/admission/tests/LateCallTest.cpp
@@ -79,6 +79,33 @@
         EXPECT_EQ(dispatch.started[0].id, TicketId(3));
     }
 
+    // Guards against a rank's mean that refuses or demotes cheap calls because others of the rank are expensive, and
+    // against an expensive call that starts too late because a cheap one with a slightly earlier target went first.
+    TEST(LateCallTest, CallsAreJudgedAndOrderedByTheirOwnCost)
+    {
+        const TimePoint start = TimePoint() + 1h;
+        AdmissionController controller({ .ranks = { { .target = 500ms } }, .slots = 1, .usesCostHints = true }, start);
+        const auto ticket = [&](uint64_t id, Duration onTimeBy, Duration cost) {
+            return Ticket {
+                .id = TicketId(id), .deadline = start + 10s, .onTimeBy = start + onTimeBy, .costHint = cost
+            };
+        };
+        EXPECT_EQ(controller.offer(ticket(1, 10s, 100ms), start).admission, Admission::Admitted);
+        EXPECT_EQ(controller.offer(ticket(2, 900ms, 10ms), start).admission, Admission::Queued);
+        EXPECT_EQ(controller.offer(ticket(3, 1s, 500ms), start).admission, Admission::Queued);
+        EXPECT_EQ(controller.offer(ticket(4, 700ms, 5s), start).admission, Admission::Queued);
+        std::vector<TicketId> order;
+        for (uint64_t running = 1; running < 4;) {
+            const Dispatch dispatch
+                = controller.release(TicketId(running), ServiceResult::Answered, 100ms, start + 100ms);
+            ASSERT_EQ(dispatch.started.size(), 1u);
+            order.push_back(dispatch.started[0].id);
+            running = dispatch.started[0].id.value();
+        }
+        // Call 4 cannot be on time and waits behind the others although its target is the earliest.
+        EXPECT_EQ(order, (std::vector { TicketId(3), TicketId(2), TicketId(4) }));
+    }
+
     // Guards against a waiting call that passes its deadline behind other calls and is never refused.
     TEST(LateCallTest, LateCallPastItsDeadlineIsRefused)
     {
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -23,6 +23,7 @@
     , m_options(std::move(options))
     , m_httpConventions(httpConventions)
     , m_deduplicator(m_options.deduplicator)
+    , m_costs(m_options.isCostAware)
     , m_admission(admissionOptions(), loop.now())
     , m_lastClockCheck(loop.now())
     , m_sweepTimer(loop, [this] { sweep(); })
@@ -44,7 +45,8 @@
     return { .ranks = m_ranks,
         .slots = m_server ? std::max(1, m_server->slots) : m_options.defaultSlots,
         .maxQueue = m_options.maxQueued,
-        .limitPolicy = m_server ? LimitPolicy(StatedLimit {}) : LearnedLimit {} };
+        .limitPolicy = m_server ? LimitPolicy(StatedLimit {}) : LearnedLimit {},
+        .usesCostHints = m_options.isCostAware };
 }
 
 void BackendGate::setRanks(std::vector<RankPolicy> ranks)
@@ -93,7 +95,8 @@
         .limit = static_cast<uint32_t>(m_admission.limit()),
         .isLeaving = m_isDraining || isServerLeaving(),
         .meanServiceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceTime.mean())),
-        .requestDelay = m_rateLimit.delayForSender(m_loop.now()) };
+        .requestDelay = m_rateLimit.delayForSender(m_loop.now()),
+        .remainingWork = m_costs.remainingWork(m_loop.now()) };
 }
 
 const char* BackendGate::refusalCause(const GateCall& call) const
@@ -152,10 +155,12 @@
 void BackendGate::admit(const CallPtr& call)
 {
     m_callsByTicket.emplace(call->ticket, call);
+    const Duration expected = m_costs.add(call->ticket.value(), call->gateCall, m_loop.now());
     const AdmitResult result = m_admission.offer({ .id = call->ticket,
                                                      .rank = call->gateCall.rank,
                                                      .deadline = call->gateCall.deadline,
-                                                     .onTimeBy = call->gateCall.onTimeBy },
+                                                     .onTimeBy = call->gateCall.onTimeBy,
+                                                     .costHint = expected },
         m_loop.now());
     for (const RefusedTicket& displaced : result.displaced)
         refuse(callOf(displaced.ticket), refusalReasonName(displaced.reason));
@@ -208,6 +213,7 @@
         return;
     }
     call->isRunning = true;
+    m_costs.start(call->ticket.value(), m_loop.now());
     m_runningIds.insert(call->gateCall.requestId.value());
     call->startedAt = m_loop.now();
     try {
@@ -237,6 +243,9 @@
         recordNotice(response);
         const bool isNotRun
             = response.status == statusMisdirected || findHeader(response.headers, m_httpConventions.notExecuted);
+        const Duration serviceTime = m_loop.now() - call->startedAt;
+        if (!isNotRun)
+            m_costs.recordResponse(call->gateCall, response.status, serviceTime, m_loop.now());
         release(call, isNotRun ? ServiceResult::Shed : ServiceResult::Answered);
         if (isNotRun) {
             end(call,
@@ -245,7 +254,9 @@
             return;
         }
         removeConnectionHeaders(response.headers);
-        end(call, std::make_shared<const GateReply>(GateResponse { .response = std::move(response), .load = load() }));
+        end(call,
+            std::make_shared<const GateReply>(
+                GateResponse { .response = std::move(response), .load = load(), .serviceTime = serviceTime }));
         return;
     }
     release(call, ServiceResult::Failed);
@@ -307,6 +318,7 @@
     call->isRunning = false;
     m_runningIds.erase(call->gateCall.requestId.value());
     m_callsByTicket.erase(call->ticket);
+    m_costs.remove(call->ticket.value());
     if (result == ServiceResult::Answered)
         m_serviceTime.add(now - call->startedAt, now);
     const Dispatch dispatch = m_admission.release(call->ticket, result, now - call->startedAt, now);
@@ -328,6 +340,7 @@
 void BackendGate::refuse(const CallPtr& call, const std::string& reason)
 {
     m_callsByTicket.erase(call->ticket);
+    m_costs.remove(call->ticket.value());
     end(call, makeRefusal(CallOutcome::NotRun, step, reason, load()));
 }
 
@@ -418,6 +431,7 @@
         if (call->connection)
             call->connection->close();
         call->connection.reset();
+        m_costs.recordTimeout(call->gateCall, now - call->startedAt, now);
         release(call, ServiceResult::Failed);
         const char* reason = now >= call->gateCall.deadline ? "the deadline passed" : "the node stops";
         end(call, makeRefusal(CallOutcome::Unknown, "backend-server", reason, load()));
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -23,6 +23,7 @@
 #include "membership/ServerDirectory.h"
 #include "proxy/BackendConnection.h"
 #include "proxy/CallDeduplicator.h"
+#include "proxy/GateCosts.h"
 #include "proxy/ServerNotices.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -44,6 +45,8 @@
     Duration sweepInterval { std::chrono::milliseconds(25) };
     Duration pauseThreshold { std::chrono::milliseconds(1500) };
     CallDeduplicatorOptions deduplicator {};
+    // Learns the cost of calls, admits by it and reports the remaining work.
+    bool isCostAware { false };
 };
 
 struct GateCounters {
@@ -67,6 +70,7 @@
     // The server's current entry; absent if it has none.
     void setServer(const std::optional<ServerRecord>& server);
     void setRanks(std::vector<RankPolicy> ranks);
+    void setRoutes(const std::vector<Route>& routes) { m_costs.setRoutes(routes); }
     // True while the backend server runs the request with this id.
     bool isRunning(const std::string& requestId) const { return m_runningIds.contains(requestId); }
     // The process ends soon. New calls get at most the time until answerBy, so that those that would take longer are
@@ -127,6 +131,7 @@
     const GateOptions m_options;
     const HttpConventions& m_httpConventions;
     CallDeduplicator m_deduplicator;
+    GateCosts m_costs;
     std::vector<RankPolicy> m_ranks;
     std::optional<ServerRecord> m_server;
     AdmissionController m_admission;
--- a/src/proxy/GateCall.h
+++ b/src/proxy/GateCall.h
@@ -26,6 +26,8 @@
     CallKey key;
     RequestId requestId;
     ServiceName service;
+    // Name of the route that the sender's configuration matched; empty if the sender states none.
+    std::string route;
     std::shared_ptr<const HttpRequest> request;
     int rank { 0 };
     // The node that received the caller's request responds by this time at the latest.
@@ -47,6 +49,8 @@
 struct GateResponse {
     HttpResponse response;
     LoadHint load;
+    // Time from the start of the request at the backend server to its complete response; zero if unknown.
+    Duration serviceTime {};
 };
 
 struct GateRefusal {
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -129,7 +129,8 @@
                                 .remainingLatencyTarget = std::max(Duration(0), call.onTimeBy - m_loop.now()),
                                 .serverIncarnation = call.serverIncarnation,
                                 .knowsServerRate = call.knownServerRate.has_value(),
-                                .serverRateThousandths = toThousandths(call.knownServerRate.value_or(0)) },
+                                .serverRateThousandths = toThousandths(call.knownServerRate.value_or(0)),
+                                .route = call.route },
         call.key.stream, request.body);
 }
 
@@ -248,7 +249,8 @@
                                                                .headers = toHttpHeaders(head.headers),
                                                                .body = std::move(outstanding.body),
                                                                .endsWithClose = head.endsWithClose },
-            .load = head.load });
+            .load = head.load,
+            .serviceTime = head.serviceTime });
     reply(stream, response);
 }
 
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -123,6 +123,7 @@
         m_server.m_gate.submit({ .key = { .sender = m_peer.incarnation, .stream = stream },
                                    .requestId = std::move(start.requestId),
                                    .service = std::move(start.service),
+                                   .route = std::move(start.route),
                                    .request = std::move(request),
                                    .rank = static_cast<int>(start.rank),
                                    .deadline = partialCall.receivedAt + start.remainingDeadline,
@@ -143,7 +144,8 @@
                                         .headers = toHeaderList(gateResponse->response.headers),
                                         .hasBody = !gateResponse->response.body.empty(),
                                         .load = gateResponse->load,
-                                        .endsWithClose = gateResponse->response.endsWithClose },
+                                        .endsWithClose = gateResponse->response.endsWithClose,
+                                        .serviceTime = gateResponse->serviceTime },
                 stream, gateResponse->response.body);
             return;
         }
--- a/src/proxy/ProxyNodeSource.cpp
+++ b/src/proxy/ProxyNodeSource.cpp
@@ -75,6 +75,7 @@
         publishServers("configuration");
     m_forwarder.setConfiguration(update.configuration);
     m_gate.setRanks(configuration.ranks());
+    m_gate.setRoutes(configuration.routes());
     const CallerLimits& limits = configuration.limits();
     m_callerListener.setLimits(
         { .headerBytes = limits.headerBytes, .bodyBytes = std::min(HttpLimits().bodyBytes, limits.bodyBytes) },
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -66,6 +66,7 @@
     settings.descriptorLimit
         = static_cast<int>(reader.integer("descriptorLimit", settings.descriptorLimit, minDescriptors, maxDescriptors));
     settings.linkBitsPerSecond = reader.number("linkMbps", 0, 0, maxLinkMegabits) * bitsPerMegabit;
+    settings.costAwareRouting = reader.boolean("costAwareRouting", settings.costAwareRouting);
     settings.logLinesPerSecond
         = reader.number("logLinesPerSecond", settings.logLinesPerSecond, 1, maxLogLinesPerSecond);
     settings.logLevel = logLevelFromName(reader.text("logLevel", "info"));
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -46,6 +46,8 @@
     int descriptorLimit { 4096 };
     // Bits per second of the instance's own link; zero if unknown.
     double linkBitsPerSecond { 0 };
+    // Routes and admits requests by their expected cost instead of counting each as one.
+    bool costAwareRouting { false };
     double logLinesPerSecond { 100 };
     LogLevel logLevel { LogLevel::Info };
 
