Route by remaining work, speed and expected cost

Cause: LeastExpectedTime counts each call as one and compares up to 16 servers, so that nodes with the same hints choose the same server. Ruled out: least remaining work of 16 servers. Change: with costAwareRouting, the sender learns costs and the speed factor of each server, the router compares two servers of its own zone and two of all zones, and a retry needs time for the expected cost. skylark_service_seconds shows estimated and observed times by route.

--- a/src/metrics/Metrics.cpp
+++ b/src/metrics/Metrics.cpp
@@ -11,6 +11,9 @@
 
     const prometheus::Histogram::BucketBoundaries latencyBuckets { 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
         0.2, 0.5, 1, 2, 5, 10 };
+    // Finer than latencyBuckets, so that p90 and p99 of the estimate can be compared with those of the observation.
+    const prometheus::Histogram::BucketBoundaries costBuckets { 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.2,
+        0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10 };
 
     template <typename Builder>
     auto& family(prometheus::Registry& registry, Builder builder, const char* name, const char* help)
@@ -25,6 +28,8 @@
         m_registry, prometheus::BuildCounter(), "skylark_requests_total", "Callers' requests by rank and outcome"))
     , m_latency(family(m_registry, prometheus::BuildHistogram(), "skylark_request_seconds",
           "Time from a caller's request to its answer"))
+    , m_costs(family(m_registry, prometheus::BuildHistogram(), "skylark_service_seconds",
+          "Estimated and observed service times of requests by route"))
     , m_attempts(family(m_registry, prometheus::BuildCounter(), "skylark_attempts_total", "Calls sent to gates"))
     , m_admissions(family(
           m_registry, prometheus::BuildCounter(), "skylark_admissions_total", "Decisions of this node's gate by rank"))
@@ -45,6 +50,16 @@
     m_latency.Add({ { "rank", rank } }, latencyBuckets).Observe(std::chrono::duration<double>(latency).count());
 }
 
+void Metrics::observeCost(const std::string& route, Duration estimated, Duration observed)
+{
+    const auto observe = [&](const char* kind, Duration time) {
+        m_costs.Add({ { "route", route }, { "kind", kind } }, costBuckets)
+            .Observe(std::chrono::duration<double>(time).count());
+    };
+    observe("estimated", estimated);
+    observe("observed", observed);
+}
+
 void Metrics::countAttempt(bool isRetry) { m_attempts.Add({ { "kind", isRetry ? "retry" : "first" } }).Increment(); }
 
 void Metrics::countAdmission(const std::string& rank, const std::string& decision)
--- a/src/metrics/Metrics.h
+++ b/src/metrics/Metrics.h
@@ -25,6 +25,8 @@
     // "cancelled".
     void countRequest(const std::string& rank, const std::string& outcome, Duration latency);
     void countAttempt(bool isRetry);
+    // Records the estimated and the observed service time of a response.
+    void observeCost(const std::string& route, Duration estimated, Duration observed);
     // Counts a gate decision: "admitted", "queued", "refused", "duplicate".
     void countAdmission(const std::string& rank, const std::string& decision);
     void countSourceCall(const std::string& kind, bool isAnswered);
@@ -47,6 +49,7 @@
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Histogram>& m_latency;
+    prometheus::Family<prometheus::Histogram>& m_costs;
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_admissions;
     prometheus::Family<prometheus::Counter>& m_sourceCalls;
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -54,6 +54,8 @@
     , m_retryBudget(m_options.retryBudget)
     , m_random(m_options.self.value())
 {
+    if (m_options.isCostAware)
+        m_costs.emplace();
 }
 
 void CallForwarder::setConfiguration(std::shared_ptr<const Configuration> configuration)
@@ -220,10 +222,35 @@
     mean = mean > 0 ? mean + weight * (bytes - mean) : bytes;
 }
 
+CostRequest CallForwarder::costRequest(const Call& call)
+{
+    return { .service = call.service.value(),
+        .route = call.route->name,
+        .routePrefix = call.route->pathPrefix,
+        .method = call.request->method,
+        .target = call.request->target,
+        .bodyBytes = call.request->body.size() };
+}
+
+Duration CallForwarder::expectedCost(const Call& call) const
+{
+    return m_costs ? m_costs->expected(costRequest(call), m_loop.now()) : Duration::zero();
+}
+
+void CallForwarder::recordCost(const Call& call, Duration serviceTime)
+{
+    if (!m_costs || serviceTime <= Duration::zero())
+        return;
+    m_metrics.observeCost(call.route->name, expectedCost(call), serviceTime);
+    const std::chrono::duration<double> cost(serviceTime / call.choice->speedFactor);
+    m_costs->record(costRequest(call), std::chrono::duration_cast<Duration>(cost), m_loop.now());
+}
+
 std::optional<Choice> CallForwarder::chooseInstance(Call& call)
 {
     constexpr int maxChoices = 8;
     const ByteCount bytes = expectedBytes(call);
+    const Duration cost = expectedCost(call);
     std::vector<InstanceId> excluded = m_notices.unusable(call.service, m_loop.now());
     excluded.insert(excluded.end(), call.triedInstances.begin(), call.triedInstances.end());
     std::optional<Choice> fallback;
@@ -232,7 +259,8 @@
                                           .excluded = excluded,
                                           .isIdempotent = call.route->isIdempotent,
                                           .expectedBytes = bytes,
-                                          .target = call.route->target },
+                                          .target = call.route->target,
+                                          .expectedCost = cost },
             m_random, m_loop.now());
         if (!choice)
             break;
@@ -274,6 +302,7 @@
     GateCall gateCall { .key = { .sender = m_options.self, .stream = call->stream },
         .requestId = call->requestId,
         .service = call->service,
+        .route = call->route->name,
         .request = call->request,
         .rank = call->rank,
         .deadline = call->deadline,
@@ -311,12 +340,18 @@
     releaseQueue();
 }
 
-void CallForwarder::reportToRouter(Call& call, CallOutcome outcome, bool isFault, const std::optional<LoadHint>& load)
+void CallForwarder::reportToRouter(
+    Call& call, CallOutcome outcome, bool isFault, const std::optional<LoadHint>& load, Duration serviceTime)
 {
     if (!call.choice)
         return;
     m_router.recordCallFinished(*call.choice,
-        { .outcome = outcome, .isFault = isFault, .latency = m_loop.now() - call.sentAt, .load = load }, m_loop.now());
+        { .outcome = outcome,
+            .isFault = isFault,
+            .latency = m_loop.now() - call.sentAt,
+            .load = load,
+            .serviceTime = serviceTime },
+        m_loop.now());
     call.choice.reset();
 }
 
@@ -340,7 +375,9 @@
     const bool isFailed = response.status >= statusServerError || (isSuccess && !hasProof(response));
     m_notices.record(targetOf(*call), readServerNotice(response.headers, m_httpConventions), m_loop.now());
     pauseTarget(*call, call->sentAt, gateResponse.load);
-    reportToRouter(*call, CallOutcome::Answered, isFailed, gateResponse.load);
+    if (!isFailed)
+        recordCost(*call, gateResponse.serviceTime);
+    reportToRouter(*call, CallOutcome::Answered, isFailed, gateResponse.load, gateResponse.serviceTime);
     ++call->attempts;
     call->mayHaveRun = true;
     if (isSuccess)
@@ -400,7 +437,9 @@
     if (call.attempts > static_cast<uint32_t>(std::max(0, call.route->retries)))
         return false;
     const TimePoint now = m_loop.now();
-    const Duration minRemaining = std::chrono::duration_cast<Duration>((now - call.sentAt) * retryTimeFactor);
+    const Duration expected = expectedCost(call);
+    const Duration attemptTime = expected > Duration::zero() ? expected : now - call.sentAt;
+    const Duration minRemaining = std::chrono::duration_cast<Duration>(attemptTime * retryTimeFactor);
     if (call.deadline - now < std::max(minRemaining, minTimeForRetry))
         return false;
     return m_retryBudget.tryTake(call.service, call.mayHaveRun, m_fleetSize, now);
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -18,6 +18,7 @@
 // Requests that arrive before the first configuration and the first servers wait for them in a ConfigurationQueue.
 #pragma once
 
+#include "admission/CostEstimator.h"
 #include "admission/InitialTimeoutEstimate.h"
 #include "base/Random.h"
 #include "document/Configuration.h"
@@ -47,6 +48,8 @@
     // Used if the caller sends no valid deadline.
     Duration defaultDeadline { std::chrono::seconds(10) };
     FleetRetryBudgetOptions retryBudget {};
+    // Learns the cost of requests and passes it to the router.
+    bool isCostAware { false };
 };
 
 // Returns the client for a peer and creates it if necessary.
@@ -127,6 +130,10 @@
     void setDeadlines(Call& call);
     ByteCount expectedBytes(const Call& call) const;
     void recordResponseBytes(const Route& route, const HttpResponse& response);
+    static CostRequest costRequest(const Call& call);
+    // Service time at a server of mean speed; zero if unknown.
+    Duration expectedCost(const Call& call) const;
+    void recordCost(const Call& call, Duration serviceTime);
     void attempt(const CallPtr& call);
     // Prefers an instance whose gate is local or whose peer is usable. Otherwise returns the first choice whose peer is
     // not leaving, if any.
@@ -141,7 +148,8 @@
     // If it returns true, it has taken a retry from the budget, which the caller must use.
     bool tryTakeRetry(const Call& call);
     bool hasProof(const HttpResponse& response) const;
-    void reportToRouter(Call& call, CallOutcome outcome, bool isFault, const std::optional<LoadHint>& load);
+    void reportToRouter(
+        Call& call, CallOutcome outcome, bool isFault, const std::optional<LoadHint>& load, Duration serviceTime = {});
     void giveUp(const CallPtr& call);
     void handleTimeout(const CallPtr& call);
     void handleCallerDisconnect(const CallPtr& call);
@@ -165,6 +173,8 @@
     SplitChooser m_splits;
     // By route name; routes that a new configuration lacks are removed.
     absl::flat_hash_map<std::string, RouteHistory> m_history;
+    // Absent unless isCostAware is set.
+    std::optional<CostEstimator> m_costs;
     FleetRetryBudget m_retryBudget;
     Random m_random;
     ServerNotices m_notices;
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -31,7 +31,8 @@
         return { .zone = settings.zone,
             .region = region == settings.regions.end() ? RegionName() : region->second,
             .policy = LeastExpectedTime {},
-            .slowStart = slowStartTime };
+            .slowStart = slowStartTime,
+            .isCostAware = settings.costAwareRouting };
     }
 
     Incarnation newIncarnation()
@@ -58,14 +59,16 @@
     , m_router(routerOptions(m_settings))
     , m_directory({ .peerPort = m_settings.peerAddress.port, .regions = m_settings.regions })
     , m_view(m_directory.view())
-    , m_gate(m_loop, { .server = m_settings.serverAddress }, m_adapter.httpConventions)
+    , m_gate(m_loop, { .server = m_settings.serverAddress, .isCostAware = m_settings.costAwareRouting },
+          m_adapter.httpConventions)
     , m_forwarder(
           m_loop,
           { .self = m_self.incarnation,
               .host = m_settings.advertisedAddress().host,
               .callerService = m_settings.service,
               .retryBudget
-              = { .ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow } },
+              = { .ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow },
+              .isCostAware = m_settings.costAwareRouting },
           m_adapter.httpConventions, m_router, m_gate,
           [this](const Endpoint& endpoint) -> PeerClient& { return ensurePeer(endpoint); }, m_log, m_metrics)
     , m_exchange(m_loop,
--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -41,6 +41,8 @@
     m_metrics.setValue("calls_in_progress", static_cast<double>(m_forwarder.callsInProgress()));
     m_metrics.setValue("log_lines_suppressed", static_cast<double>(m_log.suppressedCount()));
     m_metrics.setValue("unexpected_errors", static_cast<double>(m_loop.unexpectedErrors()));
+    m_metrics.setValue(
+        "gate_remaining_work_seconds", std::chrono::duration<double>(m_gate.load().remainingWork).count());
     m_metrics.setValue("source_lost", m_isSourceLost ? 1 : 0);
     m_metrics.setReader(m_exchange.isReading());
     m_metrics.setValue("source_age_seconds", std::chrono::duration<double>(m_exchange.age()).count());
--- a/src/routing/InstanceStatistics.cpp
+++ b/src/routing/InstanceStatistics.cpp
@@ -12,6 +12,17 @@
     constexpr double latencyWeight = 0.1;
     constexpr double resultWeight = 0.05;
     constexpr double latencyDecaySeconds = 10;
+    // A sender hears from one server a few times a second at most, and each hint averages 16 calls.
+    constexpr double serviceTimeWeight = 0.5;
+    constexpr double speedDecaySeconds = 30;
+    // The reported mean service time counts as much as this many observed ratios.
+    constexpr double speedPriorWeight = 16;
+    // The servers of one service differ by less; a single tail call should not count for more.
+    constexpr double maxSpeedFactor = 8;
+    // A gate reports at least this share of the mean service time for each of its calls (RemainingWork::overdueShare).
+    constexpr double minWorkShare = 0.25;
+    // This node's own calls are on average half done.
+    constexpr double ownWorkShare = 0.5;
     // A probe without a result after this time counts as lost.
     constexpr Duration probeTimeout = std::chrono::seconds(30);
     // A failed probe fails its caller's request, so idempotent calls, which can be retried, get this head start.
@@ -45,6 +56,11 @@
     if (report.load) {
         m_hint.store(pack(*report.load), std::memory_order_relaxed);
         m_hintServiceTime.store(report.load->meanServiceTime.count(), std::memory_order_relaxed);
+        m_hintRemainingWork.store(report.load->remainingWork.count(), std::memory_order_relaxed);
+        m_costSinceHint.store(0, std::memory_order_relaxed);
+        if (report.load->meanServiceTime > Duration::zero())
+            smooth(m_smoothedServiceTime, inSeconds(report.load->meanServiceTime.count()), serviceTimeWeight,
+                smoothedServiceSeconds() <= 0);
         m_hintAt.store(tickCount(now), std::memory_order_relaxed);
         if (report.load->isLeaving)
             m_isLeaving.store(true, std::memory_order_relaxed);
@@ -70,7 +86,45 @@
         .queued = static_cast<uint32_t>(bits >> 20 & 0xffffff),
         .limit = static_cast<uint32_t>(bits & 0xfffff),
         .isLeaving = isLeaving(),
-        .meanServiceTime = Duration(m_hintServiceTime.load(std::memory_order_relaxed)) };
+        .meanServiceTime = Duration(m_hintServiceTime.load(std::memory_order_relaxed)),
+        .remainingWork = Duration(m_hintRemainingWork.load(std::memory_order_relaxed)) };
+}
+
+void InstanceStatistics::recordServiceTime(Duration serviceTime, Duration expectedCost, TimePoint now)
+{
+    if (serviceTime <= Duration::zero() || expectedCost <= Duration::zero())
+        return;
+    const double ratio = std::min(maxSpeedFactor, inSeconds(serviceTime.count()) / inSeconds(expectedCost.count()));
+    const TimePoint::rep speedAt = m_speedAt.exchange(tickCount(now), std::memory_order_relaxed);
+    const double decay = std::exp(-std::max(0.0, inSeconds(tickCount(now) - speedAt)) / speedDecaySeconds);
+    const double weight = m_speedWeight.load(std::memory_order_relaxed) * decay + 1;
+    m_speedWeight.store(weight, std::memory_order_relaxed);
+    smooth(m_speedRatio, ratio, 1 / weight, false);
+}
+
+double InstanceStatistics::speedFactor(double meanServiceSeconds, TimePoint now) const
+{
+    const double reported = smoothedServiceSeconds();
+    const double reportedRatio = reported > 0 && meanServiceSeconds > 0 ? reported / meanServiceSeconds : 1;
+    const TimePoint::rep speedAt = m_speedAt.load(std::memory_order_relaxed);
+    const double decay = std::exp(-std::max(0.0, inSeconds(tickCount(now) - speedAt)) / speedDecaySeconds);
+    const double weight = m_speedWeight.load(std::memory_order_relaxed) * decay;
+    const double ratio = m_speedRatio.load(std::memory_order_relaxed);
+    const double factor = (weight * ratio + speedPriorWeight * reportedRatio) / (weight + speedPriorWeight);
+    return std::clamp(factor, 1 / maxSpeedFactor, maxSpeedFactor);
+}
+
+std::optional<double> InstanceStatistics::remainingSeconds(double speedFactor, double meanServiceSeconds) const
+{
+    const LoadHint lastHint = hint();
+    const auto reportedCalls = static_cast<double>(lastHint.inFlight) + lastHint.queued;
+    if (lastHint.limit == 0 || (reportedCalls > 0 && lastHint.remainingWork <= Duration::zero()))
+        return std::nullopt;
+    const double sinceHint = inSeconds(m_costSinceHint.load(std::memory_order_relaxed)) * speedFactor;
+    const double reported = inSeconds(lastHint.remainingWork.count()) + sinceHint;
+    // A gate that has learned nothing yet, or reports too little, must not attract all calls.
+    const double least = std::max(minWorkShare * reportedCalls, ownWorkShare * static_cast<double>(inFlight()));
+    return std::max(reported, least * meanServiceSeconds * speedFactor);
 }
 
 double InstanceStatistics::estimatedLoad(Duration lifetime, TimePoint now) const
--- a/src/routing/InstanceStatistics.h
+++ b/src/routing/InstanceStatistics.h
@@ -19,8 +19,14 @@
 
     Incarnation incarnation() const { return m_incarnation; }
 
-    void recordCallStarted() { m_inFlight.fetch_add(1, std::memory_order_relaxed); }
+    void recordCallStarted(Duration expectedCost = {})
+    {
+        m_inFlight.fetch_add(1, std::memory_order_relaxed);
+        m_costSinceHint.fetch_add(expectedCost.count(), std::memory_order_relaxed);
+    }
     void recordCallFinished(const CallReport& report, TimePoint now);
+    // Learns the speed from a response of a request with a known expected cost.
+    void recordServiceTime(Duration serviceTime, Duration expectedCost, TimePoint now);
 
     int64_t inFlight() const { return m_inFlight.load(std::memory_order_relaxed); }
     // Never reset: a leaving process does not return under the same incarnation.
@@ -30,6 +36,14 @@
     double estimatedLoad(Duration lifetime, TimePoint now) const;
     // The server's mean service time as reported by its gate, or the fallback before the first report.
     double serviceSeconds(double fallback) const;
+    // Mean of the service times in recent hints; zero before the first.
+    double smoothedServiceSeconds() const { return m_smoothedServiceTime.load(std::memory_order_relaxed); }
+    // Service time at this instance relative to the service's mean, for the same request. It combines the ratio of
+    // observed to expected times over about 30 s with the reported mean service time relative to that of all
+    // instances. A single sender observes too few calls of one instance to learn its speed from them alone.
+    double speedFactor(double meanServiceSeconds, TimePoint now) const;
+    // Seconds of work at the gate: the last report plus this node's calls since. Absent if the gate does not report it.
+    std::optional<double> remainingSeconds(double speedFactor, double meanServiceSeconds) const;
     // Falls linearly from 1 for a new hint to 0 at the end of its lifetime; 0 without a hint.
     double hintWeight(Duration lifetime, TimePoint now) const;
     // Load for comparing instances: this node's calls in flight plus the reported queue. The queue is weighted by its
@@ -65,6 +79,14 @@
     std::atomic<TimePoint::rep> m_hintAt { 0 };
     // Mean service time of the last hint, as a count of nanoseconds.
     std::atomic<Duration::rep> m_hintServiceTime { 0 };
+    // Remaining work of the last hint, and the expected cost of this node's calls since, in nanoseconds.
+    std::atomic<Duration::rep> m_hintRemainingWork { 0 };
+    std::atomic<Duration::rep> m_costSinceHint { 0 };
+    std::atomic<double> m_smoothedServiceTime { 0 };
+    // Mean ratio of observed to expected service times with its weight in observations.
+    std::atomic<double> m_speedRatio { 1 };
+    std::atomic<double> m_speedWeight { 0 };
+    std::atomic<TimePoint::rep> m_speedAt { 0 };
     std::atomic<double> m_latency { 0 };
     std::atomic<TimePoint::rep> m_latencyAt { 0 };
     std::atomic<uint32_t> m_failuresInRow { 0 };
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -28,6 +28,7 @@
             .zone = record.zone,
             .reason = reason,
             .expectedLatency = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(latency)),
+            .speedFactor = member.statistics->speedFactor(table->meanServiceSeconds(), now),
             .statistics = member.statistics,
             .table = table };
     }
@@ -126,6 +127,14 @@
 }
 
 std::optional<Choice> Router::choose(const RoutingRequest& request, Random& random, TimePoint now)
+{
+    std::optional<Choice> choice = chooseMember(request, random, now);
+    if (choice)
+        choice->expectedCost = request.expectedCost;
+    return choice;
+}
+
+std::optional<Choice> Router::chooseMember(const RoutingRequest& request, Random& random, TimePoint now)
 {
     const std::shared_ptr<const ServiceTable> table = tableOf(request.service, now);
     if (!table)
@@ -151,12 +160,14 @@
     return std::nullopt;
 }
 
-void Router::recordCallStarted(const Choice& choice) { choice.statistics->recordCallStarted(); }
+void Router::recordCallStarted(const Choice& choice) { choice.statistics->recordCallStarted(choice.expectedCost); }
 
 void Router::recordCallFinished(const Choice& choice, const CallReport& report, TimePoint now)
 {
     InstanceStatistics& statistics = *choice.statistics;
     statistics.recordCallFinished(report, now);
+    if (report.outcome == CallOutcome::Answered && !report.isFault)
+        statistics.recordServiceTime(report.serviceTime, choice.expectedCost, now);
     const bool isSuccess = report.outcome == CallOutcome::Answered && !report.isFault;
     if (choice.reason == ChoiceReason::Probe) {
         finishProbe(choice, isSuccess, report.isFault, now);
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -13,6 +13,9 @@
 //   weighted by its age and counts at most half as much as this node's calls plus the new one. Reports lag; if they
 //   dominated, all nodes would send to the same instance until the next report. routing/bench measures this.
 //
+// - Requests of unlike cost: With isCostAware, LeastExpectedTime compares two random servers of this node's zone and two
+//   of all zones by remaining work, speed and the expected cost of the request (docs/design/cost-aware-routing.md).
+//
 // - Health: Ejected, suspect and leaving instances get no calls, except for one probe call at a time after an ejection.
 //   When no instance of a service looks healthy, the router uses all that are not leaving, since the fault is then
 //   likely to be the observer's.
@@ -57,6 +60,9 @@
     Duration loadLifetime { std::chrono::seconds(5) };
     // Interval at which zone shares, success rates and policy scores are recomputed.
     Duration refreshInterval { std::chrono::seconds(1) };
+    // LeastExpectedTime compares the remaining work of the servers, their speed and the expected cost of the request
+    // instead of counting each call as one.
+    bool isCostAware { false };
 };
 
 struct RoutingRequest {
@@ -71,6 +77,8 @@
     ByteCount expectedBytes {};
     // Target latency of the call; zero if it has none.
     Duration target {};
+    // Expected service time at a server of mean speed; zero if unknown.
+    Duration expectedCost {};
 };
 
 enum class ChoiceReason : uint8_t {
@@ -95,6 +103,10 @@
     ChoiceReason reason { ChoiceReason::Policy };
     // Mean latency of the instance, or of the service before the first response; zero if unknown.
     Duration expectedLatency {};
+    Duration expectedCost {};
+    // Service time at the instance relative to the mean of the service; above 1 if it is slow. Used by cost-aware
+    // routing.
+    double speedFactor { 1 };
     std::shared_ptr<InstanceStatistics> statistics;
     std::shared_ptr<const ServiceTable> table;
 };
@@ -107,6 +119,8 @@
     Duration latency {};
     // Absent if the caller received no load hint.
     std::optional<LoadHint> load {};
+    // Service time of the response as stated by the gate; zero if unknown.
+    Duration serviceTime {};
 };
 
 // One line of the routing explanation for operators.
@@ -153,6 +167,7 @@
 private:
     struct Tables;
 
+    std::optional<Choice> chooseMember(const RoutingRequest& request, Random& random, TimePoint now);
     std::shared_ptr<const ServiceTable> tableOf(const ServiceName& service, TimePoint now);
     std::shared_ptr<const ServiceTable> addTable(const ServiceName& service, TimePoint now);
     void rebuild(const std::shared_ptr<const MembershipView>& view, bool isRefresh, TimePoint now);
--- a/src/routing/RoutingPolicy.h
+++ b/src/routing/RoutingPolicy.h
@@ -37,6 +37,10 @@
     double maxPenaltyShareOfTarget { 0.5 };
     // Number of instances compared. A larger service is sampled, with half of the sample from this node's zone.
     size_t maxCandidates { 16 };
+    // The same for cost-aware routing, per group: this node's zone, and all zones if there are several. With more
+    // candidates, nodes that know the same remaining work choose the same server at the same time (see
+    // docs/design/cost-aware-routing.md for the comparison).
+    size_t costAwareCandidates { 2 };
 };
 
 struct ScoreCoefficients {
--- a/src/routing/ServiceTable.cpp
+++ b/src/routing/ServiceTable.cpp
@@ -46,6 +46,11 @@
         return result;
     }
 
+    // A server slows down with its load even below the limit.
+    constexpr double slowdownAtLimit = 0.3;
+    constexpr double minSuccessRate = 0.1;
+    constexpr double assumedLimit = 8;
+
 } // namespace
 
 std::shared_ptr<const ServiceTable> ServiceTable::build(const RouterOptions& options, const ServiceName& service,
@@ -89,6 +94,7 @@
     }
     table->m_ejectedCounter->store(static_cast<int>(table->countEjected()), std::memory_order_relaxed);
     table->computeMeanLatency(now);
+    table->computeMeanServiceTime();
     ZoneShares(options, now).compute(*table, previous, isRefresh);
     if (const auto* best = std::get_if<BestScore>(&options.policy))
         table->computeScores(options, best->coefficients, now);
@@ -132,6 +138,20 @@
     m_meanLatency = knownCount > 0 ? sum / knownCount : unknownLatency;
 }
 
+void ServiceTable::computeMeanServiceTime()
+{
+    double sum = 0;
+    int knownCount = 0;
+    for (const ZoneMembers& zone : m_zones) {
+        for (const Member& member : zone.members) {
+            const double seconds = member.statistics->smoothedServiceSeconds();
+            sum += seconds;
+            knownCount += seconds > 0 ? 1 : 0;
+        }
+    }
+    m_meanServiceSeconds = knownCount > 0 ? sum / knownCount : 0;
+}
+
 void ServiceTable::computeScores(const RouterOptions& options, const ScoreCoefficients& coefficients, TimePoint now)
 {
     double leastLatency = m_meanLatency;
@@ -184,10 +204,6 @@
 double ServiceTable::expectedTime(const RouterOptions& options, double zonePenalty, const ZoneMembers& zone,
     const Member& member, TimePoint now) const
 {
-    // A server slows down with its load even below the limit.
-    constexpr double slowdownAtLimit = 0.3;
-    constexpr double minSuccessRate = 0.1;
-    constexpr double assumedLimit = 8;
     const InstanceStatistics& statistics = *member.statistics;
     const double hintLimit = statistics.hint().limit;
     const double limit = hintLimit > 0 ? hintLimit : assumedLimit;
@@ -203,6 +219,30 @@
     return time / std::max(minSuccessRate, statistics.successRate());
 }
 
+std::optional<double> ServiceTable::expectedTimeByCost(const RouterOptions& options, const RoutingRequest& request,
+    double zonePenalty, const ZoneMembers& zone, const Member& member, TimePoint now) const
+{
+    const InstanceStatistics& statistics = *member.statistics;
+    const double speed = statistics.speedFactor(m_meanServiceSeconds, now);
+    const std::optional<double> work = statistics.remainingSeconds(speed, m_meanServiceSeconds);
+    if (!work || m_meanServiceSeconds <= 0 || request.expectedCost <= Duration::zero())
+        return std::nullopt;
+    const double slowStartFactor = 2 - slowStartWeight(options, zone, member, now);
+    const double service = std::chrono::duration<double>(request.expectedCost).count() * speed * slowStartFactor;
+    const double meanService = m_meanServiceSeconds * speed * slowStartFactor;
+    const double limit = statistics.hint().limit;
+    const double load = statistics.estimatedLoad(options.hintLifetime, now) + 1;
+    const double waitByCount = std::max(0.0, load - limit) / limit * meanService;
+    // While the call waits, the other slots stay occupied; when it starts, their calls are on average half done.
+    const double waitByWork = load > limit ? std::max(0.0, *work - (limit - 1) * meanService / 2) / limit : 0;
+    // All nodes would send to the same instance on an old hint, so the count of this node's own calls replaces it.
+    const double weight = statistics.hintWeight(options.hintLifetime, now);
+    const double wait = weight * waitByWork + (1 - weight) * waitByCount;
+    const double time
+        = service * (1 + slowdownAtLimit * std::min(1.0, load / limit)) + wait + (zone.tier > 0 ? zonePenalty : 0);
+    return time / std::max(minSuccessRate, statistics.successRate());
+}
+
 const Member* ServiceTable::pickByExpectedTime(const RouterOptions& options, const LeastExpectedTime& policy,
     const RoutingRequest& request, Random& random, TimePoint now) const
 {
@@ -213,7 +253,9 @@
     const auto consider = [&](const ZoneMembers& zone, const Member& member) {
         if (!member.isHealthy() || isExcluded(request.excluded, member))
             return;
-        const double time = expectedTime(options, penalty, zone, member, now);
+        const std::optional<double> timeByCost
+            = options.isCostAware ? expectedTimeByCost(options, request, penalty, zone, member, now) : std::nullopt;
+        const double time = timeByCost ? *timeByCost : expectedTime(options, penalty, zone, member, now);
         // Reservoir sampling picks uniformly among instances with equal times.
         ties = best && time == leastTime ? ties + 1 : 1;
         if (best && (time > leastTime || (time == leastTime && random.below(ties) != 0)))
@@ -221,15 +263,17 @@
         best = &member;
         leastTime = time;
     };
-    if (m_size <= policy.maxCandidates) {
+    const size_t groups = m_zones.size() > 1 ? 2 : 1;
+    const size_t maxCandidates = options.isCostAware ? groups * policy.costAwareCandidates : policy.maxCandidates;
+    if (m_size <= maxCandidates) {
         for (const ZoneMembers& zone : m_zones) {
             for (const Member& member : zone.members)
                 consider(zone, member);
         }
         return best;
     }
-    for (size_t draw = 0; draw < policy.maxCandidates; ++draw) {
-        const bool isOwnZone = draw < policy.maxCandidates / 2;
+    for (size_t draw = 0; draw < maxCandidates; ++draw) {
+        const bool isOwnZone = draw < maxCandidates / 2;
         const ZoneMembers& zone = isOwnZone ? m_zones.front() : m_zones[random.below(m_zones.size())];
         consider(zone, zone.members[random.below(zone.members.size())]);
     }
--- a/src/routing/ServiceTable.h
+++ b/src/routing/ServiceTable.h
@@ -45,6 +45,8 @@
     const std::vector<ZoneMembers>& zones() const { return m_zones; }
     size_t size() const { return m_size; }
     double meanLatency() const { return m_meanLatency; }
+    // Mean of the service times that the instances report; zero before the first report.
+    double meanServiceSeconds() const { return m_meanServiceSeconds; }
     // Share of the calls that stays in the home zones, the nearest ones that have healthy instances.
     double homeShare() const { return m_homeShare; }
     // Number of ejected instances of the service; shared by successive tables.
@@ -74,7 +76,11 @@
     // Expected response time in seconds. The penalty is added for instances outside this node's zone.
     double expectedTime(const RouterOptions& options, double zonePenalty, const ZoneMembers& zone, const Member& member,
         TimePoint now) const;
+    // The same by remaining work, speed and the expected cost of the request; absent if one of them is unknown.
+    std::optional<double> expectedTimeByCost(const RouterOptions& options, const RoutingRequest& request,
+        double zonePenalty, const ZoneMembers& zone, const Member& member, TimePoint now) const;
     void computeMeanLatency(TimePoint now);
+    void computeMeanServiceTime();
     void computeScores(const RouterOptions& options, const ScoreCoefficients& coefficients, TimePoint now);
     const Member* pickOfTwo(const RouterOptions& options, const ZoneMembers& zone, std::span<const InstanceId> excluded,
         Random& random, TimePoint now) const;
@@ -87,6 +93,7 @@
     std::vector<ZoneMembers> m_zones;
     size_t m_size { 0 };
     double m_meanLatency { 0 };
+    double m_meanServiceSeconds { 0 };
     double m_homeShare { 1 };
     std::shared_ptr<std::atomic<int>> m_ejectedCounter;
 };
