--- a/src/proxy/tests/GateCostsTest.cpp
+++ b/src/proxy/tests/GateCostsTest.cpp
@@ -1,10 +1,13 @@
 // Tests what a gate learns of the cost of its calls and what it reports.
 #include "proxy/BackendGate.h"
+#include "proxy/PeerClient.h"
+#include "proxy/PeerServer.h"
 #include "proxy/ProxySettings.h"
 #include "proxy/tests/ProxyFleet.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace skylark {
 namespace {
@@ -18,21 +21,24 @@
         {
             m_server.setWork(50ms);
         }
-        void submit(BackendGate& gate, uint64_t number)
+        GateCall makeCall(uint64_t number, const std::string& route)
         {
             auto request = std::make_shared<HttpRequest>();
             request->method = "POST";
             request->target = "/pay/card";
             request->headers = { { "Host", "x" }, { m_httpConventions.requestId, std::to_string(number) } };
-            gate.submit({ .key = { .sender = Incarnation(9), .stream = StreamId(number) },
-                            .requestId = RequestId(std::to_string(number)),
-                            .service = ServiceName("work"),
-                            .route = "pay",
-                            .request = std::move(request),
-                            .deadline = m_loop.now() + 5s,
-                            .onTimeBy = m_loop.now() + 4s,
-                            .serverIncarnation = Incarnation(1) },
-                [this](const GateReplyPtr& reply) { m_replies.push_back(reply); });
+            return { .key = { .sender = Incarnation(9), .stream = StreamId(number) },
+                .requestId = RequestId(std::to_string(number)),
+                .service = ServiceName("work"),
+                .route = route,
+                .request = std::move(request),
+                .deadline = m_loop.now() + 5s,
+                .onTimeBy = m_loop.now() + 4s,
+                .serverIncarnation = Incarnation(1) };
+        }
+        void submit(BackendGate& gate, uint64_t number, const std::string& route = "pay")
+        {
+            gate.submit(makeCall(number, route), [this](const GateReplyPtr& reply) { m_replies.push_back(reply); });
         }
         void runUntilReplies(size_t count)
         {
@@ -95,6 +101,35 @@
         EXPECT_EQ(gate->load().remainingWork, Duration::zero());
     }
 
+    // Guards against senders that learn no costs and gates that cannot tell routes apart because a field is not carried
+    // between nodes.
+    TEST_F(GateCostsTest, RouteServiceTimeAndRemainingWorkAreCarriedBetweenNodes)
+    {
+        const auto gate = makeGate(true);
+        const Endpoint address { "127.0.0.1", static_cast<uint16_t>(28000 + getpid() % 1000) };
+        PeerServer peerServer(m_loop, { .self = { .incarnation = Incarnation(2) }, .listenAddress = address }, *gate,
+            { .onHello = [](const Hello&) {}, .onSourceUpdateRequest = [](const auto&, const auto&) {} });
+        PeerClient client(
+            m_loop, address, Hello { .incarnation = Incarnation(9) }, PeerClientOptions {}, [](const auto&) {});
+        const auto submitToPeer = [&](uint64_t number, const std::string& route) {
+            client.submit(makeCall(number, route), [this](const GateReplyPtr& reply) { m_replies.push_back(reply); });
+        };
+        submitToPeer(1, "pay");
+        runUntilReplies(1);
+        ASSERT_TRUE(std::holds_alternative<GateResponse>(*m_replies[0]));
+        EXPECT_GE(std::get<GateResponse>(*m_replies[0]).serviceTime, 50ms);
+        m_server.setWork(150ms);
+        for (uint64_t number = 2; number <= 9; ++number)
+            submitToPeer(number, "slow");
+        runUntilReplies(9);
+        EXPECT_GE(std::get<GateResponse>(*m_replies[1]).load.remainingWork, 50ms);
+        // Without the route's name on the wire, both routes would have the mean of all responses.
+        submit(*gate, 20, "pay");
+        const Duration paySum = gate->load().remainingWork;
+        submit(*gate, 21, "slow");
+        EXPECT_GT(gate->load().remainingWork - paySum, paySum + 10ms);
+    }
+
     TEST(GateCostsSettingsTest, CostAwareRoutingIsOffByDefault)
     {
         nlohmann::json json = { { "instance", "a" }, { "zone", "z" }, { "service", "work" } };
