--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -13,8 +13,9 @@
 //   weighted by its age and counts at most half as much as this node's calls plus the new one. Reports lag; if they
 //   dominated, all nodes would send to the same instance until the next report. routing/bench measures this.
 //
-// - Requests of unlike cost: With isCostAware, LeastExpectedTime compares two random servers of this node's zone and two
-//   of all zones by remaining work, speed and the expected cost of the request (docs/design/cost-aware-routing.md).
+// - Requests of unlike cost: With isCostAware, LeastExpectedTime compares two random servers of this node's zone and
+//   two of all zones by remaining work, speed and the expected cost of the request
+//   (docs/design/cost-aware-routing.md).
 //
 // - Health: Ejected, suspect and leaving instances get no calls, except for one probe call at a time after an ejection.
 //   When no instance of a service looks healthy, the router uses all that are not leaving, since the fault is then
