--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -40,6 +40,7 @@
     , m_options(std::move(options))
     , m_httpConventions(httpConventions)
     , m_deduplicator(m_options.deduplicator)
+    , m_costs(m_options.isCostAware)
     , m_admission(admissionOptions(), loop.now())
     , m_pacer(loop.now())
     , m_rateQueue(static_cast<size_t>(std::max(1, m_options.maxQueued)))
@@ -63,7 +64,8 @@
     return { .ranks = m_ranks,
         .slots = m_server ? std::max(1, m_server->slots) : m_options.defaultSlots,
         .maxQueue = m_options.maxQueued,
-        .limitPolicy = m_server ? LimitPolicy(StatedLimit {}) : LearnedLimit {} };
+        .limitPolicy = m_server ? LimitPolicy(StatedLimit {}) : LearnedLimit {},
+        .usesCostHints = m_options.isCostAware };
 }
 
 void BackendGate::setRanks(std::vector<RankPolicy> ranks)
@@ -231,7 +233,8 @@
         .limit = static_cast<uint32_t>(m_admission.limit()),
         .isLeaving = m_isDraining || isServerLeaving(),
         .meanServiceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceTime.mean())),
-        .requestDelay = m_pacer.delayForSender(m_loop.now()) };
+        .requestDelay = m_pacer.delayForSender(m_loop.now()),
+        .remainingWork = m_costs.remainingWork(m_loop.now()) };
 }
 
 // While the link is the bottleneck, the limit is the number of calls in flight that keep it busy, and what waits for
@@ -361,10 +364,12 @@
 void BackendGate::admit(const CallPtr& call)
 {
     m_callsByTicket.emplace(call->ticket, call);
+    const Duration expected = m_costs.add(call->ticket.value(), call->gateCall, m_loop.now());
     const AdmitResult result = m_admission.offer({ .id = call->ticket,
                                                      .rank = call->gateCall.rank,
                                                      .deadline = call->gateCall.deadline,
-                                                     .onTimeBy = call->gateCall.onTimeBy },
+                                                     .onTimeBy = call->gateCall.onTimeBy,
+                                                     .costHint = expected },
         m_loop.now());
     for (const RefusedTicket& displaced : result.displaced)
         refuse(callOf(displaced.ticket), refusalReasonName(displaced.reason));
@@ -418,6 +423,7 @@
         return;
     }
     call->isRunning = true;
+    m_costs.start(call->ticket.value(), m_loop.now());
     m_runningIds.insert(call->gateCall.requestId.value());
     call->startedAt = m_loop.now();
     try {
@@ -449,6 +455,9 @@
         recordNotice(response);
         const bool isNotRun
             = response.status == statusMisdirected || findHeader(response.headers, m_httpConventions.notExecuted);
+        const Duration serviceTime = m_loop.now() - call->startedAt;
+        if (!isNotRun)
+            m_costs.recordResponse(call->gateCall, response.status, serviceTime, m_loop.now());
         release(call, isNotRun ? ServiceResult::Shed : ServiceResult::Answered);
         if (isNotRun) {
             end(call,
@@ -461,8 +470,8 @@
             && response.status < firstRedirect)
             m_options.link->recordResponse(call->gateCall.route, sizeOf(response), m_loop.now());
         end(call,
-            std::make_shared<const GateReply>(
-                GateResponse { .response = std::move(response), .load = loadFor(call->gateCall) }));
+            std::make_shared<const GateReply>(GateResponse {
+                .response = std::move(response), .load = loadFor(call->gateCall), .serviceTime = serviceTime }));
         return;
     }
     release(call, ServiceResult::Failed);
@@ -527,6 +536,7 @@
     call->isRunning = false;
     m_runningIds.erase(call->gateCall.requestId.value());
     m_callsByTicket.erase(call->ticket);
+    m_costs.remove(call->ticket.value());
     if (result == ServiceResult::Answered)
         m_serviceTime.add(now - call->startedAt, now);
     const Dispatch dispatch = m_admission.release(call->ticket, result, now - call->startedAt, now);
@@ -548,6 +558,7 @@
 void BackendGate::refuse(const CallPtr& call, const std::string& reason)
 {
     m_callsByTicket.erase(call->ticket);
+    m_costs.remove(call->ticket.value());
     m_counters.refusedByEvacuation += reason == evacuatedReason ? 1 : 0;
     end(call, makeRefusal(CallOutcome::NotRun, step, reason, loadFor(call->gateCall)));
 }
@@ -641,6 +652,7 @@
         if (call->connection)
             call->connection->close();
         call->connection.reset();
+        m_costs.recordTimeout(call->gateCall, now - call->startedAt, now);
         release(call, ServiceResult::Failed);
         const char* reason = now >= call->gateCall.deadline ? "the deadline passed" : "the node stops";
         end(call, makeRefusal(CallOutcome::Unknown, "backend-server", reason, loadFor(call->gateCall)));
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -29,6 +29,7 @@
 #include "membership/ServerDirectory.h"
 #include "proxy/BackendConnection.h"
 #include "proxy/CallDeduplicator.h"
+#include "proxy/GateCosts.h"
 #include "proxy/ServerNotices.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -52,6 +53,8 @@
     CallDeduplicatorOptions deduplicator {};
     // Null if the link is not taken into account. Must outlive the gate.
     LinkBudget* link { nullptr };
+    // Learns the cost of calls, admits by it and reports the remaining work.
+    bool isCostAware { false };
 };
 
 struct GateCounters {
@@ -87,6 +90,7 @@
     // may be cold.
     void setEvacuated(bool isEvacuated);
     void setRanks(std::vector<RankPolicy> ranks);
+    void setRoutes(const std::vector<Route>& routes) { m_costs.setRoutes(routes); }
     // True while the backend server runs the request with this id.
     bool isRunning(const std::string& requestId) const { return m_runningIds.contains(requestId); }
     // The process ends soon. New calls get at most the time until answerBy, so that those that would take longer are
@@ -173,6 +177,7 @@
     const GateOptions m_options;
     const HttpConventions& m_httpConventions;
     CallDeduplicator m_deduplicator;
+    GateCosts m_costs;
     std::vector<RankPolicy> m_ranks;
     std::optional<ServerRecord> m_server;
     AdmissionController m_admission;
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -54,6 +54,8 @@
     , m_retryBudget(m_options.retryBudget)
     , m_random(m_options.self.value())
 {
+    if (m_options.isCostAware)
+        m_costs.emplace();
 }
 
 void CallForwarder::setConfiguration(std::shared_ptr<const Configuration> configuration)
@@ -233,6 +235,30 @@
     mean = mean > 0 ? mean + weight * (bytes - mean) : bytes;
 }
 
+CostRequest CallForwarder::costRequest(const Call& call)
+{
+    return { .service = call.service.value(),
+        .route = call.route->name,
+        .routePrefix = call.route->pathPrefix,
+        .method = call.request->method,
+        .target = call.request->target,
+        .bodyBytes = call.request->body.size() };
+}
+
+Duration CallForwarder::expectedCost(const Call& call) const
+{
+    return m_costs ? m_costs->expected(costRequest(call), m_loop.now()) : Duration::zero();
+}
+
+void CallForwarder::recordCost(const Call& call, Duration serviceTime)
+{
+    if (!m_costs || serviceTime <= Duration::zero())
+        return;
+    m_metrics.observeCost(call.route->name, expectedCost(call), serviceTime);
+    const std::chrono::duration<double> cost(serviceTime / call.choice->speedFactor);
+    m_costs->record(costRequest(call), std::chrono::duration_cast<Duration>(cost), m_loop.now());
+}
+
 std::optional<Choice> CallForwarder::chooseInstance(Call& call)
 {
     std::vector<InstanceId> excluded = m_notices.unusable(call.service, m_loop.now(), call.rank);
@@ -253,13 +279,15 @@
 {
     constexpr int maxChoices = 8;
     const ByteCount bytes = expectedBytes(call);
+    const Duration cost = expectedCost(call);
     std::optional<Choice> fallback;
     for (int round = 0; round < maxChoices; ++round) {
         auto choice = m_router.choose({ .service = call.service,
                                           .excluded = excluded,
                                           .isIdempotent = call.route->isIdempotent,
                                           .expectedBytes = bytes,
-                                          .target = call.route->target },
+                                          .target = call.route->target,
+                                          .expectedCost = cost },
             m_random, m_loop.now());
         if (!choice)
             break;
@@ -367,12 +395,18 @@
     releaseQueue();
 }
 
-void CallForwarder::reportToRouter(Call& call, CallOutcome outcome, bool isFault, const std::optional<LoadHint>& load)
+void CallForwarder::reportToRouter(
+    Call& call, CallOutcome outcome, bool isFault, const std::optional<LoadHint>& load, Duration serviceTime)
 {
     if (!call.choice)
         return;
     m_router.recordCallFinished(*call.choice,
-        { .outcome = outcome, .isFault = isFault, .latency = m_loop.now() - call.sentAt, .load = load }, m_loop.now());
+        { .outcome = outcome,
+            .isFault = isFault,
+            .latency = m_loop.now() - call.sentAt,
+            .load = load,
+            .serviceTime = serviceTime },
+        m_loop.now());
     call.choice.reset();
 }
 
@@ -396,7 +430,9 @@
     const bool isFailed = response.status >= statusServerError || (isSuccess && !hasProof(response));
     m_notices.record(targetOf(*call), readServerNotice(response.headers, m_httpConventions), m_loop.now());
     pauseTarget(*call, call->sentAt, gateResponse.load);
-    reportToRouter(*call, CallOutcome::Answered, isFailed, gateResponse.load);
+    if (!isFailed)
+        recordCost(*call, gateResponse.serviceTime);
+    reportToRouter(*call, CallOutcome::Answered, isFailed, gateResponse.load, gateResponse.serviceTime);
     ++call->attempts;
     call->mayHaveRun = true;
     if (isSuccess)
@@ -456,7 +492,9 @@
     if (call.attempts > static_cast<uint32_t>(std::max(0, call.route->retries)))
         return false;
     const TimePoint now = m_loop.now();
-    const Duration minRemaining = std::chrono::duration_cast<Duration>((now - call.sentAt) * retryTimeFactor);
+    const Duration expected = expectedCost(call);
+    const Duration attemptTime = expected > Duration::zero() ? expected : now - call.sentAt;
+    const Duration minRemaining = std::chrono::duration_cast<Duration>(attemptTime * retryTimeFactor);
     if (call.deadline - now < std::max(minRemaining, minTimeForRetry))
         return false;
     return m_retryBudget.tryTake(call.service, call.mayHaveRun, m_fleetSize, now);
--- a/src/proxy/GateCall.h
+++ b/src/proxy/GateCall.h
@@ -51,6 +51,8 @@
 struct GateResponse {
     HttpResponse response;
     LoadHint load;
+    // Time from the start of the request at the backend server to its complete response; zero if unknown.
+    Duration serviceTime {};
 };
 
 struct GateRefusal {
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -265,7 +265,8 @@
                                                                .headers = toHttpHeaders(head.headers),
                                                                .body = std::move(outstanding.body),
                                                                .endsWithClose = head.endsWithClose },
-            .load = head.load });
+            .load = head.load,
+            .serviceTime = head.serviceTime });
     reply(stream, response);
 }
 
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -167,7 +167,8 @@
                                         .headers = toHeaderList(gateResponse->response.headers),
                                         .hasBody = !gateResponse->response.body.empty(),
                                         .load = gateResponse->load,
-                                        .endsWithClose = gateResponse->response.endsWithClose },
+                                        .endsWithClose = gateResponse->response.endsWithClose,
+                                        .serviceTime = gateResponse->serviceTime },
                 stream, rank, SharedBody(reply, &gateResponse->response.body));
             return;
         }
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -31,7 +31,8 @@
         return { .zone = settings.zone,
             .region = region == settings.regions.end() ? RegionName() : region->second,
             .policy = LeastExpectedTime {},
-            .slowStart = slowStartTime };
+            .slowStart = slowStartTime,
+            .isCostAware = settings.costAwareRouting };
     }
 
     // Descriptors of the program itself: the loop, listeners, the log, the source and metrics.
@@ -51,7 +52,8 @@
     {
         return { .server = settings.serverAddress,
             .deduplicator = { .maxReplyBytes = memory.totalBytes() / keptReplyShare },
-            .link = &link };
+            .link = &link,
+            .isCostAware = settings.costAwareRouting };
     }
 
     // The operator may evacuate the zones that the settings name.
@@ -97,7 +99,8 @@
               .host = m_settings.advertisedAddress().host,
               .callerService = m_settings.service,
               .retryBudget
-              = { .ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow } },
+              = { .ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow },
+              .isCostAware = m_settings.costAwareRouting },
           m_adapter.httpConventions, m_router, m_gate,
           [this](const Endpoint& endpoint) -> PeerClient& { return ensurePeer(endpoint); }, m_log, m_metrics)
     , m_exchange(m_loop,
--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -51,6 +51,8 @@
     m_metrics.setValue("calls_in_progress", static_cast<double>(m_forwarder.callsInProgress()));
     m_metrics.setValue("log_lines_suppressed", static_cast<double>(m_log.suppressedCount()));
     m_metrics.setValue("unexpected_errors", static_cast<double>(m_loop.unexpectedErrors()));
+    m_metrics.setValue(
+        "gate_remaining_work_seconds", std::chrono::duration<double>(m_gate.load().remainingWork).count());
     m_metrics.setValue("source_lost", m_isSourceLost ? 1 : 0);
     m_metrics.setValue("routes_with_unknown_kind", static_cast<double>(countRoutes(&Route::hasUnknownKind)));
     m_metrics.setValue("routes_with_unknown_action", static_cast<double>(countRoutes(&Route::hasUnknownAction)));
--- a/src/proxy/tests/FrameChannelTest.cpp
+++ b/src/proxy/tests/FrameChannelTest.cpp
@@ -195,8 +195,9 @@
             readUntilComplete(StreamId(stream));
         std::map<StreamId, size_t> received;
         for (const Message& message : peer.messages) {
-            if (const auto* head = std::get_if<AnswerStart>(&message))
+            if (const auto* head = std::get_if<AnswerStart>(&message)) {
                 EXPECT_TRUE(received.emplace(head->stream, 0).second);
+            }
             if (const auto* chunk = std::get_if<BodyChunk>(&message)) {
                 ASSERT_TRUE(received.contains(chunk->stream));
                 EXPECT_EQ(chunk->offset, received[chunk->stream]);
