Split the gate's limits and the choice of an instance into files of their own

Functions moved unchanged into BackendGateLimits.cpp and CallForwarderChoice.cpp; the text of a refusal by rate has one place.

--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -152,6 +152,8 @@
     TimePoint latestStart(const GateCall& call) const;
     void startWaiting();
     bool hasRoomToStart() const;
+    // Why the rate of requests refuses a call.
+    const char* rateReason() const;
     void refuseTickets(const std::vector<TicketId>& tickets);
     size_t unsentCount() const;
     void run(const CallPtr& call);
