--- a/src/membership/ZoneEvacuations.cpp
+++ b/src/membership/ZoneEvacuations.cpp
@@ -65,7 +65,10 @@
 void ZoneEvacuations::startGrace(Revision known, TimePoint now)
 {
     for (auto& [zone, state] : m_states) {
-        if (!state.isEvacuated || state.dropAt || eraOf(state.revision) >= eraOf(known))
+        if (!state.isEvacuated || eraOf(state.revision) >= eraOf(known))
+            continue;
+        // Each further era begins the grace period anew.
+        if (state.dropAt && eraOf(state.missingAt) >= eraOf(known))
             continue;
         state.dropAt = now + m_options.eraGrace;
         state.missingAt = known;
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -177,12 +177,13 @@
     learnRate(entry->gateCall);
     updateColdState();
     m_pacer.recordSender(entry->gateCall.key.sender, now);
-    if (const char* cause = refusalCause(entry->gateCall))
+    const char* cause = refusalCause(entry->gateCall);
+    if (!cause && !m_pacer.isCold() && !hasRoomToStart())
+        cause = rateReason();
+    if (!cause && !takeLink(entry))
+        cause = linkReason;
+    if (cause)
         refuse(entry, cause);
-    else if (!m_pacer.isCold() && !hasRoomToStart())
-        refuse(entry, rateReason());
-    else if (!takeLink(entry))
-        refuse(entry, linkReason);
     else if (hasRoomToStart() && m_rateQueue.isEmpty())
         admit(entry);
     else if (m_pacer.isCold())
@@ -395,25 +396,32 @@
 
 void BackendGate::refuseInadmissible()
 {
-    std::vector<CallPtr> queuedCalls;
-    std::vector<CallPtr> connectingCalls;
+    // The cause is kept, since it may depend on the time.
+    struct Inadmissible {
+        CallPtr call;
+        const char* cause;
+    };
+    std::vector<Inadmissible> queuedCalls;
+    std::vector<Inadmissible> connectingCalls;
     for (const auto& [ticket, call] : m_callsByTicket) {
-        if (isUnsent(*call) && refusalCause(call->gateCall))
-            (call->isRunning ? connectingCalls : queuedCalls).push_back(call);
+        if (!isUnsent(*call))
+            continue;
+        if (const char* cause = refusalCause(call->gateCall))
+            (call->isRunning ? connectingCalls : queuedCalls).push_back({ call, cause });
     }
     // The queued calls go first, so that no slot that a connecting call leaves is given to them.
-    for (const CallPtr& call : queuedCalls) {
+    for (const auto& [call, cause] : queuedCalls) {
         if (m_admission.cancel(call->ticket) || m_rateQueue.cancel(call->ticket))
-            refuse(call, refusalCause(call->gateCall));
+            refuse(call, cause);
     }
-    for (const CallPtr& call : connectingCalls) {
+    for (const auto& [call, cause] : connectingCalls) {
         // A callback of an earlier refusal may have ended it.
         if (!call->connection)
             continue;
         call->connection->close();
         call->connection.reset();
         release(call, ServiceResult::Failed);
-        refuse(call, refusalCause(call->gateCall));
+        refuse(call, cause);
     }
 }
 
--- a/src/proxy/CallForwarderChoice.cpp
+++ b/src/proxy/CallForwarderChoice.cpp
@@ -60,7 +60,7 @@
 {
     std::vector<InstanceId> excluded = m_notices.unusable(call.service, m_loop.now(), call.rank);
     excluded.insert(excluded.end(), call.triedInstances.begin(), call.triedInstances.end());
-    if (call.rateRefusals == 0 || m_coldUntil.empty())
+    if (call.rateRefusals == 0 || m_coldUntil.empty() || !limitsColdServers(call))
         return chooseAmongUsable(call, std::move(excluded));
     // A cold server is idle and therefore attracts calls. Without this, a call tries one after the other in vain.
     std::vector<InstanceId> excludedWithCold = excluded;
--- a/src/proxy/HttpListener.cpp
+++ b/src/proxy/HttpListener.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+    // A caller that has more unread bytes of responses gets no further request started.
+    constexpr size_t maxUnsentResponseBytes = size_t { 256 } * 1024;
     constexpr int statusRequestTimeout = 408;
     constexpr int statusUnavailable = 503;
     constexpr const char* memoryRetryAfter = "1";
@@ -73,7 +75,7 @@
 
 bool HttpConnection::canReadNext() const
 {
-    if (!m_stream || m_refusal || m_heldRequest)
+    if (!m_stream || m_refusal || m_heldRequest || m_stream->pendingBytes() > maxUnsentResponseBytes)
         return false;
     if (m_exchanges.empty())
         return true;
@@ -182,6 +184,12 @@
     }
 }
 
+void HttpConnection::onDrained()
+{
+    const auto self = shared_from_this();
+    proceed();
+}
+
 void HttpConnection::proceed()
 {
     if (m_stream && m_heldRequest && m_exchanges.empty())
@@ -198,8 +206,11 @@
     std::string text = serializeHead(response);
     if (exchange.m_isHeadRequest || forbidsBody(response.status))
         response.body.clear();
-    write(std::move(text), std::move(response.body), exchange.m_charge);
-    m_responseCharge = exchange.m_charge;
+    // Moved, so that a handler that keeps the exchange does not keep the charge.
+    const std::shared_ptr<MemoryCharge> charge = std::move(exchange.m_charge);
+    write(std::move(text), std::move(response.body), charge);
+    std::erase_if(m_responseCharges, [](const auto& unsent) { return unsent.expired(); });
+    m_responseCharges.push_back(charge);
     m_unsentBytes = m_stream->pendingBytes();
     m_progressAt = m_listener.m_loop.now();
     if (!response.keepsAlive)
@@ -308,9 +319,11 @@
         { "unsent_bytes", std::to_string(m_stream->pendingBytes()) } });
     m_listener.m_options.memory->countClosed();
     const bool isReader = hasUnsentResponse();
-    // The stream frees the response when it has closed, which is before the loop handles further events.
-    if (m_responseCharge)
-        m_responseCharge->release();
+    // The stream frees the responses when it has closed, which is before the loop handles further events.
+    for (const auto& unsent : m_responseCharges) {
+        if (const auto charge = unsent.lock())
+            charge->release();
+    }
     if (isReader) {
         TcpStream::reset(std::move(m_stream));
         close(false);
@@ -357,7 +370,8 @@
 
 void HttpListener::accept(std::unique_ptr<TcpStream> stream)
 {
-    if (m_connections.size() >= m_options.maxConnections && !closeLongestIdle())
+    // Connections that are being closed still have their descriptors.
+    if (m_connections.size() + m_loop.pendingCloses() >= m_options.maxConnections && !closeLongestIdle())
         return;
     const auto connection = std::make_shared<HttpConnection>(*this, std::move(stream));
     m_connections.insert(connection);
@@ -405,7 +419,8 @@
 {
     std::vector<std::shared_ptr<HttpConnection>> idle;
     for (const auto& connection : m_connections) {
-        if (!connection->isBusy() && !connection->isReadingRequest())
+        // A part of a request behind an unsent response counts as not read.
+        if (!connection->isBusy() && (!connection->isReadingRequest() || connection->hasUnsentResponse()))
             idle.push_back(connection);
     }
     for (const auto& connection : idle)
--- a/src/proxy/HttpListener.h
+++ b/src/proxy/HttpListener.h
@@ -84,6 +84,7 @@
     std::string peerHost() const { return m_stream ? m_stream->peerHost() : std::string(); }
 
     void onData(std::string_view bytes) override;
+    void onDrained() override;
     void onEnd(StreamEnd end) override;
 
 private:
@@ -92,7 +93,7 @@
     bool isIdle() const { return !isBusy() && !isReadingRequest() && !hasUnsentResponse(); }
     bool hasUnsentResponse() const { return m_stream && m_stream->pendingBytes() > 0; }
     // Holds memory that closing the connection frees: an unfinished request or an unread response.
-    bool isReclaimable() const { return !isBusy() && (isReadingRequest() || hasUnsentResponse()); }
+    bool isReclaimable() const { return hasUnsentResponse() || (!isBusy() && isReadingRequest()); }
     void checkProgress(TimePoint now);
     // Changes the charge; closes stalled connections if necessary.
     bool resize(MemoryCharge& charge, size_t bytes);
@@ -133,8 +134,8 @@
     MemoryCharge m_bufferCharge;
     // The body in progress; passed on with the request.
     MemoryCharge m_bodyCharge;
-    // The last response, until it has been written.
-    std::shared_ptr<MemoryCharge> m_responseCharge;
+    // Of the responses that have not been written to the kernel whole; the stream holds them.
+    std::deque<std::weak_ptr<MemoryCharge>> m_responseCharges;
     // When the connection opened, or last received a part of a request or had a part of a response accepted.
     TimePoint m_progressAt;
     size_t m_unsentBytes { 0 };
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -97,9 +97,11 @@
         const size_t grown = std::max(needed, 2 * capacity);
         if (needed > capacity && !(call.charge.resize(grown + capacity) && call.charge.resize(grown))) {
             const uint32_t rank = call.start.rank;
+            // A resent call may run already.
+            const CallOutcome outcome = call.start.isResend ? CallOutcome::Unknown : CallOutcome::NotRun;
             m_partialCalls.erase(found);
             m_server.m_options.memory->countRefused();
-            send(stream, rank, makeRefusal(CallOutcome::NotRun, "peer-call", "the memory for the body is in use"));
+            send(stream, rank, makeRefusal(outcome, "peer-call", "the memory for the body is in use"));
             return;
         }
         if (m_assembler.add(call.body, chunk))
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -210,11 +210,15 @@
 void ProxyNode::tick()
 {
     const TimePoint now = m_loop.now();
-    publishEvacuations(m_evacuations.advance(now), "grace-ended");
+    // While the source is lost the operator cannot write an evacuation again.
+    if (!m_isSourceLost)
+        publishEvacuations(m_evacuations.advance(now), "grace-ended");
     if (m_directory.advance(now))
         publishServers("grace-ended");
     m_router.advance(now);
-    m_gate.confirmServer(m_exchange.serversConfirmedAt());
+    // After an outage the server may not have written its entry again yet.
+    if (!m_directory.mayDeferDeletions(now))
+        m_gate.confirmServer(m_exchange.serversConfirmedAt());
     const LoadHint load = m_gate.load();
     m_metrics.setConcurrency(
         static_cast<int>(load.limit), static_cast<int>(load.inFlight), static_cast<int>(load.queued));
--- a/src/proxy/tests/HttpListenerTest.cpp
+++ b/src/proxy/tests/HttpListenerTest.cpp
@@ -76,6 +76,7 @@
     class HttpListenerTest : public testing::Test {
     protected:
         static constexpr size_t largeBytes = 8192 * kibibyte;
+        static constexpr size_t mediumBytes = 300 * kibibyte;
 
         void serve(HttpListenerOptions options)
         {
@@ -86,7 +87,9 @@
                 m_loop, options, [this](HttpRequest request, const std::shared_ptr<HttpExchange>& connection) {
                     ++m_requests;
                     connection->respond({ .status = 200,
-                        .body = request.target == "/large" ? std::string(largeBytes, 'x') : request.target });
+                        .body = request.target == "/large" ? std::string(largeBytes, 'x')
+                            : request.target == "/medium"  ? std::string(mediumBytes, 'x') + "end"
+                                                           : request.target });
                 });
             m_thread = std::thread([this] { m_loop.run(); });
         }
@@ -119,6 +122,19 @@
         std::thread m_thread;
     };
 
+    // Guards against idle connections that keep the charge of a response that their callers have read: they filled the
+    // account although nothing was in memory.
+    TEST_F(HttpListenerTest, AnIdleConnectionKeepsNoChargeOfAReadResponse)
+    {
+        serve({});
+        const Client client(m_listener->port());
+        client.send("GET /medium HTTP/1.1\r\nHost: h\r\n\r\n");
+        EXPECT_NE(std::string::npos, client.receiveUntil("end").find("200"));
+        std::this_thread::sleep_for(100ms);
+        EXPECT_EQ(1u, connectionCount());
+        EXPECT_EQ(0u, m_budget.chargedBytes());
+    }
+
     // Guards against bodies of legal size that together exceed the memory, and against a refusal of a request that was
     // passed on.
     TEST_F(HttpListenerTest, RefusesABodyThatDoesNotFit)
