--- a/review/lib2/mesh2.py
+++ b/review/lib2/mesh2.py
@@ -234,7 +234,7 @@
         with log:
             self.process = await asyncio.create_subprocess_exec(
                 *self.mesh.command, cwd=ROOT, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
-                env={**environment, "SKYLARKBAY_SETTINGS": str(path)}, start_new_session=True)
+                env={**environment, "SKYLARKBAY_SETTINGS": str(path)})
         self.mesh.processes.append(self.process)
         self.mesh.record(f"platform started node-{self.number} (process start {self.starts})")
 
@@ -411,6 +411,9 @@
 def run_case(folder, case, routes, services, seconds=110, **options):
     """Runs `case(mesh)`, which returns a list of breaches of the rule. Exits with 0, 1 or 2."""
     async def play():
+        task = asyncio.current_task()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         mesh = Mesh(folder, routes, services, **options)
         try:
             breaches = await asyncio.wait_for(case(mesh), seconds)
@@ -425,6 +428,9 @@
             mesh.record(f"the case could not run: {error!r}")
             traceback.print_exc()
             return 2
+        except asyncio.CancelledError:
+            mesh.record("the case was interrupted")
+            return 2
         finally:
             await mesh.stop()
     try:
