Keep the stop of a node apart from the leaving of its server

Cause: the isLeaving of a load hint was set while the server leaves and also while only the node beside it stops. Receivers keep it for the life of the server's incarnation, which a restart of the node doesn't end, and neither a probe nor the last resort chooses a server that leaves.

Change: a hint speaks of the server only. The stop of a node is told by Leaving, which PeerClient forgets with the next process of the peer; the forwarder asks its own gate in the same way. Hints of a stopping peer of an earlier release are not believed, so that an update of the fleet doesn't bring the fault about.

Ruled out: entries that show the servers as draining, and ejections, which have probes and the last resort.

--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -123,7 +123,7 @@
     return { .inFlight = static_cast<uint32_t>(m_admission.inFlight()),
         .queued = static_cast<uint32_t>(m_admission.queued()),
         .limit = static_cast<uint32_t>(m_admission.limit()),
-        .isLeaving = m_isDraining || isServerLeaving(),
+        .isLeaving = isServerLeaving(),
         .meanServiceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceTime.mean())),
         .requestDelay = m_pacer.delayForSender(m_loop.now()),
         .remainingWork = m_costs.remainingWork(m_loop.now()) };
--- a/src/proxy/BackendGate.h
+++ b/src/proxy/BackendGate.h
@@ -98,8 +98,11 @@
     void beginStop(TimePoint answerBy);
     // Refuses queued and new calls from now on.
     void drain();
+    bool isDraining() const { return m_isDraining; }
     bool isIdle() const { return m_calls.empty(); }
 
+    // Says that the server leaves, but not that this process does: callers' nodes keep the former for as long as the
+    // server runs. PeerServer announces the latter.
     LoadHint load() const;
     // Logs when the link has become free again. Call it a few times a second.
     void checkLink();
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -85,6 +85,15 @@
         double meanResponseBytes { 0 };
     };
 
+    // Whether the node beside a server takes calls. This is no property of the server, which may outlive the node.
+    enum class NodeCondition : uint8_t {
+        Usable,
+        // Unreachable or silent.
+        Suspect,
+        // Its process stops.
+        Leaving,
+    };
+
     struct Call {
         explicit Call(EventLoop& loop, std::function<void()> onTimeout)
             : timer(loop, std::move(onTimeout))
@@ -140,11 +149,11 @@
     Duration expectedCost(const Call& call) const;
     void recordCost(const Call& call, Duration serviceTime);
     void attempt(const CallPtr& call);
-    // Prefers an instance whose gate is local or whose peer is usable. Otherwise returns the first choice whose peer is
-    // not leaving, if any.
+    // Prefers an instance whose node is usable. Otherwise returns the first choice whose node is suspect, if any.
     std::optional<Choice> chooseInstance(Call& call);
     void send(const CallPtr& call, const Choice& choice);
     std::optional<Choice> chooseAmongUsable(const Call& call, std::vector<InstanceId> excluded);
+    NodeCondition conditionOf(const Endpoint& node);
     static ServerNotices::Server targetOf(const Call& call);
     // The service states what a cold server takes.
     static bool limitsColdServers(const Call& call);
--- a/src/proxy/CallForwarderChoice.cpp
+++ b/src/proxy/CallForwarderChoice.cpp
@@ -72,6 +72,16 @@
     return choice ? choice : chooseAmongUsable(call, std::move(excluded));
 }
 
+CallForwarder::NodeCondition CallForwarder::conditionOf(const Endpoint& node)
+{
+    if (node.host == m_options.host)
+        return m_gate.isDraining() ? NodeCondition::Leaving : NodeCondition::Usable;
+    const PeerClient& peer = m_peers(node);
+    if (peer.isLeaving())
+        return NodeCondition::Leaving;
+    return peer.isUsable() ? NodeCondition::Usable : NodeCondition::Suspect;
+}
+
 std::optional<Choice> CallForwarder::chooseAmongUsable(const Call& call, std::vector<InstanceId> excluded)
 {
     constexpr int maxChoices = 8;
@@ -92,9 +102,10 @@
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), choice->instance) != excluded.end();
         if (isExcluded)
             break;
-        if (choice->peer.host == m_options.host || m_peers(choice->peer).isUsable())
+        const NodeCondition condition = conditionOf(choice->peer);
+        if (condition == NodeCondition::Usable)
             return choice;
-        if (!fallback && !m_peers(choice->peer).isLeaving())
+        if (!fallback && condition == NodeCondition::Suspect)
             fallback = choice;
         excluded.push_back(choice->instance);
     }
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -265,15 +265,23 @@
                                                                .headers = toHttpHeaders(head.headers),
                                                                .body = std::move(outstanding.body),
                                                                .endsWithClose = head.endsWithClose },
-            .load = head.load,
+            .load = serverLoad(head.load),
             .serviceTime = head.serviceTime });
     reply(stream, response);
 }
 
+LoadHint PeerClient::serverLoad(LoadHint hint) const
+{
+    // Earlier releases set isLeaving also while only the peer's process stops, which Leaving has announced. The server
+    // may live on, and its next node says again if it leaves.
+    hint.isLeaving = hint.isLeaving && !m_isLeaving;
+    return hint;
+}
+
 void PeerClient::on(Refusal refusal)
 {
-    reply(
-        refusal.stream, makeRefusal(refusal.outcome, std::move(refusal.step), std::move(refusal.reason), refusal.load));
+    reply(refusal.stream,
+        makeRefusal(refusal.outcome, std::move(refusal.step), std::move(refusal.reason), serverLoad(refusal.load)));
 }
 
 void PeerClient::on(const Leaving&)
--- a/src/proxy/PeerClient.h
+++ b/src/proxy/PeerClient.h
@@ -106,6 +106,8 @@
     template <typename Other> void on(const Other&) { }
     void reply(StreamId stream, const GateReplyPtr& reply);
     void completeResponse(StreamId stream, Outstanding& outstanding);
+    // What the hint says of the peer's server.
+    LoadHint serverLoad(LoadHint hint) const;
     void handleEnd(StreamEnd end);
     void failAll(const std::string& reason);
     void checkSilence();
--- a/src/proxy/tests/BackendGateTest.cpp
+++ b/src/proxy/tests/BackendGateTest.cpp
@@ -173,6 +173,22 @@
         EXPECT_EQ(server.executions().count("4"), 1u);
     }
 
+    // Guards against a server that gets no more calls although only the node beside it stops: the callers' nodes keep
+    // what they hear of a server for as long as the server runs.
+    TEST_F(BackendGateTest, StopOfTheNodeIsNoLeaveOfItsServer)
+    {
+        submit(1);
+        runFor(50ms);
+        gate.drain();
+        submit(2);
+        ASSERT_NE(refusal(2), nullptr);
+        EXPECT_FALSE(refusal(2)->load.isLeaving);
+        runFor(300ms);
+        const auto* response = std::get_if<GateResponse>(replies.at(1).get());
+        ASSERT_NE(response, nullptr);
+        EXPECT_FALSE(response->load.isLeaving);
+    }
+
     // Guards against "not run" for a request that runs: a faulty server writes an earlier refusal once more on a kept
     // connection, and without an id it could be taken for the answer to the next request.
     TEST_F(BackendGateTest, RefusalWithoutAnIdOnAKeptConnectionIsNoProof)
--- a/src/proxy/tests/PeerClientTest.cpp
+++ b/src/proxy/tests/PeerClientTest.cpp
@@ -20,6 +20,8 @@
         }
         Endpoint address() const { return { "127.0.0.1", m_listener.port() }; }
         void answer(StreamId stream) { m_channel->send(AnswerStart { .stream = stream, .status = 200 }); }
+        void refuse(StreamId stream, LoadHint load) { m_channel->send(Refusal { .stream = stream, .load = load }); }
+        void announceLeaving() { m_channel->send(Leaving { .incarnation = incarnation }); }
         void answer(StreamId stream, uint32_t status, HeaderList headers)
         {
             m_channel->send(AnswerStart { .stream = stream, .status = status, .headers = std::move(headers) });
@@ -157,6 +159,23 @@
         EXPECT_TRUE(std::holds_alternative<GateResponse>(*replies.at(1)));
     }
 
+    // Guards against a server that counts as leaving for good because a peer of an earlier release, which stops, says
+    // so of itself in its load hints.
+    TEST_F(PeerClientTest, HintOfALeavingPeerSaysNothingOfItsServer)
+    {
+        const auto refusedLoad = [this](uint64_t number) {
+            submit(number, true);
+            runFor(50ms);
+            peer.refuse(StreamId(number), { .limit = 4, .isLeaving = true });
+            runFor(50ms);
+            return std::get<GateRefusal>(*replies.at(number)).load;
+        };
+        EXPECT_TRUE(refusedLoad(1).isLeaving);
+        peer.announceLeaving();
+        EXPECT_FALSE(refusedLoad(2).isLeaving);
+        EXPECT_EQ(refusedLoad(3).limit, 4u);
+    }
+
     // Guards against a response that is none and reaches the caller through a peer that did not check it.
     TEST_F(PeerClientTest, ResponseWithAnInvalidHeadIsUnknown)
     {
--- a/src/proxy/tests/ProxyStopTest.cpp
+++ b/src/proxy/tests/ProxyStopTest.cpp
@@ -115,6 +115,41 @@
         stop.join();
     }
 
+    // Guards against a node that refuses all requests of a service for good after the nodes beside its servers were
+    // stopped and started in turn, although the servers ran all the time.
+    TEST(ProxyStopTest, ServersAreUsedAgainAfterTheirNodesRestarted)
+    {
+        ProxyFleet fleet(3);
+        fleet.configure(2, 5000);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        // The callers' node has no server of its own in use.
+        fleet.putServerEntry(0, true, 1);
+        std::this_thread::sleep_for(500ms);
+        constexpr int callers = 6;
+        for (const size_t restarted : { 1, 2 }) {
+            // The answers come late in the stop, when the node takes no calls of peers any more.
+            fleet.server(1).setWork(1500ms);
+            fleet.server(2).setWork(1500ms);
+            std::vector<std::thread> threads;
+            for (int i = 0; i < callers; ++i)
+                threads.emplace_back([&, i] {
+                    const std::string id = std::to_string(restarted) + "-" + std::to_string(i);
+                    sendRequest(fleet.callerAddress(0), id, "/read/x", "", 4000);
+                });
+            std::this_thread::sleep_for(300ms);
+            ASSERT_GT(fleet.server(restarted).runningCount(), 0);
+            fleet.stopNode(restarted);
+            for (std::thread& thread : threads)
+                thread.join();
+            fleet.startNode(restarted);
+            ASSERT_TRUE(fleet.waitUntilReady());
+        }
+        fleet.server(1).setWork(5ms);
+        fleet.server(2).setWork(5ms);
+        for (int i = 0; i < callers; ++i)
+            EXPECT_EQ(sendRequest(fleet.callerAddress(0), "after-" + std::to_string(i), "/read/x").status, 200);
+    }
+
     // Guards against requests that are taken late in the grace time, passed on and cut without an answer at its end.
     TEST(ProxyStopTest, RequestThatOutlastsTheGraceIsAnsweredBeforeTheNodeEnds)
     {
--- a/src/routing/InstanceStatistics.h
+++ b/src/routing/InstanceStatistics.h
@@ -29,7 +29,8 @@
     void recordServiceTime(Duration serviceTime, Duration expectedCost, TimePoint now);
 
     int64_t inFlight() const { return m_inFlight.load(std::memory_order_relaxed); }
-    // Never reset: a leaving process does not return under the same incarnation.
+    // Never reset: a leaving instance does not return under the same incarnation. Load hints therefore speak of the
+    // incarnation that the membership view names, which in skylark-node is that of the backend server.
     bool isLeaving() const { return m_isLeaving.load(std::memory_order_relaxed); }
     LoadHint hint() const;
     // Estimated number of calls at the gate: the last report, weighted by its age, but at least this node's own calls.
