Let messages between nodes hold every head that callers may send

While the connection to the peer was being opened, it was closed and opened again and again, and other calls failed with it.

Cause: the codec refused more than 256 header fields, a bound that has nothing to do with the limit in bytes that callers are promised, and the exception ended whichever connection was at hand.

Change: a message holds all fields of a head of up to maxHeadBytes; a larger promise is applied with that limit and a warning. A message that cannot be encoded is logged and costs only itself: the call is refused as not run, an answer becomes unknown, the connections stay. That also covers an update of the source's state above the frame limit, which ended all calls beside it.

Evidence: "unexpected-error ... a list has 304 elements; the limit is 256" in the node's log for each lost request. Ruled out: the callers' limit (no 431; the node beside the server serves such a request).

--- a/src/proxy/FrameChannel.cpp
+++ b/src/proxy/FrameChannel.cpp
@@ -72,24 +72,42 @@
     m_reportedWaiting = waiting;
 }
 
-void FrameChannel::send(const Message& message)
+std::optional<std::string> FrameChannel::encodeFrame(const Message& message) const
 {
-    std::string bytes;
-    appendFrame(bytes, message, maxProtocolVersion);
-    recordQueued(bytes.size(), bytes.size());
+    try {
+        std::string bytes;
+        appendFrame(bytes, message, maxProtocolVersion);
+        return bytes;
+    } catch (const Error& error) {
+        logEvent(LogLevel::Error, "peer-message-not-sent",
+            { { "peer", m_stream->peerHost() }, { "type", messageTypeName(message.index()) }, { "step", error.step() },
+                { "reason", error.message() } });
+        return std::nullopt;
+    }
+}
+
+bool FrameChannel::send(const Message& message)
+{
+    auto bytes = encodeFrame(message);
+    if (!bytes)
+        return false;
+    recordQueued(bytes->size(), bytes->size());
     const std::shared_ptr<bool> isAlive = m_isAlive;
-    m_stream->write(std::move(bytes));
+    m_stream->write(std::move(*bytes));
     if (*isAlive)
         reportWaiting();
+    return true;
 }
 
-void FrameChannel::sendWithBody(const Message& head, StreamId stream, uint32_t rank, SharedBody body)
+bool FrameChannel::sendWithBody(const Message& head, StreamId stream, uint32_t rank, SharedBody body)
 {
-    std::string bytes;
-    appendFrame(bytes, head, maxProtocolVersion);
-    recordQueued(bytes.size() + body->size(), body->size());
+    auto bytes = encodeFrame(head);
+    if (!bytes)
+        return false;
+    recordQueued(bytes->size() + body->size(), body->size());
     m_queue.add(stream, rank, std::move(body));
-    write(std::move(bytes));
+    write(std::move(*bytes));
+    return true;
 }
 
 void FrameChannel::cancelBody(StreamId stream)
--- a/src/proxy/FrameChannel.h
+++ b/src/proxy/FrameChannel.h
@@ -45,9 +45,11 @@
     FrameChannel(EventLoop& loop, std::unique_ptr<TcpStream> stream, Callbacks callbacks,
         const FrameChannelOptions& options = {});
 
-    void send(const Message& message);
+    // A message beyond the bounds of the codec is logged and not sent; the connection stays as it is. The functions
+    // return false then.
+    bool send(const Message& message);
     // Sends the head and then the body, unless it is empty, as the socket accepts it. `rank` orders the bodies.
-    void sendWithBody(const Message& head, StreamId stream, uint32_t rank, SharedBody body);
+    [[nodiscard]] bool sendWithBody(const Message& head, StreamId stream, uint32_t rank, SharedBody body);
     // Sends no more of the stream's body.
     void cancelBody(StreamId stream);
     // Bytes that the kernel has not accepted yet, including the bodies that wait.
@@ -60,6 +62,8 @@
     void onEnd(StreamEnd end) override;
 
 private:
+    // The frame of the message; none if the codec refuses the message.
+    std::optional<std::string> encodeFrame(const Message& message) const;
     // Writes the bytes and then pieces of bodies until the socket accepts no more. The owner may destroy the channel
     // meanwhile.
     void write(std::string bytes);
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -11,6 +11,7 @@
 
     constexpr const char* step = "peer-connection";
     constexpr Duration silenceCheckInterval = std::chrono::milliseconds(50);
+    constexpr const char* notEncodableReason = "the request exceeds the bounds of a message between nodes";
 
     uint64_t toThousandths(double rate)
     {
@@ -112,37 +113,40 @@
         = m_calls.emplace(stream, Outstanding { .call = std::move(call), .onReply = std::move(onReply) }).first->second;
     if (!m_channel)
         open();
-    else if (m_hasReceivedHello)
-        write(outstanding);
+    else if (m_hasReceivedHello && !write(outstanding))
+        reply(stream, makeRefusal(CallOutcome::NotRun, step, notEncodableReason));
     if (m_channel)
         startSilenceChecks();
 }
 
-void PeerClient::write(Outstanding& outstanding)
+bool PeerClient::write(Outstanding& outstanding)
 {
     const GateCall& call = outstanding.call;
     const HttpRequest& request = *call.request;
     const bool isResend = outstanding.sentTo != Incarnation();
-    outstanding.sentTo = m_peerIncarnation;
-    m_channel->sendWithBody(CallStart { .stream = call.key.stream,
-                                .requestId = call.requestId,
-                                .gateIncarnation = m_peerIncarnation,
-                                .service = call.service,
-                                .method = request.method,
-                                .target = request.target,
-                                .headers = toHeaderList(request.headers),
-                                .rank = static_cast<uint32_t>(std::max(0, call.rank)),
-                                .remainingDeadline = std::max(Duration(0), call.deadline - m_loop.now()),
-                                .isIdempotent = call.isIdempotent,
-                                .isResend = isResend,
-                                .attempt = call.attempt,
-                                .hasBody = !request.body.empty(),
-                                .remainingLatencyTarget = std::max(Duration(0), call.onTimeBy - m_loop.now()),
-                                .serverIncarnation = call.serverIncarnation,
-                                .knowsServerRate = call.knownServerRate.has_value(),
-                                .serverRateThousandths = toThousandths(call.knownServerRate.value_or(0)),
-                                .route = call.route },
-        call.key.stream, static_cast<uint32_t>(std::max(0, call.rank)), SharedBody(call.request, &request.body));
+    const bool isSent
+        = m_channel->sendWithBody(CallStart { .stream = call.key.stream,
+                                      .requestId = call.requestId,
+                                      .gateIncarnation = m_peerIncarnation,
+                                      .service = call.service,
+                                      .method = request.method,
+                                      .target = request.target,
+                                      .headers = toHeaderList(request.headers),
+                                      .rank = static_cast<uint32_t>(std::max(0, call.rank)),
+                                      .remainingDeadline = std::max(Duration(0), call.deadline - m_loop.now()),
+                                      .isIdempotent = call.isIdempotent,
+                                      .isResend = isResend,
+                                      .attempt = call.attempt,
+                                      .hasBody = !request.body.empty(),
+                                      .remainingLatencyTarget = std::max(Duration(0), call.onTimeBy - m_loop.now()),
+                                      .serverIncarnation = call.serverIncarnation,
+                                      .knowsServerRate = call.knownServerRate.has_value(),
+                                      .serverRateThousandths = toThousandths(call.knownServerRate.value_or(0)),
+                                      .route = call.route },
+            call.key.stream, static_cast<uint32_t>(std::max(0, call.rank)), SharedBody(call.request, &request.body));
+    if (isSent)
+        outstanding.sentTo = m_peerIncarnation;
+    return isSent;
 }
 
 void PeerClient::cancel(StreamId stream)
@@ -216,16 +220,19 @@
     if (m_updateRequest)
         m_channel->send(*m_updateRequest);
     std::vector<StreamId> lostStreams;
+    std::vector<StreamId> refusedStreams;
     for (auto& [stream, outstanding] : m_calls) {
         outstanding.head.reset();
         outstanding.body.clear();
-        if (outstanding.sentTo == Incarnation() || outstanding.sentTo == m_peerIncarnation)
-            write(outstanding);
-        else
+        if (outstanding.sentTo != Incarnation() && outstanding.sentTo != m_peerIncarnation)
             lostStreams.push_back(stream);
+        else if (!write(outstanding))
+            refusedStreams.push_back(stream);
     }
     for (const StreamId stream : lostStreams)
         reply(stream, makeRefusal(CallOutcome::Unknown, step, "the peer's process was replaced"));
+    for (const StreamId stream : refusedStreams)
+        reply(stream, makeRefusal(CallOutcome::NotRun, step, notEncodableReason));
 }
 
 void PeerClient::on(const Pong&) { m_pingSentAt.reset(); }
--- a/src/proxy/PeerClient.h
+++ b/src/proxy/PeerClient.h
@@ -94,7 +94,8 @@
     bool expectsData() const { return !m_calls.empty() || m_updateRequest; }
     void recordCancel(StreamId stream);
     void removeOldCancels();
-    void write(Outstanding& outstanding);
+    // Returns false if the call exceeds the bounds of a message; nothing was sent then, also not earlier.
+    bool write(Outstanding& outstanding);
     void handle(Message message);
     void on(const Hello& hello);
     void on(const Pong& pong);
--- a/src/proxy/PeerServer.cpp
+++ b/src/proxy/PeerServer.cpp
@@ -164,14 +164,19 @@
     void send(StreamId stream, uint32_t rank, const GateReplyPtr& reply)
     {
         if (const auto* gateResponse = std::get_if<GateResponse>(reply.get())) {
-            m_channel->sendWithBody(AnswerStart { .stream = stream,
-                                        .status = static_cast<uint32_t>(gateResponse->response.status),
-                                        .headers = toHeaderList(gateResponse->response.headers),
-                                        .hasBody = !gateResponse->response.body.empty(),
-                                        .load = gateResponse->load,
-                                        .endsWithClose = gateResponse->response.endsWithClose,
-                                        .serviceTime = gateResponse->serviceTime },
-                stream, rank, SharedBody(reply, &gateResponse->response.body));
+            const bool isSent
+                = m_channel->sendWithBody(AnswerStart { .stream = stream,
+                                              .status = static_cast<uint32_t>(gateResponse->response.status),
+                                              .headers = toHeaderList(gateResponse->response.headers),
+                                              .hasBody = !gateResponse->response.body.empty(),
+                                              .load = gateResponse->load,
+                                              .endsWithClose = gateResponse->response.endsWithClose,
+                                              .serviceTime = gateResponse->serviceTime },
+                    stream, rank, SharedBody(reply, &gateResponse->response.body));
+            if (!isSent)
+                send(stream, rank,
+                    makeRefusal(CallOutcome::Unknown, "peer-call",
+                        "the response exceeds the bounds of a message between nodes", gateResponse->load));
             return;
         }
         const auto& refusal = std::get<GateRefusal>(*reply);
--- a/src/proxy/ProxyNode.h
+++ b/src/proxy/ProxyNode.h
@@ -56,6 +56,8 @@
     // Gives the gate the entry of its server, unless the service's limit for cold servers is still unknown.
     void updateGate();
     void setColdPolicy(const Configuration& configuration);
+    // Bounds what callers may send by the configuration, and by what a message to a peer can hold.
+    void setCallerLimits(const CallerLimits& limits);
     void logDelayedHeartbeats(const char* origin);
     // Reads the local server's entry if the node's knowledge is old.
     void checkOwnServer();
--- a/src/proxy/ProxyNodeSource.cpp
+++ b/src/proxy/ProxyNodeSource.cpp
@@ -83,9 +83,7 @@
     m_forwarder.setConfiguration(update.configuration);
     m_gate.setRanks(configuration.ranks());
     m_gate.setRoutes(configuration.routes());
-    const CallerLimits& limits = configuration.limits();
-    m_callerListener.setLimits(
-        { .headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes }, limits.headerTimeout, limits.idleTimeout);
+    setCallerLimits(configuration.limits());
     m_configurationText = update.text;
     m_compressedConfiguration = update.compressed;
     m_metrics.setVersion(configuration.manifest().version);
@@ -96,6 +94,17 @@
             { "routes", std::to_string(configuration.routes().size()) }, { "origin", origin } });
 }
 
+void ProxyNode::setCallerLimits(const CallerLimits& limits)
+{
+    if (limits.headerBytes > maxHeadBytes)
+        logEvent(LogLevel::Warning, "caller-limit-lowered",
+            { { "limit", "header_bytes" }, { "from", std::to_string(limits.headerBytes) },
+                { "to", std::to_string(maxHeadBytes) } });
+    m_callerListener.setLimits(
+        { .headerBytes = std::min(limits.headerBytes, maxHeadBytes), .bodyBytes = limits.bodyBytes },
+        limits.headerTimeout, limits.idleTimeout);
+}
+
 void ProxyNode::applyEvacuations(const EvacuationChanges& changes, const char* origin)
 {
     for (const EvacuationEntry& entry : changes.entries) {
--- a/src/proxy/tests/FrameChannelTest.cpp
+++ b/src/proxy/tests/FrameChannelTest.cpp
@@ -130,8 +130,9 @@
         }
         void send(uint64_t stream, uint32_t rank, const SharedBody& body)
         {
-            channel->sendWithBody(AnswerStart { .stream = StreamId(stream), .status = 200, .hasBody = true },
-                StreamId(stream), rank, body);
+            ASSERT_TRUE(
+                channel->sendWithBody(AnswerStart { .stream = StreamId(stream), .status = 200, .hasBody = true },
+                    StreamId(stream), rank, body));
         }
 
         SystemClock clock;
@@ -212,8 +213,8 @@
     TEST_F(FrameChannelTest, CancelledStreamStops)
     {
         connect();
-        channel->sendWithBody(
-            CallStart { .stream = StreamId(1), .hasBody = true }, StreamId(1), 0, bodyOf(8 * megabyte));
+        ASSERT_TRUE(channel->sendWithBody(
+            CallStart { .stream = StreamId(1), .hasBody = true }, StreamId(1), 0, bodyOf(8 * megabyte)));
         runFor(20ms);
         channel->cancelBody(StreamId(1));
         channel->send(Cancel { .stream = StreamId(1) });
@@ -254,7 +255,8 @@
     TEST_F(FrameChannelTest, LinkBudgetKnowsWhatWaits)
     {
         connect();
-        channel->sendWithBody(CallStart { .stream = StreamId(1), .hasBody = true }, StreamId(1), 0, bodyOf(megabyte));
+        ASSERT_TRUE(channel->sendWithBody(
+            CallStart { .stream = StreamId(1), .hasBody = true }, StreamId(1), 0, bodyOf(megabyte)));
         EXPECT_EQ(link.waitingBytes(), channel->pendingBytes());
         EXPECT_GT(link.backlog(loop.now()), 500ms);
         readUntilComplete(StreamId(1));
--- a/src/proxy/tests/PeerClientTest.cpp
+++ b/src/proxy/tests/PeerClientTest.cpp
@@ -38,6 +38,7 @@
         std::vector<StreamId> cancelledStreams;
         std::vector<SourceUpdateRequest> updateRequests;
         size_t pingCount { 0 };
+        size_t connectionCount() const { return m_acceptedCount; }
         // Complete request bodies.
         std::map<StreamId, std::string> bodies;
         // The next chunk of a body ends the connection.
@@ -115,10 +116,11 @@
             runFor(50ms);
             ASSERT_TRUE(client.isConnected());
         }
-        void submit(uint64_t number, bool isIdempotent, const std::string& body = "")
+        void submit(uint64_t number, bool isIdempotent, const std::string& body = "", HttpHeaders headers = {})
         {
             auto request = std::make_shared<HttpRequest>();
             request->body = body;
+            request->headers = std::move(headers);
             client.submit({ .key = { .sender = Incarnation(9), .stream = StreamId(number) },
                               .request = std::move(request),
                               .deadline = loop.now() + 5s,
@@ -204,6 +206,30 @@
         }
     }
 
+    // Guards against a call that ends the connection, or opens it again and again, because its head cannot be encoded:
+    // the other calls to the peer fail with it.
+    TEST_F(PeerClientTest, CallThatCannotBeEncodedFailsAlone)
+    {
+        const HttpHeaders tooMany(maxHeadBytes / minFieldBytes + 1, HttpHeader { "a", "" });
+        submit(1, false);
+        submit(2, false, "body", tooMany);
+        submit(3, false);
+        runFor(100ms);
+        ASSERT_TRUE(replies.contains(2)) << "while the connection was being opened";
+        EXPECT_EQ(outcome(2), CallOutcome::NotRun);
+        submit(4, false, "body", tooMany);
+        ASSERT_TRUE(replies.contains(4)) << "on an open connection";
+        EXPECT_EQ(outcome(4), CallOutcome::NotRun);
+        for (const uint64_t number : { 1, 3 }) {
+            peer.answer(StreamId(number));
+            runFor(20ms);
+            ASSERT_TRUE(replies.contains(number)) << number;
+            EXPECT_TRUE(std::holds_alternative<GateResponse>(*replies.at(number))) << number;
+        }
+        EXPECT_EQ(peer.calls.size(), 2u);
+        EXPECT_EQ(peer.connectionCount(), 1u);
+    }
+
     // Guards against a body that reaches the peer with a gap when its connection is lost halfway.
     TEST_F(PeerClientTest, BodyIsResentWholeAfterAConnectionLossHalfway)
     {
--- a/src/proxy/tests/PeerServerTest.cpp
+++ b/src/proxy/tests/PeerServerTest.cpp
@@ -38,6 +38,8 @@
             loop.run();
         }
 
+        // The answer to each request for a source update.
+        SourceUpdate update;
         SystemClock clock;
         MemoryBudget budget { { .totalBytes = 300 * 1024 } };
         EventLoop loop { clock };
@@ -45,9 +47,25 @@
         BackendGate gate { loop, { .server = { "127.0.0.1", 1 } }, httpConventions };
         const Endpoint address { "127.0.0.1", static_cast<uint16_t>(27000 + getpid() % 1000) };
         PeerServer server { loop, { .listenAddress = address, .idleTimeout = 200ms, .memory = &budget }, gate,
-            { .onHello = [](const Hello&) {}, .onSourceUpdateRequest = [](const auto&, const auto&) {} } };
+            { .onHello = [](const Hello&) {},
+                .onSourceUpdateRequest
+                = [this](const auto&, const std::function<void(const SourceUpdate&)>& reply) { reply(update); } } };
     };
 
+    // Guards against calls that are lost because an update, which no message can hold, is due on their connection.
+    TEST_F(PeerServerTest, UpdateThatCannotBeEncodedLeavesTheConnectionOpen)
+    {
+        const auto peer = connect();
+        runFor(20ms);
+        update.configuration = std::string(maxFrameBytes, 'x');
+        peer->channel->send(SourceUpdateRequest {});
+        // Refused at once, since it is meant for another process.
+        peer->channel->send(CallStart { .stream = StreamId(1), .gateIncarnation = Incarnation(99) });
+        runFor(50ms);
+        EXPECT_FALSE(peer->end);
+        EXPECT_EQ(peer->refusals.size(), 1u);
+    }
+
     // Guards against descriptors that are lost for good: a connection that the path has forgotten reports no end.
     TEST_F(PeerServerTest, ConnectionOnWhichNothingArrivesIsClosed)
     {
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -138,6 +138,7 @@
         {
             const std::lock_guard lock(m_server.m_mutex);
             m_server.m_executions.insert(m_id);
+            m_server.m_requestHeaders[m_id] = request->headers;
         }
         ++m_server.m_runningCount;
         m_isRunning = true;
@@ -249,6 +250,13 @@
     return m_executions;
 }
 
+HttpHeaders TestServer::requestHeaders(const std::string& id) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_requestHeaders.find(id);
+    return found == m_requestHeaders.end() ? HttpHeaders() : found->second;
+}
+
 const Clock& ProxyFleet::systemClock()
 {
     static const SystemClock clock;
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -64,6 +64,8 @@
     }
     // Ids of the requests that the server began to run, one entry per run.
     std::multiset<std::string> executions() const;
+    // The headers of the last request with this id.
+    HttpHeaders requestHeaders(const std::string& id) const;
     int runningCount() const { return m_runningCount; }
 
 private:
@@ -80,6 +82,7 @@
     std::atomic<int> m_runningCount { 0 };
     mutable std::mutex m_mutex;
     std::multiset<std::string> m_executions;
+    std::map<std::string, HttpHeaders> m_requestHeaders;
     HttpHeaders m_extraHeaders;
     ResponseFilter m_responseFilter;
     std::set<std::shared_ptr<Connection>> m_connections;
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -1,6 +1,8 @@
 // Tests complete nodes on loopback as seen by callers and backend servers.
 #include "proxy/tests/ProxyFleet.h"
+#include "testing/RawConnection.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <httplib.h>
 
@@ -250,6 +252,50 @@
         }
     }
 
+    // The text of a GET request with these headers besides those that each request has.
+    std::string requestText(const std::string& id, const HttpHeaders& headers)
+    {
+        HttpRequest request { .method = "GET",
+            .target = "/read/" + id,
+            .headers
+            = { { "Host", "x" }, { HttpConventions().requestId, id }, { HttpConventions().deadline, "2000" } } };
+        request.headers.insert(request.headers.end(), headers.begin(), headers.end());
+        return serialize(request);
+    }
+
+    // Sends the request over a connection of its own and returns its status; 0 without a response.
+    int statusOf(const Endpoint& node, const std::string& request)
+    {
+        RawConnection caller(node);
+        if (!caller.write(request))
+            return 0;
+        const std::string response = caller.readResponse(3s);
+        const std::string prefix = "HTTP/1.1 ";
+        return response.rfind(prefix, 0) == 0 ? std::stoi(response.substr(prefix.size(), 3)) : 0;
+    }
+
+    // Guards against requests and responses that a node cannot pass on because their heads, of a size that the callers
+    // are promised, have more fields than a message between nodes: such a request ended its connection, and the
+    // requests before it stayed unanswered.
+    TEST(ProxyNodeTest, HeadsOfManyFieldsPassThroughPeers)
+    {
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        constexpr size_t fields = 3900;
+        const HttpHeaders many(fields, HttpHeader { "a", "" });
+        fleet.putServerEntry(0, true, 1);
+        std::this_thread::sleep_for(300ms);
+        for (const size_t node : { 0, 1 }) {
+            const std::string id = "many-" + std::to_string(node);
+            EXPECT_EQ(statusOf(fleet.callerAddress(node), requestText(id, many)), 200) << node;
+            const HttpHeaders received = fleet.server(1).requestHeaders(id);
+            EXPECT_EQ(std::count(received.begin(), received.end(), many.front()), fields) << node;
+        }
+        fleet.server(1).setExtraHeaders(many);
+        for (const size_t node : { 0, 1 })
+            EXPECT_EQ(statusOf(fleet.callerAddress(node), requestText("few-" + std::to_string(node), {})), 200) << node;
+    }
+
     // Guards against requests that are refused in the tenths of a second in which a node that has started reads its
     // first configuration. After a loss of all power these were thousands.
     TEST(ProxyNodeTest, RequestsWaitForTheFirstConfiguration)
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -123,6 +123,6 @@
 template <> inline constexpr size_t maxElements<ConditionReport> = 64;
 template <> inline constexpr size_t maxElements<ListedServer> = 32768;
 template <> inline constexpr size_t maxElements<ListedEvacuation> = 1024;
-template <> inline constexpr size_t maxElements<std::pair<std::string, std::string>> = 256;
+template <> inline constexpr size_t maxElements<std::pair<std::string, std::string>> = maxHeadBytes / minFieldBytes;
 
 } // namespace skylark
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -179,6 +179,10 @@
 
 using StreamId = Strong<struct StreamIdTag, uint64_t>;
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
+// The largest HTTP head whose header fields fit into one message, however many they are. The shortest field has a name
+// of one byte, a colon and a line end.
+constexpr uint32_t maxHeadBytes = 128 * 1024;
+constexpr uint32_t minFieldBytes = 4;
 
 // Opens a call. The body follows as BodyChunk messages unless hasBody is false.
 struct CallStart {
--- a/src/wire/tests/WireTest.cpp
+++ b/src/wire/tests/WireTest.cpp
@@ -216,6 +216,27 @@
         EXPECT_THROW(encode(batch), Error);
     }
 
+    // Guards against heads that callers may send and that no message carries: their size is limited, and the number of
+    // their fields only by it.
+    TEST(CodecTest, LargestHeadsAreEncoded)
+    {
+        const HeaderList shortestFields(maxHeadBytes / minFieldBytes, { "a", "" });
+        const std::string longest(maxHeadBytes, 'x');
+        const std::vector<Message> messages { CallStart { .headers = shortestFields },
+            CallStart { .requestId = RequestId(longest), .target = longest, .headers = { { "a", longest } } },
+            AnswerStart { .headers = shortestFields }, AnswerStart { .headers = { { "a", longest } } } };
+        for (const Message& message : messages) {
+            std::string frame;
+            ASSERT_NO_THROW(appendFrame(frame, message));
+            const auto decoded = decode(std::string_view(frame).substr(frameHeaderBytes));
+            ASSERT_TRUE(decoded.has_value());
+            EXPECT_TRUE(*decoded == message);
+        }
+        HeaderList tooMany = shortestFields;
+        tooMany.emplace_back("a", "");
+        EXPECT_THROW(encode(CallStart { .headers = tooMany }), Error);
+    }
+
     TEST(CodecTest, RejectsNumbersOutOfRange)
     {
         const auto type = static_cast<uint32_t>(Message(ConditionReportBatch {}).index());
