Tell peers which servers a listing shows by a delayed heartbeat

Cause: the started node lists the delayed heartbeat and asks the node that it follows for the changes since its listing. That node has ignored the heartbeat and keeps no note of it, so to it nothing has changed since.

Change: ServerDirectory keeps the first revision at which the source's item of a server, or of a deletion, is a delayed heartbeat. It tells such a server to every peer that asks until the item is right, and once more then; it asks peers for the changes since before the item. The note goes with the entries from node to node.

--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -3,6 +3,7 @@
 #include "base/SourceEra.h"
 
 #include <algorithm>
+#include <initializer_list>
 #include <tuple>
 
 namespace skylark {
@@ -11,6 +12,9 @@
 
     // A peer that asks for changes since an earlier revision gets a listing.
     constexpr Duration deletionRetention = std::chrono::seconds(60);
+    // The number of hidden servers up to which they are told and asked for again and again. A source that was restored
+    // from a copy hides all servers until they write again, which is too much for each exchange.
+    constexpr size_t maxHiddenServers = 64;
     // Age of a server that is not cold, so that the router applies no slow start to it.
     constexpr Duration warmServerAge = std::chrono::hours(1);
 
@@ -35,6 +39,17 @@
         return isCold(record) ? now + record.remainingSlowStart : TimePoint();
     }
 
+    // Returns the lowest of the candidates above `revision`; zero if there is none.
+    Revision firstAfter(Revision revision, std::initializer_list<Revision> candidates)
+    {
+        Revision first;
+        for (const Revision candidate : candidates) {
+            if (candidate > revision && (first == Revision() || candidate < first))
+                first = candidate;
+        }
+        return first;
+    }
+
     // Of two positions of the same incarnation, prefers the one whose number is known.
     const HeartbeatPosition& laterOf(const HeartbeatPosition& left, const HeartbeatPosition& right)
     {
@@ -74,6 +89,7 @@
         Entry { .record = *entry.record,
             .revision = entry.revision,
             .lastChangeRevision = entry.revision,
+            .delayedRevision = entry.delayedRevision,
             .firstSeen = firstSeen(*entry.record, now),
             .coldUntil = coldUntil(*entry.record, now) });
     return true;
@@ -89,7 +105,7 @@
     if (!(position <= deletion.lastHeartbeat))
         return true;
     // A peer that started after the deletion takes the heartbeat for a new one and needs the deletion.
-    deletion.lastChangeRevision = std::max(deletion.lastChangeRevision, entry.revision);
+    deletion.delayedRevision = firstAfter(deletion.revision, { deletion.delayedRevision, entry.revision });
     recordDelayed(entry, deletion.lastHeartbeat);
     return false;
 }
@@ -104,13 +120,21 @@
     }
     const std::partial_ordering order = entry.record->position() <=> latest;
     const bool isNewer = entry.revision > newestRevision;
-    if (!isNewer && !(order > 0))
+    if (!isNewer && !std::is_gt(order)) {
+        if (std::is_eq(order))
+            current.delayedRevision = firstAfter(newestRevision, { current.delayedRevision, entry.delayedRevision });
         return false;
+    }
     // The last heartbeat before the server went absent is no sign of its return.
-    if (order < 0 || (order == 0 && current.absence)) {
+    if (std::is_lt(order) || (std::is_eq(order) && current.absence)) {
+        current.delayedRevision = firstAfter(newestRevision, { current.delayedRevision, entry.revision });
         recordDelayed(entry, latest);
         return false;
     }
+    const bool wasHidden = current.isHidden();
+    // If the later heartbeat has the earlier revision, the present one is delayed.
+    current.delayedRevision
+        = firstAfter(entry.revision, { current.delayedRevision, entry.delayedRevision, current.revision });
     const bool isChanged = !isSameForRouting(current.record, *entry.record);
     const bool isNewStart = current.record.incarnation != entry.record->incarnation;
     if (isNewStart || isCold(current.record) != isCold(*entry.record))
@@ -121,8 +145,8 @@
         current.coldUntil = coldUntil(*entry.record, now);
     current.record = *entry.record;
     current.revision = entry.revision;
-    // Peers may have dropped a server that was absent here.
-    if (isChanged || current.absence || context.mayHideDeletion)
+    // Peers may have dropped a server that was absent here, or listed a delayed heartbeat.
+    if (isChanged || current.absence || context.mayHideDeletion || wasHidden)
         current.lastChangeRevision = std::max(current.lastChangeRevision, entry.revision);
     if (isNewer)
         current.absence.reset();
@@ -166,8 +190,9 @@
 bool ServerDirectory::removeAbsent(const ServerChanges& listing, TimePoint now)
 {
     std::set<InstanceId> presentIds;
+    std::set<InstanceId> hiddenIds;
     for (const ServerEntry& entry : listing.entries)
-        presentIds.insert(entry.id);
+        (entry.record ? presentIds : hiddenIds).insert(entry.id);
     std::vector<InstanceId> absentIds;
     for (const auto& [id, entry] : m_entries) {
         if (!presentIds.contains(id))
@@ -176,6 +201,11 @@
     bool isChanged = false;
     for (const InstanceId& id : absentIds)
         isChanged |= removeOrDefer({ .id = id, .revision = listing.revision }, now);
+    // The source has no item of these servers any more.
+    for (auto& [id, deletion] : m_deletions) {
+        if (!presentIds.contains(id) && !hiddenIds.contains(id) && deletion.delayedRevision <= listing.revision)
+            deletion.delayedRevision = Revision();
+    }
     return isChanged;
 }
 
@@ -211,10 +241,13 @@
     if (found == m_entries.end()) {
         // Recorded all the same: a peer that asks may know the server.
         const auto deletion = m_deletions.find(removal.id);
-        if (deletion == m_deletions.end() || deletion->second.revision < removal.revision)
+        if (deletion == m_deletions.end() || deletion->second.revision < removal.revision) {
             drop(removal, now);
-        else
+        } else {
             deletion->second.lastHeartbeat = laterOf(deletion->second.lastHeartbeat, removal.lastHeartbeat);
+            deletion->second.delayedRevision
+                = firstAfter(deletion->second.revision, { deletion->second.delayedRevision, removal.delayedRevision });
+        }
         return false;
     }
     Entry& entry = found->second;
@@ -225,6 +258,8 @@
     if (!entry.absence)
         entry.absence = Absence { .lastListedAt = m_revision };
     entry.absence->revision = std::max(entry.absence->revision, removal.revision);
+    entry.delayedRevision = firstAfter(
+        std::max(entry.revision, entry.absence->revision), { entry.delayedRevision, removal.delayedRevision });
     entry.absence->lastHeartbeat = laterOf(entry.absence->lastHeartbeat, removal.lastHeartbeat);
     return false;
 }
@@ -233,18 +268,23 @@
 {
     if (m_deletions.size() >= m_options.maxEntries) {
         for (const auto& [deletedId, deletion] : m_deletions)
-            m_deletionsKnownSince = std::max(m_deletionsKnownSince, deletion.lastChangeRevision);
+            m_deletionsKnownSince
+                = std::max({ m_deletionsKnownSince, deletion.lastChangeRevision, deletion.delayedRevision });
         m_deletions.clear();
     }
     Deletion& deletion = m_deletions[removal.id];
     deletion.revision = removal.revision;
     deletion.lastChangeRevision = std::max(deletion.lastChangeRevision, removal.revision);
     deletion.lastHeartbeat = laterOf(deletion.lastHeartbeat, removal.lastHeartbeat);
+    deletion.delayedRevision = firstAfter(removal.revision, { deletion.delayedRevision, removal.delayedRevision });
     deletion.deletedAt = now;
     const auto found = m_entries.find(removal.id);
     if (found == m_entries.end())
         return false;
     deletion.lastChangeRevision = std::max(deletion.lastChangeRevision, found->second.lastChangeRevision);
+    // An entry that was written after the deletion is a delayed heartbeat, or it would not be dropped.
+    deletion.delayedRevision = firstAfter(
+        removal.revision, { deletion.delayedRevision, found->second.delayedRevision, found->second.revision });
     deletion.lastHeartbeat = laterOf(deletion.lastHeartbeat, found->second.record.position());
     m_entries.erase(found);
     return true;
@@ -255,7 +295,8 @@
     std::erase_if(m_deletions, [this, now](const auto& deletion) {
         if (now - deletion.second.deletedAt <= deletionRetention)
             return false;
-        m_deletionsKnownSince = std::max(m_deletionsKnownSince, deletion.second.lastChangeRevision);
+        m_deletionsKnownSince
+            = std::max({ m_deletionsKnownSince, deletion.second.lastChangeRevision, deletion.second.delayedRevision });
         return true;
     });
     if (!isGraceOver(now))
@@ -281,6 +322,23 @@
     return revision;
 }
 
+Revision ServerDirectory::revisionForRequest() const
+{
+    Revision first = m_revision;
+    size_t hiddenServers = 0;
+    const auto consider = [&](const auto& state) {
+        if (!state.isHidden())
+            return;
+        ++hiddenServers;
+        first = std::min(first, Revision(state.delayedRevision.value() - 1));
+    };
+    for (const auto& [id, entry] : m_entries)
+        consider(entry);
+    for (const auto& [id, deletion] : m_deletions)
+        consider(deletion);
+    return hiddenServers <= maxHiddenServers ? first : m_revision;
+}
+
 const ServerRecord* ServerDirectory::atAddress(const Endpoint& address) const
 {
     const ServerRecord* owner = nullptr;
@@ -344,16 +402,24 @@
         .revision = revisionForPeers(),
         .isListing = revision < m_deletionsKnownSince,
         .isFromPeer = true };
+    size_t hiddenServers = 0;
+    const auto mustTell
+        = [&](bool isChanged, bool isHidden) { return isChanged || (isHidden && ++hiddenServers <= maxHiddenServers); };
     for (const auto& [id, entry] : m_entries) {
-        if (changes.isListing || entry.lastChangeRevision > revision)
-            changes.entries.push_back({ .id = id, .revision = entry.revision, .record = entry.record });
+        const bool isHidden = entry.isHidden();
+        if (mustTell(changes.isListing || entry.lastChangeRevision > revision, isHidden))
+            changes.entries.push_back({ .id = id,
+                .revision = entry.revision,
+                .record = entry.record,
+                .delayedRevision = entry.delayedRevision });
     }
-    if (changes.isListing)
-        return changes;
     for (const auto& [id, deletion] : m_deletions) {
-        if (deletion.lastChangeRevision > revision)
-            changes.entries.push_back(
-                { .id = id, .revision = deletion.revision, .lastHeartbeat = deletion.lastHeartbeat });
+        const bool isHidden = deletion.isHidden();
+        if (mustTell(!changes.isListing && deletion.lastChangeRevision > revision, isHidden))
+            changes.entries.push_back({ .id = id,
+                .revision = deletion.revision,
+                .lastHeartbeat = deletion.lastHeartbeat,
+                .delayedRevision = deletion.delayedRevision });
     }
     return changes;
 }
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -21,6 +21,14 @@
 // Invariant: a directory with revision() r knows every change up to r; deletions that it defers are known too. A peer
 // asks for the changes since its revision, so a revision that is raised past an unknown deletion keeps a server that
 // has left for good. Only apply(ServerChanges) raises the revision, and only if the changes leave no gap.
+//
+// A listing breaks the invariant where the source's item of a key is a delayed heartbeat, since it hides the later
+// heartbeats or the deletion before it. Two rules repair this until the source's item is right again:
+// - A directory that ignored the item tells every peer what it knows of the server, whatever the peer's revision is,
+// and
+//   once more when the item is right.
+// - It asks peers for the changes since before the item. A peer that has listed the item does not count the server's
+//   next heartbeat as a change.
 #pragma once
 
 #include "membership/MembershipView.h"
@@ -79,6 +87,9 @@
     std::optional<ServerRecord> record;
     // For a deletion: the latest heartbeat of the server that the sender knows, if any.
     HeartbeatPosition lastHeartbeat;
+    // From a peer: the first revision after `revision` at which the source's item of the key was a delayed heartbeat,
+    // so that a listing hides this state; zero if it does not.
+    Revision delayedRevision {};
 };
 
 // The servers' entries for a range of revisions.
@@ -154,6 +165,8 @@
     ServerChanges changesSince(Revision revision) const;
     // The revision up to which every change is known.
     Revision revision() const { return m_revision; }
+    // The revision since which to ask a peer for changes.
+    Revision revisionForRequest() const;
     size_t size() const { return m_entries.size(); }
     uint64_t refusedCount() const { return m_refusedCount; }
     // Returns the heartbeats that were ignored since the last call, for the log.
@@ -174,19 +187,27 @@
         Revision revision;
         // Revision of the last change that affects routing.
         Revision lastChangeRevision;
+        // As in ServerEntry.
+        Revision delayedRevision;
         // Age of the server for the slow start; counts anew when the server becomes cold.
         TimePoint firstSeen;
         TimePoint coldUntil;
         // Set while the entry is missing and its grace period runs.
         std::optional<Absence> absence;
+
+        bool isHidden() const { return delayedRevision > revision; }
     };
     struct Deletion {
         Revision revision;
         // Revision of the last change of the key after which peers need the deletion.
         Revision lastChangeRevision;
+        // As in ServerEntry.
+        Revision delayedRevision;
         // Only a later heartbeat restores the server.
         HeartbeatPosition lastHeartbeat;
         TimePoint deletedAt;
+
+        bool isHidden() const { return delayedRevision > revision; }
     };
 
     struct EntryContext {
--- a/src/membership/tests/ServerDirectoryFleetTest.cpp
+++ b/src/membership/tests/ServerDirectoryFleetTest.cpp
@@ -227,6 +227,19 @@
                 .since = since,
                 .revision = revision() };
         }
+        // The source's present items.
+        ServerChanges listing() const
+        {
+            std::map<InstanceId, ServerEntry> items;
+            for (const ServerEntry& change : m_changes)
+                items[change.id] = change;
+            ServerChanges listing { .revision = revision(), .isListing = true };
+            for (const auto& [id, item] : items) {
+                if (item.record)
+                    listing.entries.push_back(item);
+            }
+            return listing;
+        }
         // The source's present item for this key, as a read returns it.
         std::optional<ServerEntry> item(const InstanceId& id) const
         {
@@ -354,5 +367,60 @@
             playDelayedHeartbeats(seed);
     }
 
+    void playStartsWithDelayedHeartbeats(uint64_t seed)
+    {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        constexpr size_t nodes = 5;
+        Random random(seed);
+        HeartbeatHistory history(random);
+        TimePoint now = TimePoint() + 1h;
+        // Has read every change; the other nodes start again, read the source in turn and ask each other.
+        ServerDirectory oldest({});
+        std::vector<ServerDirectory> others(nodes, ServerDirectory({}));
+        for (int step = 0; step < 400; ++step) {
+            SCOPED_TRACE("step " + std::to_string(step));
+            now += std::chrono::milliseconds(random.below(100));
+            history.change();
+            oldest.apply(history.changes(oldest.revision()), now);
+            ASSERT_EQ(serversInUse(oldest), history.state());
+            ServerDirectory& node = others[random.below(nodes)];
+            ServerDirectory& other = others[random.below(nodes)];
+            switch (random.below(6)) {
+            case 0:
+                node = ServerDirectory({});
+                node.apply(history.listing(), now);
+                break;
+            case 1:
+                node.apply(history.changes(node.revision()), now);
+                break;
+            case 2:
+                if (&node != &other)
+                    node.apply(other.changesSince(node.revisionForRequest()), now);
+                break;
+            case 3:
+                // The second node follows one that follows.
+                node.apply(oldest.changesSince(node.revisionForRequest()), now);
+                ASSERT_EQ(node.revision(), history.revision());
+                ASSERT_EQ(serversInUse(node), history.state());
+                other.apply(node.changesSince(other.revisionForRequest()), now);
+                ASSERT_EQ(other.revision(), history.revision());
+                ASSERT_EQ(serversInUse(other), history.state());
+                break;
+            default:
+                break;
+            }
+        }
+    }
+
+    // Guards against a node that uses a draining server, or one that has left, for good: it listed a delayed heartbeat
+    // when it started, and the nodes that it follows had ignored it. Starts and changes of the reader come in any
+    // order.
+    TEST(ServerDirectoryFleetTest, StartedNodesLearnWhichListedHeartbeatsAreDelayed)
+    {
+        constexpr uint64_t seeds = 200;
+        for (uint64_t seed = 1; seed <= seeds && !testing::Test::HasFailure(); ++seed)
+            playStartsWithDelayedHeartbeats(seed);
+    }
+
 } // namespace
 } // namespace skylark
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -223,6 +223,100 @@
         EXPECT_EQ(listedCount(follower), 0u);
     }
 
+    // A directory that knows that server "1" drains and ignores a delayed heartbeat, at revision 12. Heartbeats of
+    // server "2" follow, so that a node that lists the source passes the revision of the delayed one.
+    ServerDirectory directoryWithDelayedHeartbeat()
+    {
+        ServerDirectory directory({});
+        directory.apply(listing({ heartbeat("1", 9, 1), heartbeat("2", 10, 1) }, 10), start);
+        directory.apply(changes({ heartbeat("1", 11, 3, true), heartbeat("1", 12, 2) }, 10, 12), start);
+        directory.apply(changes({ heartbeat("2", 13, 2) }, 12, 13), start);
+        return directory;
+    }
+
+    Condition conditionOf(const ServerDirectory& directory, const std::string& id)
+    {
+        const auto view = directory.view();
+        const InstanceState* state = view->find(InstanceId(id));
+        return state ? state->condition : Condition::Gone;
+    }
+
+    // Guards against a started node that uses a draining server until it is gone: it lists the delayed heartbeat, which
+    // the node that it follows has ignored, and the server's later heartbeats change nothing there.
+    TEST(ServerDirectoryTest, PeerCorrectsADelayedHeartbeatThatItsFollowerListed)
+    {
+        ServerDirectory reader = directoryWithDelayedHeartbeat();
+        ServerDirectory follower({});
+        follower.apply(listing({ heartbeat("1", 12, 2), heartbeat("2", 13, 2) }, 13), start);
+        EXPECT_EQ(conditionOf(follower, "1"), Condition::Live);
+        EXPECT_TRUE(follower.apply(reader.changesSince(follower.revision()), start));
+        EXPECT_EQ(conditionOf(follower, "1"), Condition::Leaving);
+    }
+
+    // The same if the follower asks only after the server's next heartbeat.
+    TEST(ServerDirectoryTest, PeerCorrectsAListedDelayedHeartbeatAfterTheNextOne)
+    {
+        ServerDirectory reader = directoryWithDelayedHeartbeat();
+        ServerDirectory follower({});
+        follower.apply(listing({ heartbeat("1", 12, 2), heartbeat("2", 13, 2) }, 13), start);
+        reader.apply(changes({ heartbeat("1", 14, 4, true), heartbeat("2", 15, 3) }, 13, 15), start);
+        EXPECT_TRUE(follower.apply(reader.changesSince(follower.revision()), start));
+        EXPECT_EQ(conditionOf(follower, "1"), Condition::Leaving);
+        // The source's entry is right again, so a follower that is up to date is told nothing.
+        EXPECT_TRUE(reader.changesSince(Revision(15)).entries.empty());
+    }
+
+    // The same if the follower asks a node that has not seen the delayed heartbeat itself and reads the source next.
+    TEST(ServerDirectoryTest, NextReaderCorrectsAListedDelayedHeartbeat)
+    {
+        const ServerDirectory reader = directoryWithDelayedHeartbeat();
+        ServerDirectory next({});
+        next.apply(listing({ heartbeat("1", 11, 3, true), heartbeat("2", 10, 1) }, 11), start);
+        next.apply(reader.changesSince(next.revision()), start);
+        ServerDirectory follower({});
+        follower.apply(listing({ heartbeat("1", 12, 2), heartbeat("2", 13, 2) }, 13), start);
+        ServerDirectory lateFollower = follower;
+        EXPECT_TRUE(follower.apply(next.changesSince(follower.revision()), start));
+        EXPECT_EQ(conditionOf(follower, "1"), Condition::Leaving);
+        next.apply(changes({ heartbeat("1", 14, 4, true) }, 13, 14), start);
+        EXPECT_TRUE(lateFollower.apply(next.changesSince(lateFollower.revision()), start));
+        EXPECT_EQ(conditionOf(lateFollower, "1"), Condition::Leaving);
+    }
+
+    // The same for a server that has left: its delayed heartbeat is listed until it expires.
+    TEST(ServerDirectoryTest, PeerCorrectsAListedDelayedHeartbeatOfAServerThatLeft)
+    {
+        ServerDirectory reader({});
+        reader.apply(listing({ heartbeat("1", 9, 3), heartbeat("2", 10, 1) }, 10), start);
+        reader.apply(changes({ deletion("1", 11), heartbeat("1", 12, 2), heartbeat("2", 13, 2) }, 10, 13), start);
+        ServerDirectory follower({});
+        follower.apply(listing({ heartbeat("1", 12, 2), heartbeat("2", 13, 2) }, 13), start);
+        EXPECT_EQ(conditionOf(follower, "1"), Condition::Live);
+        EXPECT_TRUE(follower.apply(reader.changesSince(follower.revision()), start));
+        EXPECT_EQ(conditionOf(follower, "1"), Condition::Gone);
+        // A node that follows this one has listed the same.
+        ServerDirectory next({});
+        next.apply(listing({ heartbeat("1", 12, 2), heartbeat("2", 13, 2) }, 13), start);
+        EXPECT_TRUE(next.apply(follower.changesSince(next.revision()), start));
+        EXPECT_EQ(conditionOf(next, "1"), Condition::Gone);
+    }
+
+    // Guards against a server that is missing for good after its return: the followed node has listed a delayed heartbeat
+    // that the follower ignored, so the server's next heartbeat changes nothing there.
+    TEST(ServerDirectoryTest, FollowerLearnsOfAReturnThatIsNoChangeForItsPeer)
+    {
+        ServerDirectory follower({});
+        follower.apply(listing({ heartbeat("1", 9, 3) }, 10), start);
+        follower.apply(changes({ deletion("1", 11), heartbeat("1", 12, 2) }, 10, 13), start);
+        ServerDirectory peer({});
+        peer.apply(listing({ heartbeat("1", 12, 2) }, 13), start);
+        EXPECT_FALSE(peer.apply(changes({ heartbeat("1", 14, 4) }, 13, 14), start));
+        EXPECT_EQ(conditionOf(follower, "1"), Condition::Gone);
+        EXPECT_TRUE(follower.apply(peer.changesSince(follower.revisionForRequest()), start));
+        EXPECT_EQ(conditionOf(follower, "1"), Condition::Live);
+        EXPECT_EQ(follower.revisionForRequest(), Revision(14));
+    }
+
     // Guards against ignoring entries of peers that do not tell the number of a heartbeat.
     TEST(ServerDirectoryTest, RevisionDecidesIfTheHeartbeatIsUnknown)
     {
--- a/src/proxy/ListedServers.cpp
+++ b/src/proxy/ListedServers.cpp
@@ -1,10 +1,28 @@
 #include "proxy/ListedServers.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace skylark {
 
+namespace {
+
+    // A larger distance, as between two eras of the source, is told as the largest one.
+    uint32_t delayedAfter(const ServerEntry& entry)
+    {
+        if (entry.delayedRevision <= entry.revision)
+            return 0;
+        const uint64_t distance = entry.delayedRevision.value() - entry.revision.value();
+        return static_cast<uint32_t>(std::min<uint64_t>(distance, std::numeric_limits<uint32_t>::max()));
+    }
+
+} // namespace
+
 ListedServer toListed(const ServerEntry& entry)
 {
-    ListedServer listed { .id = entry.id, .revision = entry.revision, .isDeleted = !entry.record };
+    ListedServer listed {
+        .id = entry.id, .revision = entry.revision, .isDeleted = !entry.record, .delayedAfter = delayedAfter(entry)
+    };
     const HeartbeatPosition position = entry.record ? entry.record->position() : entry.lastHeartbeat;
     listed.incarnation = position.incarnation;
     listed.knowsHeartbeat = position.number.has_value();
@@ -23,7 +41,10 @@
 
 ServerEntry fromListed(const ListedServer& listed)
 {
-    ServerEntry entry { .id = listed.id, .revision = listed.revision };
+    ServerEntry entry { .id = listed.id,
+        .revision = listed.revision,
+        .delayedRevision
+        = listed.delayedAfter > 0 ? Revision(listed.revision.value() + listed.delayedAfter) : Revision() };
     const HeartbeatPosition position { .incarnation = listed.incarnation,
         .number = listed.knowsHeartbeat ? std::optional(listed.heartbeat) : std::nullopt };
     if (listed.isDeleted) {
--- a/src/proxy/ProxyNode.cpp
+++ b/src/proxy/ProxyNode.cpp
@@ -112,7 +112,7 @@
                   [this] {
                       const auto& current = m_forwarder.configuration();
                       return SourceUpdateRequest { .version = current ? current->manifest().version : VersionNumber(),
-                          .revision = m_directory.revision(),
+                          .revision = m_directory.revisionForRequest(),
                           .evacuationRevision = m_evacuations.revision() };
                   },
               .sendRequest
--- a/src/proxy/tests/LinkRefusalTest.cpp
+++ b/src/proxy/tests/LinkRefusalTest.cpp
@@ -125,16 +125,6 @@
         EXPECT_EQ(link.reservedBytes(), 0u);
     }
 
-    // The value in skylark_state, from the node's metrics page; below zero if it is not there.
-    double stateValue(const Endpoint& admin, const std::string& name)
-    {
-        httplib::Client client(admin.host, admin.port);
-        const auto page = client.Get("/metrics");
-        const std::string line = "\nskylark_state{value=\"" + name + "\"} ";
-        const size_t found = page ? page->body.find(line) : std::string::npos;
-        return found == std::string::npos ? -1 : std::stod(page->body.substr(found + line.size()));
-    }
-
     // Guards against callers that get the refusal of a node with a full link although other nodes have room, and
     // against a refusal that counts as a fault of the server.
     TEST(LinkFleetTest, RefusedCallsRunAtOtherInstances)
--- a/src/proxy/tests/ListedServersTest.cpp
+++ b/src/proxy/tests/ListedServersTest.cpp
@@ -38,6 +38,18 @@
         EXPECT_EQ(received.lastHeartbeat, deletion.lastHeartbeat);
     }
 
+    // Guards against a next reader that does not know which states a listing hides.
+    TEST(ListedServersTest, DelayedRevisionArrives)
+    {
+        ServerEntry entry { .id = InstanceId("s1"), .revision = Revision(9), .delayedRevision = Revision(12) };
+        EXPECT_EQ(fromListed(toListed(entry)).delayedRevision, Revision(12));
+        entry.delayedRevision = Revision();
+        EXPECT_EQ(fromListed(toListed(entry)).delayedRevision, Revision());
+        // Across eras only that there is one matters.
+        entry.delayedRevision = Revision(uint64_t { 3 } << 40);
+        EXPECT_GT(fromListed(toListed(entry)).delayedRevision, entry.revision);
+    }
+
     TEST(ListedServersTest, HeartbeatOfAnEarlierReleaseIsUnknown)
     {
         const ServerEntry received = fromListed({ .id = InstanceId("s1"), .incarnation = Incarnation(3) });
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -430,6 +430,15 @@
     return true;
 }
 
+double stateValue(const Endpoint& admin, const std::string& name)
+{
+    httplib::Client client(admin.host, admin.port);
+    const auto page = client.Get("/metrics");
+    const std::string line = "\nskylark_state{value=\"" + name + "\"} ";
+    const size_t found = page ? page->body.find(line) : std::string::npos;
+    return found == std::string::npos ? -1 : std::stod(page->body.substr(found + line.size()));
+}
+
 TestResponse sendRequest(const Endpoint& node, const std::string& id, const std::string& path, const std::string& body,
     int deadlineMilliseconds)
 {
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -173,4 +173,7 @@
 TestResponse sendRequest(const Endpoint& node, const std::string& id, const std::string& path,
     const std::string& body = "", int deadlineMilliseconds = 2000);
 
+// The value of this name in the metric skylark_state of a node; -1 if there is none.
+double stateValue(const Endpoint& admin, const std::string& name);
+
 } // namespace skylark
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -252,6 +252,36 @@
         }
     }
 
+    // Guards against a started node that uses its draining server until it is gone: its listing shows a delayed
+    // heartbeat that the node which it follows has ignored, and the server's later heartbeats change nothing there.
+    TEST(ProxyNodeTest, StartedFollowerLearnsThatAListedHeartbeatIsDelayed)
+    {
+        constexpr size_t nodes = 5;
+        ProxyFleet fleet(nodes);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        std::this_thread::sleep_for(1s);
+        // Three nodes of a zone read the source.
+        size_t follower = 0;
+        while (follower < nodes && stateValue(fleet.adminAddress(follower), "is_reader") != 0)
+            ++follower;
+        ASSERT_LT(follower, nodes);
+        fleet.putServerEntry(follower, true, 1, 3);
+        std::this_thread::sleep_for(300ms);
+        fleet.stopNode(follower);
+        fleet.putServerEntry(follower, false, 1, 2);
+        std::this_thread::sleep_for(300ms);
+        fleet.startNode(follower);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        std::this_thread::sleep_for(1500ms);
+        fleet.putServerEntry(follower, true, 1, 4);
+        std::this_thread::sleep_for(500ms);
+        ASSERT_EQ(stateValue(fleet.adminAddress(follower), "is_reader"), 0);
+        const size_t executions = fleet.server(follower).executions().size();
+        for (int i = 0; i < 60; ++i)
+            EXPECT_EQ(sendRequest(fleet.callerAddress(follower), std::to_string(i), "/pay/x", "fee").status, 200);
+        EXPECT_EQ(fleet.server(follower).executions().size(), executions);
+    }
+
     // The text of a GET request with these headers besides those that each request has.
     std::string requestText(const std::string& id, const HttpHeaders& headers)
     {
--- a/src/wire/Fields.h
+++ b/src/wire/Fields.h
@@ -79,7 +79,7 @@
 auto fieldsOf(MaybeConst<ListedServer> auto& m)
 {
     return std::tie(m.id, m.revision, m.isDeleted, m.incarnation, m.service, m.zone, m.address, m.slots, m.isDraining,
-        m.remainingSlowStart, m.knowsHeartbeat, m.heartbeat);
+        m.remainingSlowStart, m.knowsHeartbeat, m.heartbeat, m.delayedAfter);
 }
 auto fieldsOf(MaybeConst<SourceUpdate> auto& m)
 {
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -316,6 +316,9 @@
     // Belongs to `incarnation`. Earlier senders set neither field.
     bool knowsHeartbeat { false };
     HeartbeatNumber heartbeat;
+    // The source's item was a delayed heartbeat this many revisions after `revision`, so that a listing hides this
+    // state; zero if it does not.
+    uint32_t delayedAfter { 0 };
     bool operator==(const ListedServer&) const = default;
 };
 
