Drop a caller's Connection headers before the node sets its own

Cause: the headers that Connection names were dropped at the gate, after the node beside the caller had set its own headers.

Change: they are dropped once, at the edge, before the node sets anything, and Connection cannot name Host or a header that the system relies on. The gate still drops connection headers for requests of nodes of an earlier release.

Ruled out: a header of the caller that replaces the system's (without Connection the system's value arrives).

--- a/src/http/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -53,7 +53,7 @@
     std::erase_if(headers, [name](const HttpHeader& header) { return isNamed(header, name); });
 }
 
-void removeConnectionHeaders(HttpHeaders& headers)
+void removeConnectionHeaders(HttpHeaders& headers, std::span<const std::string_view> endToEndNames)
 {
     std::vector<std::string> connectionOptions;
     for (const HttpHeader& header : headers) {
@@ -62,10 +62,12 @@
         for (absl::string_view part : absl::StrSplit(header.value, ','))
             connectionOptions.emplace_back(absl::StripAsciiWhitespace(part));
     }
-    std::erase_if(headers, [&connectionOptions](const HttpHeader& header) {
+    std::erase_if(headers, [&](const HttpHeader& header) {
         const auto matches = [&header](std::string_view name) { return isNamed(header, name); };
-        return std::any_of(connectionHeaders.begin(), connectionHeaders.end(), matches)
-            || std::any_of(connectionOptions.begin(), connectionOptions.end(), matches);
+        if (std::any_of(connectionHeaders.begin(), connectionHeaders.end(), matches))
+            return true;
+        return std::any_of(connectionOptions.begin(), connectionOptions.end(), matches)
+            && std::none_of(endToEndNames.begin(), endToEndNames.end(), matches);
     });
 }
 
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,8 +28,9 @@
 void setHeader(HttpHeaders& headers, std::string_view name, std::string value);
 void removeHeader(HttpHeaders& headers, std::string_view name);
 // Removes the hop-by-hop headers: Connection and the headers that it names, Keep-Alive, Transfer-Encoding, TE, Trailer,
-// Upgrade, Proxy-Connection and Expect. Also removes Content-Length, which serialize() adds again.
-void removeConnectionHeaders(HttpHeaders& headers);
+// Upgrade, Proxy-Connection and Expect. Also removes Content-Length, which serialize() adds again. Headers in
+// `endToEndNames` stay even if Connection names them: a sender must not name headers that are meant for all recipients.
+void removeConnectionHeaders(HttpHeaders& headers, std::span<const std::string_view> endToEndNames = {});
 
 // Returns true for a status from 100 to 599. Others have no meaning, so a message with one is no response.
 bool isResponseStatus(int status);
--- a/src/http/tests/MessageParserTest.cpp
+++ b/src/http/tests/MessageParserTest.cpp
@@ -329,6 +329,15 @@
         EXPECT_EQ(headers, (HttpHeaders { { "X-Kept", "2" } }));
     }
 
+    // Guards against a sender that takes a header off which the recipients rely on.
+    TEST(HttpMessageTest, ConnectionCannotNameHeadersForAllRecipients)
+    {
+        const std::vector<std::string_view> kept { "X-Kept", "Connection" };
+        HttpHeaders headers { { "Connection", "x-kept, X-Drop" }, { "X-Kept", "1" }, { "X-Drop", "2" } };
+        removeConnectionHeaders(headers, kept);
+        EXPECT_EQ(headers, (HttpHeaders { { "X-Kept", "1" } }));
+    }
+
     TEST(HttpMessageTest, ParsesSerializedMessages)
     {
         const HttpRequest request {
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -296,7 +296,7 @@
                     "the server refused the call with " + std::to_string(response.status), loadFor(call->gateCall)));
             return;
         }
-        removeConnectionHeaders(response.headers);
+        removeConnectionHeaders(response.headers, m_httpConventions.endToEndNames());
         if (m_options.link && call->gateCall.isFromPeer && response.status >= firstSuccess
             && response.status < firstRedirect)
             m_options.link->recordResponse(call->gateCall.route, sizeOf(response), m_loop.now());
@@ -355,7 +355,8 @@
 {
     const HttpRequest& received = *call.request;
     HttpRequest request { .method = received.method, .target = received.target, .headers = received.headers };
-    removeConnectionHeaders(request.headers);
+    // A peer of an earlier release passes the headers of its caller's connection on.
+    removeConnectionHeaders(request.headers, m_httpConventions.endToEndNames());
     setHeader(request.headers, m_httpConventions.deadline, millisecondsText(call.deadline - m_loop.now()));
     setHeader(request.headers, m_httpConventions.expectedInstance, m_server ? m_server->id.value() : "");
     return serializeHead(request, received.body.size());
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -170,6 +170,9 @@
     call->receivedAt = receivedAt;
     call->configuration = m_configuration;
     call->requestId = requestIdOf(request);
+    // The caller's connection ends here. This must come before the node sets headers of its own: the gate drops what a
+    // Connection header names, and an early removal keeps the caller from naming those.
+    removeConnectionHeaders(request.headers, m_httpConventions.endToEndNames());
     removeHeader(request.headers, m_httpConventions.expectedInstance);
     setHeader(request.headers, m_httpConventions.callerService, m_options.callerService.value());
     call->request = std::make_shared<const HttpRequest>(std::move(request));
--- a/src/proxy/HttpConventions.h
+++ b/src/proxy/HttpConventions.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace skylark {
 
@@ -25,6 +27,14 @@
     // "1" if the server is about to leave.
     std::string serverLeaving { "Skylark-Server-Leaving" };
     std::string readyPath { "/ready" };
+
+    // The headers that all recipients of a message rely on. Neither a caller nor a server removes them by naming them
+    // in Connection. The result refers to the members.
+    std::vector<std::string_view> endToEndNames() const
+    {
+        return { "Host", requestId, deadline, expectedInstance, callerService, proof, notExecuted, serverLimit,
+            serverLeaving };
+    }
 };
 
 } // namespace skylark
--- a/src/proxy/tests/ProxyNodeTest.cpp
+++ b/src/proxy/tests/ProxyNodeTest.cpp
@@ -326,6 +326,58 @@
             EXPECT_EQ(statusOf(fleet.callerAddress(node), requestText("few-" + std::to_string(node), {})), 200) << node;
     }
 
+    // Guards against callers that remove or change what the system itself says in a request, by naming its headers in
+    // Connection or repeating them: at this node's own server and at a peer's.
+    TEST(ProxyNodeTest, CallerCannotRemoveOrForgeTheSystemsHeaders)
+    {
+        const HttpConventions names;
+        const std::vector<HttpHeaders> attempts { { { "Connection", "keep-alive, " + names.callerService } },
+            { { "connection", names.callerService }, { names.callerService, "forged" } },
+            { { "Connection", "close" }, { "CONNECTION", "x , skylark-caller-service,, Skylark-Expect-Instance" } },
+            { { "Connection", names.requestId + "," + names.deadline + ",Host" } },
+            { { names.callerService, "forged" }, { "skylark-caller-service", "forged too" },
+                { names.expectedInstance, "forged" }, { names.deadline, "999999" } } };
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        fleet.putServerEntry(0, true, 1);
+        std::this_thread::sleep_for(300ms);
+        for (const size_t node : { 0, 1 }) {
+            for (size_t i = 0; i < attempts.size(); ++i) {
+                const std::string id = std::to_string(node) + "-" + std::to_string(i);
+                SCOPED_TRACE(id);
+                EXPECT_EQ(statusOf(fleet.callerAddress(node), requestText(id, attempts[i])), 200);
+                const HttpHeaders received = fleet.server(1).requestHeaders(id);
+                const auto values = [&received](std::string_view name) {
+                    std::vector<std::string> found;
+                    for (const HttpHeader& header : received) {
+                        if (findHeader({ header }, name))
+                            found.push_back(header.value);
+                    }
+                    return found;
+                };
+                EXPECT_EQ(values(names.callerService), std::vector<std::string> { "work" });
+                EXPECT_EQ(values(names.expectedInstance), std::vector<std::string> { "s1" });
+                EXPECT_EQ(values(names.requestId), std::vector<std::string> { id });
+                EXPECT_EQ(values("Host"), std::vector<std::string> { "x" });
+                EXPECT_EQ(values("Connection"), std::vector<std::string> {});
+                ASSERT_EQ(values(names.deadline).size(), 1u);
+                EXPECT_LE(std::stoi(values(names.deadline).front()), 2000);
+            }
+        }
+    }
+
+    // Guards against a server that takes the proof or its notices off its own answers by naming them in Connection.
+    TEST(ProxyNodeTest, ServerCannotRemoveTheProofWithConnection)
+    {
+        ProxyFleet fleet(2);
+        ASSERT_TRUE(fleet.waitUntilReady());
+        for (const size_t index : { 0, 1 })
+            fleet.server(index).setExtraHeaders(
+                { { "Connection", HttpConventions().proof + ", " + HttpConventions().requestId } });
+        for (int i = 0; i < 6; ++i)
+            EXPECT_EQ(sendRequest(fleet.callerAddress(0), std::to_string(i), "/pay/x", "fee").status, 200);
+    }
+
     // Guards against requests that are refused in the tenths of a second in which a node that has started reads its
     // first configuration. After a loss of all power these were thousands.
     TEST(ProxyNodeTest, RequestsWaitForTheFirstConfiguration)
