Drop the trailer fields of requests

Callers saw: a chunked request whose trailer has a Host field got 400, and other trailer fields went on as headers beside those of the head, so that a server could read a second id or deadline.

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -107,10 +107,10 @@
                     error = http::error::bad_field;
                     return;
                 }
-                // Trailer fields must not change what the head said, such as the id of the request.
-                if (this->is_header_done())
-                    return;
             }
+            // Trailer fields must not change what the head said, such as the id of the request.
+            if (this->is_header_done())
+                return;
             if (field == http::field::content_length)
                 ++contentLengthHeaders;
             if (field == http::field::host)
--- a/src/http/tests/MessageParserTest.cpp
+++ b/src/http/tests/MessageParserTest.cpp
@@ -293,6 +293,22 @@
         }
     }
 
+    // Guards against a trailer field that is taken for a header, such as a second id of the request.
+    TEST(RequestParserTest, TrailerFieldsAreDropped)
+    {
+        RequestParser parser({});
+        parser.append("POST /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+                      "Id: 2\r\nHost: g\r\n\r\nGET /y HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto request = parser.next();
+        ASSERT_TRUE(request);
+        EXPECT_EQ(request->body, "a");
+        EXPECT_EQ(
+            request->headers, (HttpHeaders { { "Host", "h" }, { "Id", "1" }, { "Transfer-Encoding", "chunked" } }));
+        const auto next = parser.next();
+        ASSERT_TRUE(next);
+        EXPECT_EQ(next->target, "/y");
+    }
+
     // Guards against a trailer field that changes what the head said, such as the id of the request. An invalid trailer
     // still makes the whole message invalid.
     TEST(ResponseParserTest, TrailerFieldsAreCheckedAndDropped)
