--- a/src/membership/ServerDirectory.cpp
+++ b/src/membership/ServerDirectory.cpp
@@ -403,19 +403,20 @@
         .isListing = revision < m_deletionsKnownSince,
         .isFromPeer = true };
     size_t hiddenServers = 0;
-    const auto mustTell
-        = [&](bool isChanged, bool isHidden) { return isChanged || (isHidden && ++hiddenServers <= maxHiddenServers); };
+    const auto mustTell = [&hiddenServers](bool isChanged, bool isHidden) {
+        hiddenServers += isHidden ? 1 : 0;
+        return isChanged || (isHidden && hiddenServers <= maxHiddenServers);
+    };
     for (const auto& [id, entry] : m_entries) {
-        const bool isHidden = entry.isHidden();
-        if (mustTell(changes.isListing || entry.lastChangeRevision > revision, isHidden))
+        if (mustTell(changes.isListing || entry.lastChangeRevision > revision, entry.isHidden()))
             changes.entries.push_back({ .id = id,
                 .revision = entry.revision,
                 .record = entry.record,
                 .delayedRevision = entry.delayedRevision });
     }
+    // A listing names the hidden deletions too: the peer may have listed these servers.
     for (const auto& [id, deletion] : m_deletions) {
-        const bool isHidden = deletion.isHidden();
-        if (mustTell(!changes.isListing && deletion.lastChangeRevision > revision, isHidden))
+        if (mustTell(!changes.isListing && deletion.lastChangeRevision > revision, deletion.isHidden()))
             changes.entries.push_back({ .id = id,
                 .revision = deletion.revision,
                 .lastHeartbeat = deletion.lastHeartbeat,
--- a/src/membership/ServerDirectory.h
+++ b/src/membership/ServerDirectory.h
@@ -22,13 +22,12 @@
 // asks for the changes since its revision, so a revision that is raised past an unknown deletion keeps a server that
 // has left for good. Only apply(ServerChanges) raises the revision, and only if the changes leave no gap.
 //
-// A listing breaks the invariant where the source's item of a key is a delayed heartbeat, since it hides the later
-// heartbeats or the deletion before it. Two rules repair this until the source's item is right again:
-// - A directory that ignored the item tells every peer what it knows of the server, whatever the peer's revision is,
-// and
-//   once more when the item is right.
-// - It asks peers for the changes since before the item. A peer that has listed the item does not count the server's
-//   next heartbeat as a change.
+// A listing breaks the invariant where the source's item of a key is a delayed heartbeat: it hides the later heartbeats
+// or the deletion before it. Until the source's item is right again, two rules repair this:
+// - A directory that ignored the item tells every peer what it knows of this server, whatever the peer's revision is.
+//   It tells it once more when the item is right.
+// - It asks peers for the changes since before the item, because a peer that has listed the item does not count the
+//   server's next heartbeat as a change.
 #pragma once
 
 #include "membership/MembershipView.h"
--- a/src/membership/tests/ServerDirectoryTest.cpp
+++ b/src/membership/tests/ServerDirectoryTest.cpp
@@ -301,8 +301,8 @@
         EXPECT_EQ(conditionOf(next, "1"), Condition::Gone);
     }
 
-    // Guards against a server that is missing for good after its return: the followed node has listed a delayed heartbeat
-    // that the follower ignored, so the server's next heartbeat changes nothing there.
+    // Guards against a server that is missing for good after its return: the followed node has listed a delayed
+    // heartbeat that the follower ignored, so the server's next heartbeat changes nothing there.
     TEST(ServerDirectoryTest, FollowerLearnsOfAReturnThatIsNoChangeForItsPeer)
     {
         ServerDirectory follower({});
