--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -194,6 +194,24 @@
             self.report()
             await asyncio.sleep(1.5)
 
+    async def restart(self, clock_step_ms=0):
+        """Crashes and starts again under the same id, with the machine's time of day off by `clock_step_ms`."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self._born = int(time.time() * 1000) + clock_step_ms
+        self._sequence = 0
+        self.state = "ready"
+        self.record(f"worker {self.id} restarted, born={self._born}")
+        self.report()
+
+    def exit(self):
+        """Ends the worker: its entry goes, and what it still runs is lost."""
+        self.record(f"worker {self.id} exits")
+        self.leave()
+        self._server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def leave(self):
         self.is_registered = False
         self.store.remove(f"servers/{self.id}")
