--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -167,6 +167,7 @@
 
     def __init__(self, record, store, number, service, zone, address, answer):
         self.record, self.store, self.service, self.zone, self.address = record, store, service, zone, address
+        self.number = number
         self.id = f"i-{number}{random.getrandbits(24):06x}"
         self.answer = answer
         self.state = "ready"
