--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -175,6 +175,7 @@
         self.is_registered = True
         self.runs = []
         self.writers = set()
+        self.cold_until = 0.0
         self._born = int(time.time() * 1000)
         self._sequence = 0
         self._tasks = []
@@ -188,7 +189,8 @@
         self.store.put(f"servers/{self.id}", {
             "address": "%s:%d" % self.address, "born": self._born,
             "info": {"service": self.service, "version": "v1", "zone": self.zone, "slots": self.slots},
-            "status": {"state": self.state, "sequence": self._sequence, "cold_left": "0ms"}})
+            "status": {"state": self.state, "sequence": self._sequence,
+                       "cold_left": f"{max(0, int(1000 * (self.cold_until - time.monotonic())))}ms"}})
 
     async def _beat(self):
         while self.is_registered:
@@ -205,6 +207,12 @@
         self.record(f"worker {self.id} restarted, born={self._born}")
         self.report()
 
+    def become_cold(self, seconds):
+        """Health answers and each later report say it."""
+        self.cold_until = time.monotonic() + seconds
+        self.record(f"worker {self.id} is cold for {seconds} s")
+        self.report()
+
     def exit(self):
         """Ends the worker: its entry goes, and what it still runs is lost."""
         self.record(f"worker {self.id} exits")
@@ -229,6 +237,12 @@
                         ("Skylarkbay-Instance-Id", self.id), ("Content-Length", 0)]))
                     continue
                 method, target, _ = head.start.split()
+                if target == "/healthz":
+                    cold_ms = max(0, int(1000 * (self.cold_until - time.monotonic())))
+                    self.record(f"health check at {self.id}")
+                    writer.write(head_bytes("HTTP/1.1 200 OK", [
+                        ("Skylarkbay-Instance-Id", self.id), ("Skylarkbay-Cold-Ms", cold_ms), ("Content-Length", 0)]))
+                    continue
                 self.runs.append((time.monotonic(), request_id))
                 self.record(f"run id={request_id} {method} {target} at={self.service}/{self.id} "
                             f"deadline={head.field('Skylarkbay-Deadline-Ms')}")
@@ -335,7 +349,7 @@
                 probe.bind((f"127.{self.network}.9.9", first + offset))
         return {name: first + offset for offset, name in enumerate(names)}
 
-    def configure(self, rules, limits=None):
+    def configure(self, rules, limits=None, cluster=None):
         """`rules`: (name, prefix, service or split, kind, timeout_ms, max_attempts)."""
         self.version += 1
         policy = []
@@ -350,7 +364,8 @@
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms",
                        "idle_timeout": "15000ms", **(limits or {})},
             "listeners": [{"host": HOST, "policy": policy}],
-            "clusters": [{"name": name, "health_path": "/healthz", "max_connections": 120} for name in services]})
+            "clusters": [{"name": name, "health_path": "/healthz", "max_connections": 120,
+                          **(cluster or {})} for name in services]})
         self.record(f"operator sent version {self.version:08x}")
 
     async def __aenter__(self):
