Do not deliver a server's 408, 429 or 503 that may follow a run

What callers saw: a server ran a request, failed, and answered 503 without stating that it had not run it. The node passed the answer on.

Cause: CallForwarder::handleResponse() delivered each failure of a server as it was. Only the header notExecuted and 421, which gates turn into refusals, were told apart. 408, 421, 429 and 503 say something of the request that only the system can know. Ruled out: a late refusal of the node itself (the answer bears the server's signature), a gate that takes the answer for a refusal (it would be unsigned and lead to another server), and a fault of one way or one form of body (see the tests).

Change: classifyResponse() decides what a server's answer says, for the gate, its connection and the forwarder. An ambiguous refusal ends the call with 502 and a reason that names the server's status, for idempotent requests too; it is not sent again, like other failures of a server. Other statuses arrive as before. attempt-failed, request-failed and the value ambiguous_refusals show that the server failed. The test for a 2xx status, which stood twice, is one function.

Tests, without this change: RefusalWithoutAStatementIsNoPromise failed for all 36 combinations of way (own server, peer), kind of route, form of the body and status; the tests of HEAD, of a retry and of the log failed too. StatedRefusalLeadsToAnotherServer passed, and OtherFailuresArriveUnchanged failed only in the new counter.

--- a/src/http/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -71,6 +71,13 @@
     });
 }
 
+bool isSuccessStatus(int status)
+{
+    constexpr int firstSuccess = 200;
+    constexpr int firstRedirect = 300;
+    return status >= firstSuccess && status < firstRedirect;
+}
+
 bool isResponseStatus(int status)
 {
     constexpr int firstStatus = 100;
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -34,6 +34,8 @@
 
 // Returns true for a status from 100 to 599. Others have no meaning, so a message with one is no response.
 bool isResponseStatus(int status);
+// Returns true for a status from 200 to 299.
+bool isSuccessStatus(int status);
 // Returns true for a token.
 bool isFieldName(std::string_view name);
 // Returns true if the value has no control bytes besides tabs.
--- a/src/proxy/BackendConnection.cpp
+++ b/src/proxy/BackendConnection.cpp
@@ -1,5 +1,7 @@
 #include "proxy/BackendConnection.h"
 
+#include "proxy/ResponseKind.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
@@ -8,7 +10,6 @@
 
 namespace {
 
-    constexpr int statusMisdirected = 421;
     // The server runs on the same instance.
     constexpr ConnectOptions connectOptions { .connectTimeout = std::chrono::milliseconds(1000) };
 
@@ -111,8 +112,7 @@
     if (const std::string* id = findHeader(response.headers, m_httpConventions.requestId))
         return *id == m_request.requestId;
     // A server that rejects a request may not have read its id.
-    return !m_hasAnswered
-        && (response.status == statusMisdirected || findHeader(response.headers, m_httpConventions.notExecuted));
+    return !m_hasAnswered && statesNotExecuted(response, m_httpConventions);
 }
 
 void BackendConnection::acceptResponse(HttpResponse response)
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -1,6 +1,7 @@
 #include "proxy/BackendGate.h"
 
 #include "base/Error.h"
+#include "proxy/ResponseKind.h"
 
 #include <algorithm>
 
@@ -16,8 +17,6 @@
     constexpr Duration pauseRefusalPeriod = std::chrono::milliseconds(100);
     // Share of the idle timeout announced by the server for which an idle connection may be reused.
     constexpr double keepAliveFraction = 0.8;
-    constexpr int firstSuccess = 200;
-    constexpr int firstRedirect = 300;
 
     size_t sizeOf(const HttpResponse& response)
     {
@@ -284,8 +283,7 @@
     if (auto* backendResponse = std::get_if<BackendResponse>(&result)) {
         HttpResponse& response = backendResponse->response;
         recordNotice(response);
-        const bool isNotRun
-            = response.status == statusMisdirected || findHeader(response.headers, m_httpConventions.notExecuted);
+        const bool isNotRun = statesNotExecuted(response, m_httpConventions);
         const Duration serviceTime = m_loop.now() - call->startedAt;
         if (!isNotRun)
             m_costs.recordResponse(call->gateCall, response.status, serviceTime, m_loop.now());
@@ -297,8 +295,7 @@
             return;
         }
         removeConnectionHeaders(response.headers, m_httpConventions.endToEndNames());
-        if (m_options.link && call->gateCall.isFromPeer && response.status >= firstSuccess
-            && response.status < firstRedirect)
+        if (m_options.link && call->gateCall.isFromPeer && isSuccessStatus(response.status))
             m_options.link->recordResponse(call->gateCall.route, sizeOf(response), m_loop.now());
         end(call,
             std::make_shared<const GateReply>(GateResponse {
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -1,5 +1,7 @@
 #include "proxy/CallForwarder.h"
 
+#include "proxy/ResponseKind.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
@@ -8,13 +10,13 @@
 
 namespace {
 
+    // The step of an attempt that the backend server itself refused or failed.
+    constexpr const char* serverStep = "backend-server";
     constexpr int statusNotFound = 404;
     constexpr int statusServerError = 500;
     constexpr int statusBadGateway = 502;
     constexpr int statusUnavailable = 503;
     constexpr int statusTimeout = 504;
-    constexpr int firstSuccess = 200;
-    constexpr int firstRedirect = 300;
 
     constexpr Duration minRetryAfter = std::chrono::milliseconds(50);
     constexpr Duration maxRetryAfter = std::chrono::seconds(1);
@@ -286,16 +288,11 @@
         handleRefusal(call, std::get<GateRefusal>(*reply));
 }
 
-bool CallForwarder::hasProof(const HttpResponse& response) const
-{
-    return findHeader(response.headers, m_httpConventions.proof) != nullptr;
-}
-
 void CallForwarder::handleResponse(const CallPtr& call, const GateResponse& gateResponse)
 {
     const HttpResponse& response = gateResponse.response;
-    const bool isSuccess = response.status >= firstSuccess && response.status < firstRedirect;
-    const bool isFailed = response.status >= statusServerError || (isSuccess && !hasProof(response));
+    const ResponseKind kind = classifyResponse(response, m_httpConventions);
+    const bool isFailed = response.status >= statusServerError || kind == ResponseKind::UnprovenSuccess;
     m_notices.record(targetOf(*call), readServerNotice(response.headers, m_httpConventions), m_loop.now());
     pauseTarget(*call, call->sentAt, gateResponse.load);
     if (!isFailed)
@@ -303,38 +300,67 @@
     reportToRouter(*call, CallOutcome::Answered, isFailed, gateResponse.load, gateResponse.serviceTime);
     ++call->attempts;
     call->mayHaveRun = true;
-    if (isSuccess)
+    if (isSuccessStatus(response.status))
         recordResponseBytes(*call->route, response);
-    // A failure reported by the server itself is delivered. Callers retry idempotent requests themselves; a retry here
-    // would repeat the nested calls of the failed run at the expense of the fleet's retry budget.
-    if (!isSuccess || !isFailed) {
+    switch (kind) {
+    case ResponseKind::Success:
+    case ResponseKind::Failure:
+        // A failure reported by the server itself is delivered. Callers retry idempotent requests themselves; a retry
+        // here would repeat the nested calls of the failed run at the expense of the fleet's retry budget.
         call->lastReason = "the server answered " + std::to_string(response.status);
         finish(call, response, "answered");
         return;
+    case ResponseKind::UnprovenSuccess:
+        call->lastReason = "the server's answer bears no proof";
+        if (tryTakeRetry(*call))
+            attempt(call);
+        else
+            giveUp(call);
+        return;
+    case ResponseKind::NotExecuted:
+        // Gates reply with a refusal in its place.
+    case ResponseKind::AmbiguousRefusal:
+        handleAmbiguousRefusal(call, gateResponse);
+        return;
     }
-    call->lastReason = "the server's answer bears no proof";
-    if (tryTakeRetry(*call))
-        attempt(call);
-    else
-        giveUp(call);
+}
+
+// Ends the call without a retry, like other failures of a server. Nothing of the response is passed on: its headers,
+// such as Retry-After, belong to a status that the caller must not get.
+void CallForwarder::handleAmbiguousRefusal(const CallPtr& call, const GateResponse& gateResponse)
+{
+    ++m_ambiguousRefusals;
+    recordFailedAttempt(*call,
+        { .outcome = CallOutcome::Unknown,
+            .step = serverStep,
+            .reason = "the server answered " + std::to_string(gateResponse.response.status)
+                + " without a statement that it did not run the request",
+            .load = gateResponse.load });
+    giveUp(call);
+}
+
+void CallForwarder::recordFailedAttempt(Call& call, const GateRefusal& refusal)
+{
+    call.lastReason = refusal.step + ": " + refusal.reason;
+    m_log.failure("attempt-failed",
+        { { "id", call.requestId.value() }, { "route", call.route->name },
+            { "target", call.triedInstances.back().value() },
+            { "outcome", refusal.outcome == CallOutcome::Unknown ? "unknown" : "not-run" }, { "step", refusal.step },
+            { "reason", refusal.reason }, { "queued", std::to_string(refusal.load.queued) },
+            { "limit", std::to_string(refusal.load.limit) },
+            { "remaining_ms", millisecondsText(call.deadline - m_loop.now()) } });
 }
 
 void CallForwarder::handleRefusal(const CallPtr& call, const GateRefusal& refusal)
 {
     const bool isUnknown = refusal.outcome == CallOutcome::Unknown;
-    const bool isFromServer = refusal.step == "backend-server";
+    const bool isFromServer = refusal.step == serverStep;
     pauseTarget(*call, m_loop.now(), refusal.load);
     reportToRouter(
         *call, refusal.outcome, isUnknown, refusal.load.limit > 0 ? std::optional(refusal.load) : std::nullopt);
     call->lastLoad = refusal.load;
     call->wasRefusedByServer = isFromServer;
-    call->lastReason = refusal.step + ": " + refusal.reason;
-    m_log.failure("attempt-failed",
-        { { "id", call->requestId.value() }, { "route", call->route->name },
-            { "target", call->triedInstances.back().value() }, { "outcome", isUnknown ? "unknown" : "not-run" },
-            { "step", refusal.step }, { "reason", refusal.reason }, { "queued", std::to_string(refusal.load.queued) },
-            { "limit", std::to_string(refusal.load.limit) },
-            { "remaining_ms", millisecondsText(call->deadline - m_loop.now()) } });
+    recordFailedAttempt(*call, refusal);
     if (isUnknown || isFromServer)
         ++call->attempts;
     call->mayHaveRun |= isUnknown;
@@ -454,13 +480,12 @@
         { "attempts", std::to_string(call->attempts) }, { "refusals", std::to_string(call->refusals) },
         { "target", call->triedInstances.empty() ? "" : call->triedInstances.back().value() },
         { "version", call->configuration ? std::to_string(call->configuration->manifest().version.value()) : "none" } };
-    const bool isSuccess = response.status < statusServerError;
-    if (!isSuccess)
-        fields.emplace_back("reason", call->lastReason);
-    if (isSuccess)
+    if (response.status < statusServerError) {
         m_log.success("request-answered", fields);
-    else
+    } else {
+        fields.emplace_back("reason", call->lastReason);
         m_log.failure("request-failed", std::move(fields));
+    }
     call->caller->respond(std::move(response));
 }
 
--- a/src/proxy/CallForwarder.h
+++ b/src/proxy/CallForwarder.h
@@ -3,7 +3,9 @@
 // handle() takes a complete request and the connection to respond on. The matching route of the current configuration
 // gives the service (or the target of a split), rank, timeout and idempotence. Router picks an instance, and the call
 // goes to that instance's gate, on this node or at a peer. Depending on the gate's reply:
-//   * a response is delivered, except for a success without the server's proof, which is treated like Unknown;
+//   * a response is delivered, with two exceptions (ResponseKind.h): a success without the server's proof is treated
+//     like Unknown, and an ambiguous refusal ends the call, since its status would tell the caller that the request did
+//     not run;
 //   * NotRun from the gate: another instance is tried, up to maxRefusals refusals, or maxRateRefusals by servers that
 //     limit their requests;
 //     A server that refused because it is cold is followed by servers that are not, if there are any.
@@ -75,6 +77,8 @@
     void setServers(const MembershipView& view);
     // Requests that were refused because all servers of their service are in evacuated zones.
     uint64_t refusedByEvacuation() const { return m_refusedByEvacuation; }
+    // Responses of servers that were not delivered because their status would have told callers "not run".
+    uint64_t ambiguousRefusals() const { return m_ambiguousRefusals; }
     size_t callsInProgress() const { return m_calls.size() + m_queue.size(); }
 
 private:
@@ -161,10 +165,11 @@
     void pauseTarget(const Call& call, TimePoint since, const LoadHint& load);
     void handleReply(const CallPtr& call, const GateReplyPtr& reply);
     void handleResponse(const CallPtr& call, const GateResponse& gateResponse);
+    void handleAmbiguousRefusal(const CallPtr& call, const GateResponse& gateResponse);
     void handleRefusal(const CallPtr& call, const GateRefusal& refusal);
+    void recordFailedAttempt(Call& call, const GateRefusal& refusal);
     // If it returns true, it has taken a retry from the budget, which the caller must use.
     bool tryTakeRetry(const Call& call);
-    bool hasProof(const HttpResponse& response) const;
     void reportToRouter(
         Call& call, CallOutcome outcome, bool isFault, const std::optional<LoadHint>& load, Duration serviceTime = {});
     void giveUp(const CallPtr& call);
@@ -200,6 +205,7 @@
     // Services whose servers are all in evacuated zones.
     absl::flat_hash_set<ServiceName> m_evacuatedServices;
     uint64_t m_refusedByEvacuation { 0 };
+    uint64_t m_ambiguousRefusals { 0 };
     size_t m_fleetSize { 1 };
     bool m_hasServers { false };
     bool m_isDraining { false };
--- a/src/proxy/ProxyNodeStatus.cpp
+++ b/src/proxy/ProxyNodeStatus.cpp
@@ -63,6 +63,7 @@
     m_metrics.setValue("evacuated_zones", static_cast<double>(m_evacuations.evacuatedZones().size()));
     m_metrics.setValue("gate_refused_by_evacuation", static_cast<double>(counters.refusedByEvacuation));
     m_metrics.setValue("requests_refused_by_evacuation", static_cast<double>(m_forwarder.refusedByEvacuation()));
+    m_metrics.setValue("ambiguous_refusals", static_cast<double>(m_forwarder.ambiguousRefusals()));
     m_metrics.setValue("source_era", static_cast<double>(eraOf(m_directory.revision())));
     m_metrics.setReader(m_exchange.isReading());
     m_metrics.setValue("source_age_seconds", std::chrono::duration<double>(m_exchange.age()).count());
--- a/src/proxy/tests/ProxyFleet.cpp
+++ b/src/proxy/tests/ProxyFleet.cpp
@@ -170,6 +170,10 @@
             TcpStream::closeAfterFlush(std::move(m_stream));
             close();
             return;
+        case ServerFault::RefuseAfterRun:
+            m_stream->write(
+                serialize(HttpResponse { .status = 503, .headers = m_server.responseHeaders(m_id), .body = m_body }));
+            break;
         case ServerFault::ExtraResponse:
             m_stream->write(text + text);
             break;
@@ -449,9 +453,10 @@
     const auto response = body.empty() ? client.Get(path, headers) : client.Post(path, headers, body, "text/plain");
     if (!response)
         return {};
-    return {
-        .status = response->status, .body = response->body, .retryAfter = response->get_header_value("Retry-After")
-    };
+    return { .status = response->status,
+        .body = response->body,
+        .retryAfter = response->get_header_value("Retry-After"),
+        .proof = response->get_header_value(HttpConventions().proof) };
 }
 
 } // namespace skylark
--- a/src/proxy/tests/ProxyFleet.h
+++ b/src/proxy/tests/ProxyFleet.h
@@ -25,6 +25,8 @@
     Truncate,
     // Responds that it did not run the request.
     Shed,
+    // Responds 503 after running the request, without a statement that it did not.
+    RefuseAfterRun,
     // Writes a refusal without an id, then runs the request, as if an earlier refusal were written once more.
     RefusalBeforeResponse,
 };
@@ -169,6 +171,8 @@
     int status { 0 };
     std::string body;
     std::string retryAfter;
+    // The server's proof; empty if there is none.
+    std::string proof;
 };
 TestResponse sendRequest(const Endpoint& node, const std::string& id, const std::string& path,
     const std::string& body = "", int deadlineMilliseconds = 2000);
--- a/src/proxy/tests/ProxyLogTest.cpp
+++ b/src/proxy/tests/ProxyLogTest.cpp
@@ -1,4 +1,4 @@
-// Traces three kinds of failed request from their ids to their causes using only the log lines of real nodes, as
+// Traces four kinds of failed request from their ids to their causes using only the log lines of real nodes, as
 // described in docs/OPERATIONS.md.
 #include "proxy/tests/ProxyFleet.h"
 
@@ -89,6 +89,24 @@
         EXPECT_EQ(lines[1]["attempts"], "1");
     }
 
+    // Guards against a failure of the server that looks like one of the node, or like a request that did not run.
+    TEST(ProxyLogTest, LogOfAnAmbiguousRefusalGivesTheStatusOfTheServer)
+    {
+        const auto lines = linesOfFailure(ServerFault::RefuseAfterRun, 5ms, "ambiguous", 502);
+        ASSERT_EQ(lines.size(), 2u);
+        const std::string reason
+            = "backend-server: the server answered 503 without a statement that it did not run the request";
+        EXPECT_EQ(lines[0]["event"], "attempt-failed");
+        EXPECT_EQ(lines[0]["outcome"], "unknown");
+        EXPECT_EQ(lines[0]["step"], "backend-server");
+        EXPECT_EQ(lines[0]["target"], "s0");
+        EXPECT_EQ("backend-server: " + lines[0]["reason"].get<std::string>(), reason);
+        EXPECT_EQ(lines[1]["event"], "request-failed");
+        EXPECT_EQ(lines[1]["outcome"], "unknown");
+        EXPECT_EQ(lines[1]["status"], "502");
+        EXPECT_EQ(lines[1]["reason"], reason);
+    }
+
     TEST(ProxyLogTest, LogOfATimedOutRequestGivesTheTimeoutAndItsDuration)
     {
         const auto lines = linesOfFailure(ServerFault::None, 3s, "slow", 504);
