Soak: let failing servers answer 503 without a statement

The soak's servers failed requests with 500 only, so it could not show a 503 that reaches a caller after a run. Half of the failed requests now get 503 without the header that states that the server did not run them. The status follows from the request's id, so the draws of the kept seeds stay the same.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import time
+import zlib
 
 import h11
 
@@ -25,10 +26,15 @@
     SHED = "shed"
     # Takes 8 times the work time.
     SLOW = "slow"
-    # Executes the request, then responds with status 500.
+    # Executes the request, then responds with 500, or with 503 but without stating that it was not executed.
     FAIL = "fail"
 
 
+def failure_status(request_id):
+    """Returns 500 or 503. Drawing it would change the faults of the seeds that are kept as regressions."""
+    return 503 if zlib.crc32(request_id.encode()) % 2 else 500
+
+
 @dataclasses.dataclass
 class RequestedWork:
     """Work time and response size that a request asks for in its path."""
@@ -135,7 +141,7 @@
         body = response_body(request_id, work.response_bytes)
         headers = [(wire.REQUEST_ID, request_id), (wire.PROOF, compute_proof(request_id, body))]
         if fault is ServerFault.FAIL:
-            await stream.send(http11.response(500, headers[:1]))
+            await stream.send(http11.response(failure_status(request_id), headers[:1]))
             return True
         data = stream.serialize(http11.response(200, headers, body), body)
         if fault is ServerFault.TRUNCATE:
