skylarkd: remove Skylark-Outcome from the responses of servers

What callers saw: a server that passed the refusal of a nested call on, headers included, stated "not run" for its own request, which it had run. skylarkd promises with Skylark-Outcome: not-run what skylark-node promises with the status, and it delivered a server's headers as they were.

RequestPathTest.ServerCannotStateTheOutcomeOfItsRequest: without the change the header reached the caller in 12 of 12 requests, with it in none.

--- a/src/node/CallerServer.cpp
+++ b/src/node/CallerServer.cpp
@@ -12,6 +12,9 @@
 namespace {
 
     constexpr size_t maxRepeatableBytes = size_t { 256 } * 1024;
+    // Only the node states the outcome of a request. A backend server that passes the refusal of a nested call on would
+    // otherwise state "not run" for the request that it has run.
+    constexpr const char* outcomeHeader = "Skylark-Outcome";
 
     CallerRequest toCallerRequest(const httplib::Request& request)
     {
@@ -212,7 +215,7 @@
             contentLength = number;
         else if (absl::EqualsIgnoreCase(name, "Content-Type"))
             contentType = value;
-        else
+        else if (!absl::EqualsIgnoreCase(name, outcomeHeader))
             response.headers.emplace(name, value);
     }
     if (callerRequest.method == "HEAD" || !callResponse.start.hasBody) {
@@ -276,7 +279,7 @@
     const nlohmann::json body = { { "outcome", outcomeName(error.outcome) }, { "step", error.step },
         { "peer", error.peer }, { "message", error.message } };
     response.status = error.status;
-    response.set_header("Skylark-Outcome", outcomeName(error.outcome));
+    response.set_header(outcomeHeader, outcomeName(error.outcome));
     response.set_content(body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), "application/json");
 }
 
--- a/src/node/CallerServer.h
+++ b/src/node/CallerServer.h
@@ -5,7 +5,7 @@
 // - A response that has not arrived completely is streamed to the caller. If it ends early, the connection is closed
 //   before the declared Content-Length or the last chunk, so that the caller detects the truncation.
 // - An error response has the header Skylark-Outcome (not-run or unknown) and a JSON body with outcome, step, peer and
-//   message.
+//   message. The header is removed from the responses of backend servers.
 #pragma once
 
 #include "metrics/Metrics.h"
--- a/src/node/tests/RequestPathTest.cpp
+++ b/src/node/tests/RequestPathTest.cpp
@@ -128,6 +128,22 @@
         EXPECT_EQ(executions("slow-1"), 1);
     }
 
+    // Guards against a caller that repeats a request which ran: its server had passed the refusal of a nested call on,
+    // headers included, and the node took over the outcome that the refusal named.
+    TEST_F(RequestPathTest, ServerCannotStateTheOutcomeOfItsRequest)
+    {
+        // Different first nodes and several requests, so that both the node's own server and that of a peer answer.
+        for (size_t index = 0; index < 12; ++index) {
+            const std::string id = "relayed-" + std::to_string(index);
+            const auto response = s_fleet->client(index % s_fleet->size())
+                                      .Post("/fees/relayed-refusal", { { "X-Test-Id", id } }, "fee", "text/plain");
+            ASSERT_TRUE(response);
+            EXPECT_EQ(response->status, 503);
+            EXPECT_FALSE(response->has_header("Skylark-Outcome"));
+            EXPECT_EQ(executions(id), 1);
+        }
+    }
+
     TEST_F(RequestPathTest, ExpiredDeadlineIsRefusedAsNotRun)
     {
         const auto response
--- a/src/node/tests/TestFleet.cpp
+++ b/src/node/tests/TestFleet.cpp
@@ -86,6 +86,9 @@
     } else if (request.path.starts_with("/export")) {
         constexpr size_t size = 200'000;
         sendTruncatedResponse(response, size, s_hasTruncatedExport.exchange(true) ? size : size / 2);
+    } else if (request.path.starts_with("/fees/relayed-refusal")) {
+        response.status = 503;
+        response.set_header("Skylark-Outcome", "not-run");
     } else {
         if (request.has_header("X-Test-Delay-Ms"))
             std::this_thread::sleep_for(
