Share the size of headers and the name of the server's step

The bytes of a message's headers were counted by two functions, in BackendGate.cpp and CallForwarderChoice.cpp, and the step that marks a refusal of the backend server itself was a literal in three files that the forwarder compares with. One function (byteCount) and one constant (serverStep) serve all.

--- a/src/http/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -53,6 +53,14 @@
     std::erase_if(headers, [name](const HttpHeader& header) { return isNamed(header, name); });
 }
 
+size_t byteCount(const HttpHeaders& headers)
+{
+    size_t bytes = 0;
+    for (const HttpHeader& header : headers)
+        bytes += header.name.size() + header.value.size();
+    return bytes;
+}
+
 void removeConnectionHeaders(HttpHeaders& headers, std::span<const std::string_view> endToEndNames)
 {
     std::vector<std::string> connectionOptions;
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -27,6 +27,8 @@
 // Replaces all headers with this name by one.
 void setHeader(HttpHeaders& headers, std::string_view name, std::string value);
 void removeHeader(HttpHeaders& headers, std::string_view name);
+// Returns the bytes of all names and values.
+size_t byteCount(const HttpHeaders& headers);
 // Removes the hop-by-hop headers: Connection and the headers that it names, Keep-Alive, Transfer-Encoding, TE, Trailer,
 // Upgrade, Proxy-Connection and Expect. Also removes Content-Length, which serialize() adds again. Headers in
 // `endToEndNames` stay even if Connection names them: a sender must not name headers that are meant for all recipients.
--- a/src/proxy/BackendGate.cpp
+++ b/src/proxy/BackendGate.cpp
@@ -18,14 +18,6 @@
     // Share of the idle timeout announced by the server for which an idle connection may be reused.
     constexpr double keepAliveFraction = 0.8;
 
-    size_t sizeOf(const HttpResponse& response)
-    {
-        size_t bytes = response.body.size();
-        for (const HttpHeader& header : response.headers)
-            bytes += header.name.size() + header.value.size();
-        return bytes;
-    }
-
 } // namespace
 
 BackendGate::BackendGate(EventLoop& loop, GateOptions options, const HttpConventions& httpConventions)
@@ -290,13 +282,14 @@
         release(call, isNotRun ? ServiceResult::Shed : ServiceResult::Answered);
         if (isNotRun) {
             end(call,
-                makeRefusal(CallOutcome::NotRun, "backend-server",
+                makeRefusal(CallOutcome::NotRun, serverStep,
                     "the server refused the call with " + std::to_string(response.status), loadFor(call->gateCall)));
             return;
         }
         removeConnectionHeaders(response.headers, m_httpConventions.endToEndNames());
         if (m_options.link && call->gateCall.isFromPeer && isSuccessStatus(response.status))
-            m_options.link->recordResponse(call->gateCall.route, sizeOf(response), m_loop.now());
+            m_options.link->recordResponse(
+                call->gateCall.route, byteCount(response.headers) + response.body.size(), m_loop.now());
         end(call,
             std::make_shared<const GateReply>(GateResponse {
                 .response = std::move(response), .load = loadFor(call->gateCall), .serviceTime = serviceTime }));
@@ -309,7 +302,7 @@
     }
     end(call,
         makeRefusal(
-            CallOutcome::Unknown, "backend-server", std::get<BackendFailure>(result).reason, loadFor(call->gateCall)));
+            CallOutcome::Unknown, serverStep, std::get<BackendFailure>(result).reason, loadFor(call->gateCall)));
 }
 
 bool BackendGate::isFresh(const BackendConnection& connection, const GateCall& call) const
@@ -491,7 +484,7 @@
         m_costs.recordTimeout(call->gateCall, now - call->startedAt, now);
         release(call, ServiceResult::Failed);
         const char* reason = now >= call->gateCall.deadline ? "the deadline passed" : "the node stops";
-        end(call, makeRefusal(CallOutcome::Unknown, "backend-server", reason, loadFor(call->gateCall)));
+        end(call, makeRefusal(CallOutcome::Unknown, serverStep, reason, loadFor(call->gateCall)));
     }
     apply(m_admission.advance(now));
     updateColdState();
--- a/src/proxy/CallForwarder.cpp
+++ b/src/proxy/CallForwarder.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-    // The step of an attempt that the backend server itself refused or failed.
-    constexpr const char* serverStep = "backend-server";
     constexpr int statusNotFound = 404;
     constexpr int statusServerError = 500;
     constexpr int statusBadGateway = 502;
--- a/src/proxy/CallForwarderChoice.cpp
+++ b/src/proxy/CallForwarderChoice.cpp
@@ -5,30 +5,19 @@
 
 namespace skylark {
 
-namespace {
-
-    uint64_t sizeOf(const HttpHeaders& headers)
-    {
-        uint64_t bytes = 0;
-        for (const HttpHeader& header : headers)
-            bytes += header.name.size() + header.value.size();
-        return bytes;
-    }
-
-} // namespace
-
 ByteCount CallForwarder::expectedBytes(const Call& call) const
 {
     const auto history = m_history.find(call.route->name);
     const double responseBytes = history == m_history.end() ? 0 : history->second.meanResponseBytes;
-    return ByteCount(sizeOf(call.request->headers) + call.request->body.size() + static_cast<uint64_t>(responseBytes));
+    return ByteCount(
+        byteCount(call.request->headers) + call.request->body.size() + static_cast<uint64_t>(responseBytes));
 }
 
 void CallForwarder::recordResponseBytes(const Route& route, const HttpResponse& response)
 {
     constexpr double weight = 1.0 / 16;
     double& mean = m_history[route.name].meanResponseBytes;
-    const auto bytes = static_cast<double>(sizeOf(response.headers) + response.body.size());
+    const auto bytes = static_cast<double>(byteCount(response.headers) + response.body.size());
     mean = mean > 0 ? mean + weight * (bytes - mean) : bytes;
 }
 
--- a/src/proxy/GateCall.h
+++ b/src/proxy/GateCall.h
@@ -47,6 +47,9 @@
     bool isFromPeer { false };
 };
 
+// The step of a GateRefusal that the backend server itself refused or failed. Nodes send it to each other.
+inline constexpr const char* serverStep = "backend-server";
+
 // The backend server's complete response.
 struct GateResponse {
     HttpResponse response;
--- a/src/proxy/PeerClient.cpp
+++ b/src/proxy/PeerClient.cpp
@@ -244,7 +244,7 @@
         return;
     const StreamId stream = response.stream;
     if (!isValidHead(response)) {
-        reply(stream, makeRefusal(CallOutcome::Unknown, "backend-server", "the response has an invalid head"));
+        reply(stream, makeRefusal(CallOutcome::Unknown, serverStep, "the response has an invalid head"));
         return;
     }
     const bool hasBody = response.hasBody;
