ServerAnswerTest: give each round of second copies its own gate

Cause, in the test: the rounds shared one gate and one id. If a round ended within the 2 ms after which its late copy is sent, the copy arrived on the kept connection while the next round's first call was in flight, and it bore that call's id. The gate then rightly ended the call as unknown, and the test expected an answer. The product is not at fault: the copy reached no call with another id.

--- a/src/proxy/tests/ServerAnswerTest.cpp
+++ b/src/proxy/tests/ServerAnswerTest.cpp
@@ -155,6 +155,7 @@
 
         // Sends one call to the gate and returns its reply, or null if none came in time.
         GateReplyPtr call(const std::string& id) { return callThrough(gate, id, ""); }
+        GateReplyPtr callThrough(BackendGate& target, const std::string& id) { return callThrough(target, id, ""); }
         GateReplyPtr callThrough(BackendGate& target, const std::string& id, std::string body)
         {
             auto request = std::make_shared<HttpRequest>();
@@ -269,13 +270,23 @@
                     return isLate ? Script { .firstPart = copy, .secondPart = extra }
                                   : Script { .firstPart = copy + extra };
                 });
-                ASSERT_NE(response(call("first")), nullptr);
-                const GateReplyPtr reply = call("second");
+                // A gate of its own for each round: a late copy that arrives on a shared connection in the next round
+                // bears the id of that round's first call.
+                BackendGate roundGate(loop, { .server = server.address() }, httpConventions);
+                roundGate.setServer(serverRecord());
+                ASSERT_NE(response(callThrough(roundGate, "first")), nullptr);
+                const GateReplyPtr reply = callThrough(roundGate, "second");
                 ASSERT_NE(reply, nullptr);
                 if (const HttpResponse* second = response(reply))
                     EXPECT_EQ(*findHeader(second->headers, HttpConventions().requestId), "second");
                 else
                     EXPECT_EQ(refusal(reply)->outcome, CallOutcome::Unknown);
+                // A late copy closes the connection unless it arrived beside the second call.
+                for (int wait = 0; isLate && wait < 100 && roundGate.idleConnections() > 0; ++wait)
+                    runFor(1ms);
+                const GateReplyPtr last = callThrough(roundGate, "third");
+                ASSERT_NE(response(last), nullptr);
+                EXPECT_EQ(*findHeader(response(last)->headers, HttpConventions().requestId), "third");
             }
         }
     }
